Serve a request end to end: daemon, stand-ins, load tool and demo

Cause: nothing existed; everything else is built on a thin whole path.

A caller's request comes in at any daemon (nbhttp), passes key, plan and an equal split of the rate, is placed on a host of its service, handed on over framed msgpack (nbio) and run once on the upstream beside that daemon. The upstream's own calls carry a token that only its daemon resolves. Refusals say notRun or outcomeUnknown with a reason and when to come back.

Ruled out: net/http's own repeats. With a plain body the transport sent a request again on a reused connection that failed (3 requests seen instead of 2, GET and POST with an Idempotency-Key); with a body that can't be rewound it never does.

nbhttp runs a connection's close callback behind the handler at work on it, so a caller that hangs up is found by looking at the connection every 20 ms.

Conclusion: the path stands; rate over hosts, queue and limit are baselines.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every check is run the same way here and in CI.
+TOOLS := go tool -modfile=tools/go.mod
+
+.PHONY: all test race lint format generate demo fuzz bench
+
+all: lint test
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	@out=$$($(TOOLS) gofumpt -l .); if [ -n "$$out" ]; then echo "gofumpt: run 'make format' for:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	$(TOOLS) staticcheck ./...
+
+format:
+	$(TOOLS) gofumpt -w .
+
+# Generated files are committed; this is for whoever changes an enum.
+generate:
+	PATH="$(CURDIR)/.bin:$$PATH" go generate ./...
+
+demo:
+	@./scripts/demo.sh
--- /dev/null
+++ b/cmd/foxtailload/main.go
@@ -0,0 +1,95 @@
+// Command foxtailload drives traffic at a fleet, checks every answer and plays the operators in demos.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/foxtailhook/foxtailhook/internal/load/traffic"
+)
+
+func main() {
+	root := &ffcli.Command{
+		Name:        "foxtailload",
+		ShortUsage:  "foxtailload run|publish|ready [flags]",
+		ShortHelp:   "Drives traffic at a fleet and checks every answer.",
+		Subcommands: []*ffcli.Command{runCommand(), publishCommand(), readyCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "foxtailload:", err)
+		os.Exit(1)
+	}
+}
+
+func runCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("foxtailload run", flag.ExitOnError)
+	path := fs.String("plan", "", "JSON file with daemons, streams and events")
+	return &ffcli.Command{
+		Name: "run", ShortUsage: "foxtailload run -plan FILE", FlagSet: fs,
+		ShortHelp: "Sends a plan's traffic; progress on standard error, one JSON line on standard output.",
+		Exec: func(ctx context.Context, _ []string) error {
+			plan, err := traffic.ReadPlan(*path)
+			if err != nil {
+				return err
+			}
+			result, err := traffic.NewRunner(plan, os.Stderr).Run(ctx)
+			if out := json.NewEncoder(os.Stdout).Encode(result); out != nil {
+				return out
+			}
+			return err
+		},
+	}
+}
+
+func publishCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("foxtailload publish", flag.ExitOnError)
+	platform := fs.String("platform", "127.0.0.1:9000", "IP:port of the stand-in platform")
+	list := fs.String("list", "", "plans, uses, keys or hosts")
+	file := fs.String("file", "", "JSON file with the value")
+	return &ffcli.Command{
+		Name: "publish", ShortUsage: "foxtailload publish -list NAME -file FILE", FlagSet: fs,
+		ShortHelp: "Publishes a list at the stand-in platform.",
+		Exec: func(ctx context.Context, _ []string) error {
+			return traffic.Act(ctx, http.MethodPut, "http://"+*platform+"/v1/lists/"+*list, *file)
+		},
+	}
+}
+
+func readyCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("foxtailload ready", flag.ExitOnError)
+	operators := fs.String("operators", "", "operators' addresses of the daemons, IP:port separated by commas")
+	wait := fs.Duration("wait", 10*time.Second, "longest wait")
+	return &ffcli.Command{
+		Name: "ready", ShortUsage: "foxtailload ready -operators A,B,C", FlagSet: fs,
+		ShortHelp: "Waits until every daemon is ready.",
+		Exec: func(ctx context.Context, _ []string) error {
+			var all []netip.AddrPort
+			for _, raw := range strings.Split(*operators, ",") {
+				a, err := netip.ParseAddrPort(raw)
+				if err != nil {
+					return err
+				}
+				all = append(all, a)
+			}
+			ctx, cancel := context.WithTimeout(ctx, *wait)
+			defer cancel()
+			return traffic.AwaitReady(ctx, all)
+		},
+	}
+}
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,6 @@
+// Package foxtailhook embeds the overload control layer: a daemon beside one
+// upstream that admits, queues, places and refuses its requests.
+//
+// Letter 1 asks for a library that others can embed, which goes before the
+// house rule that packages live under internal/.
+package foxtailhook
--- /dev/null
+++ b/internal/app/daemon/daemon.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/settings"
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings settings.Settings
+	log      *logrus.Logger
+	metrics  *telemetry.Metrics
+
+	view     atomic.Pointer[lists.View]
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+
+	control  *control
+	rates    *rate.Split
+	placer   *placing.Placer
+	owner    *owner
+	peers    *peer.Node
+	callers  *httpd.Server
+	operator *httpd.Server
+}
+
+// New returns a daemon with checked settings; it does nothing until Run.
+func New(s settings.Settings, log *logrus.Logger) *Daemon {
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
+		rates:    rate.NewSplit(),
+		placer:   placing.New(s.Zone),
+	}
+	d.view.Store(lists.NewSet().View())
+	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
+	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
+	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
+	d.operator = httpd.New(s.Operators, d.operatorRoutes())
+	return d
+}
+
+// frameSlack is room for a request's head beside its body.
+const frameSlack = 1 << 20
+
+// Run serves until ctx ends, then leaves without cutting a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.start(); err != nil {
+		return err
+	}
+	d.log.WithFields(logrus.Fields{
+		"callers": d.settings.Callers.String(), "peers": d.settings.Peers.String(), "operators": d.settings.Operators.String(),
+	}).Info("started")
+	<-ctx.Done()
+	d.stop()
+	return nil
+}
+
+func (d *Daemon) start() error {
+	starts := []func() error{d.peers.Start, d.operator.Start, d.callers.Start}
+	for _, start := range starts {
+		if err := start(); err != nil {
+			return errors.Wrap(err, "daemon")
+		}
+	}
+	d.control.start()
+	return nil
+}
+
+// stop leaves: new work is refused truthfully at once, others are given time
+// to notice, and what was taken is finished before any connection closes.
+func (d *Daemon) stop() {
+	d.leaving.Store(true)
+	d.log.Info("leaving")
+	time.Sleep(d.settings.LeaveTime)
+	d.drain()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = d.callers.Stop(ctx)
+	d.control.stop()
+	d.peers.Stop()
+	_ = d.operator.Stop(ctx)
+	d.metrics.Close()
+	d.log.WithField("inFlight", d.inFlight.Load()).Info("stopped")
+}
+
+const drainLook = 10 * time.Millisecond
+
+func (d *Daemon) drain() {
+	limit := time.Now().Add(d.settings.DrainTime)
+	for d.inFlight.Load() > 0 && time.Now().Before(limit) {
+		time.Sleep(drainLook)
+	}
+}
--- /dev/null
+++ b/internal/app/daemon/front.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+func newID() string { return uuid.NewString() }
+
+// Refusal is the JSON body of every answer that is not an upstream's.
+type Refusal struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	RequestID    string `json:"requestId,omitempty"`
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+}
+
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	begun := time.Now()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		d.finish(w, nil, call.Refuse(call.BadRequest, 0), begun)
+		return
+	}
+	a, refusal, ok := d.admit(r, body, begun)
+	if !ok {
+		d.logRefusal(r, refusal)
+		d.finish(w, nil, refusal, begun)
+		return
+	}
+	answer := d.dispatch(r.Context(), a)
+	d.finish(w, &a.request, answer, begun)
+}
+
+func (d *Daemon) logRefusal(r *http.Request, refusal call.Answer) {
+	service, path := splitPath(r.URL.Path)
+	d.log.WithFields(logrus.Fields{
+		"decision": "refuse", "service": service, "path": path, "method": r.Method,
+		"outcome": refusal.Outcome.String(), "reason": refusal.Reason.String(), "retryAfterMs": refusal.RetryAfter.Milliseconds(),
+	}).Info("door")
+}
+
+func (d *Daemon) finish(w http.ResponseWriter, r *call.Request, a call.Answer, begun time.Time) {
+	scope := d.metrics.Scope.Tagged(map[string]string{"outcome": a.Outcome.String(), "reason": a.Reason.String()})
+	scope.Counter("answers").Inc(1)
+	scope.Histogram("answer_seconds", telemetry.LatencyBuckets()).RecordDuration(time.Since(begun))
+	if a.Outcome == call.Whole {
+		writeWhole(w, r, a)
+		return
+	}
+	writeRefusal(w, r, a)
+}
+
+func writeWhole(w http.ResponseWriter, r *call.Request, a call.Answer) {
+	for name, values := range a.Header {
+		switch name {
+		case "Connection", "Transfer-Encoding", "Content-Length", upstream.HeaderToken:
+		default:
+			w.Header()[name] = values
+		}
+	}
+	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
+	w.Header().Set(upstream.HeaderRequestID, r.ID)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func writeRefusal(w http.ResponseWriter, r *call.Request, a call.Answer) {
+	body := Refusal{Outcome: a.Outcome.String(), Reason: a.Reason.String(), RetryAfterMs: a.RetryAfter.Milliseconds()}
+	if r != nil {
+		body.RequestID = r.ID
+	}
+	raw, _ := json.Marshal(body)
+	raw = append(raw, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/internal/app/daemon/operators.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+)
+
+// Status is what /statusz tells of a daemon.
+type Status struct {
+	Host        string                `json:"host"`
+	Service     string                `json:"service"`
+	Zone        string                `json:"zone"`
+	Ready       bool                  `json:"ready"`
+	Leaving     bool                  `json:"leaving"`
+	InFlight    int64                 `json:"inFlight"`
+	Lists       map[string]ListStatus `json:"lists"`
+	Connections int                   `json:"peerConnections"`
+	SentBytes   uint64                `json:"peerBytesSent"`
+	GotBytes    uint64                `json:"peerBytesReceived"`
+	Reads       uint64                `json:"platformReads"`
+}
+
+// ListStatus tells which version of a list is in force and which was rejected.
+type ListStatus struct {
+	Version  uint64           `json:"version"`
+	Rejected *lists.Rejection `json:"rejected,omitempty"`
+}
+
+func (d *Daemon) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", d.serveHealth)
+	mux.HandleFunc("/statusz", d.serveStatus)
+	mux.Handle("/metrics", d.metrics.Handler)
+	return mux
+}
+
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.leaving.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !d.view.Load().Complete():
+		http.Error(w, "no complete lists yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ok\n"))
+	}
+}
+
+func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	raw, err := json.MarshalIndent(d.status(), "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(raw, '\n'))
+}
+
+func (d *Daemon) status() Status {
+	sent, received := d.peers.Traffic()
+	s := Status{
+		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
+		Ready: d.view.Load().Complete(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
+		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
+	}
+	d.control.ask(func() {
+		for k := range lists.Kinds {
+			s.Lists[lists.Kind(k).String()] = d.control.listStatus(lists.Kind(k))
+		}
+	})
+	return s
+}
+
+func (c *control) listStatus(k lists.Kind) ListStatus {
+	status := ListStatus{Version: c.set.Value(k).Version}
+	if r := c.set.Rejection(k); r.Version > status.Version {
+		status.Rejected = &r
+	}
+	return status
+}
--- /dev/null
+++ b/internal/app/settings/settings.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// EnvPrefix stands before a flag's name in its environment variable, as in FOXTAILHOOK_HOST.
+const EnvPrefix = "FOXTAILHOOK"
+
+// Settings is everything a daemon is told at its start.
+type Settings struct {
+	Host    string
+	Service string
+	Region  string
+	Zone    string
+
+	Callers   netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+	Upstream  netip.AddrPort
+	Platform  netip.AddrPort
+
+	Slots          int
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+	DefaultRuns    int
+	BodyBound      int
+	MaxConns       int
+	LeaveTime      time.Duration
+	DrainTime      time.Duration
+	Watch          time.Duration
+	LogLevel       logrus.Level
+}
+
+// Problems lists every fault of the settings; as an error it has one line for each.
+type Problems []string
+
+// Error returns the problems, a line each.
+func (p Problems) Error() string { return strings.Join(p, "\n") }
+
+// Parse reads flags and environment; the error is flag.ErrHelp, or Problems with every fault.
+func Parse(args []string, help io.Writer) (Settings, error) {
+	var s Settings
+	fs := flag.NewFlagSet("foxtailhook", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	fs.Usage = func() { usage(fs, help) }
+	b := &binder{fs: fs}
+	s.bind(b)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return s, flag.ErrHelp
+		}
+		return s, Problems{err.Error()}
+	}
+	if rest := fs.Args(); len(rest) > 0 {
+		b.fault("unexpected argument %q", rest[0])
+	}
+	b.resolve()
+	s.check(b)
+	if len(b.problems) > 0 {
+		return s, b.problems
+	}
+	return s, nil
+}
+
+// Default returns the settings of a daemon that is told nothing; host, service and availability zone are missing.
+func Default() Settings {
+	var s Settings
+	b := &binder{fs: flag.NewFlagSet("foxtailhook", flag.ContinueOnError)}
+	s.bind(b)
+	b.resolve()
+	return s
+}
+
+// Check returns Problems with every fault of settings that were not parsed, or nil.
+func (s *Settings) Check() error {
+	b := &binder{}
+	s.check(b)
+	if len(b.problems) > 0 {
+		return b.problems
+	}
+	return nil
+}
+
+func (s *Settings) bind(b *binder) {
+	b.text(&s.Host, "host", "", "name of this host, as in the platform's list")
+	b.text(&s.Service, "service", "", "service of the upstream beside this daemon")
+	b.text(&s.Region, "region", "default", "region of this host")
+	b.text(&s.Zone, "zone", "", "availability zone of this host")
+	b.address(&s.Callers, "callers", "127.0.0.1:7000", "IP:port where callers and the local upstream come in (HTTP)")
+	b.address(&s.Peers, "peers", "127.0.0.1:7001", "IP:port where other daemons come in")
+	b.address(&s.Operators, "operators", "127.0.0.1:7002", "IP:port for health, status and metrics (HTTP)")
+	b.address(&s.Upstream, "upstream", "127.0.0.1:8000", "IP:port of the upstream beside this daemon (HTTP)")
+	b.address(&s.Platform, "platform", "127.0.0.1:9000", "IP:port of the configuration service (HTTP, read only)")
+	b.count(&s.Slots, "slots", 64, "requests that the upstream runs at once", 1, 100_000)
+	b.duration(&s.DefaultTimeout, "default-timeout", 5*time.Second, "time for a request whose caller names none", time.Millisecond, time.Hour)
+	b.duration(&s.MaxTimeout, "max-timeout", 2*time.Minute, "longest time that a caller may name", time.Millisecond, time.Hour)
+	b.count(&s.DefaultRuns, "default-runs", 32, "upstream runs that one request may cause over its whole call chain", 1, 1<<16)
+	b.count(&s.BodyBound, "body-bound", 64<<20, "bytes of the largest request or answer body", 1024, 1<<30)
+	b.count(&s.MaxConns, "max-conns", 10_000, "open connections of callers", 1, 1_000_000)
+	b.duration(&s.LeaveTime, "leave-time", 2*time.Second, "time between refusing new work and closing, so that others notice", 0, time.Minute)
+	b.duration(&s.DrainTime, "drain-time", 2*time.Minute, "longest wait for requests in flight at shutdown", time.Second, time.Hour)
+	b.duration(&s.Watch, "watch", 30*time.Second, "length of one watch at the platform", 100*time.Millisecond, 5*time.Minute)
+	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
+}
+
+func (s *Settings) check(b *binder) {
+	b.required("host", s.Host)
+	b.required("service", s.Service)
+	b.required("zone", s.Zone)
+	if s.MaxTimeout < s.DefaultTimeout {
+		b.fault("-max-timeout (%s) is below -default-timeout (%s)", s.MaxTimeout, s.DefaultTimeout)
+	}
+	seen := map[netip.AddrPort]string{}
+	own := []struct {
+		flag    string
+		address netip.AddrPort
+	}{{"callers", s.Callers}, {"peers", s.Peers}, {"operators", s.Operators}}
+	for _, o := range own {
+		if first, dup := seen[o.address]; dup && o.address.IsValid() {
+			b.fault("-%s and -%s are both %s", first, o.flag, o.address)
+		}
+		seen[o.address] = o.flag
+	}
+}
+
+func usage(fs *flag.FlagSet, out io.Writer) {
+	fmt.Fprintf(out, "foxtailhook: the daemon beside one upstream.\n\n")
+	fmt.Fprintf(out, "Each flag can be given as an environment variable: -log-level as %s_LOG_LEVEL.\n\n", EnvPrefix)
+	fs.SetOutput(out)
+	fs.PrintDefaults()
+	fs.SetOutput(io.Discard)
+}
--- /dev/null
+++ b/internal/app/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up the JSON log and the metrics of a process.
+package telemetry
--- /dev/null
+++ b/internal/app/telemetry/log.go
@@ -0,0 +1,17 @@
+package telemetry
+
+import (
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// NewLog returns a logger that writes one JSON object a line.
+func NewLog(out io.Writer, level logrus.Level) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log
+}
--- /dev/null
+++ b/internal/decide/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget bounds the upstream runs of one request over its whole call chain.
+package budget
--- /dev/null
+++ b/internal/decide/placing/doc.go
@@ -0,0 +1,2 @@
+// Package placing chooses the host that runs a request.
+package placing
--- /dev/null
+++ b/internal/domain/call/request.go
@@ -0,0 +1,30 @@
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one admitted call, stripped of its organisation key.
+type Request struct {
+	ID             string
+	Organisation   string
+	Operation      string
+	Service        string
+	Method         string
+	Path           string
+	Header         http.Header
+	Body           []byte
+	Deadline       time.Time
+	Priority       Priority
+	Weight         int
+	Idempotent     bool
+	IdempotencyKey string
+	Budget         int
+	Depth          int
+}
+
+// Remaining returns the time left until the request's deadline, never negative.
+func (r *Request) Remaining(now time.Time) time.Duration {
+	return max(r.Deadline.Sub(now), 0)
+}
--- /dev/null
+++ b/internal/domain/lists/kind.go
@@ -0,0 +1,33 @@
+package lists
+
+//go:generate stringer -type=Kind -linecomment
+
+// Kind names one published list.
+type Kind uint8
+
+const (
+	// KindPlans is the list of organisations with their plan, rate and burst.
+	KindPlans Kind = iota // plans
+	// KindUses is the list of operations and of what each plan may use.
+	KindUses // uses
+	// KindKeys is the list of hashes of the organisations' keys.
+	KindKeys // keys
+	// KindHosts is the platform's list of live and leaving hosts.
+	KindHosts // hosts
+)
+
+// Kinds is the number of published lists.
+const Kinds = int(KindHosts) + 1
+
+// MaxBytes is the size of the largest value that the platform holds.
+const MaxBytes = 1 << 20
+
+// ParseKind returns the list with the given name, or false.
+func ParseKind(name string) (Kind, bool) {
+	for k := KindPlans; k <= KindHosts; k++ {
+		if k.String() == name {
+			return k, true
+		}
+	}
+	return KindPlans, false
+}
--- /dev/null
+++ b/internal/fleet/rate/doc.go
@@ -0,0 +1,2 @@
+// Package rate keeps every organisation within its rate and burst over all hosts together.
+package rate
--- /dev/null
+++ b/internal/load/traffic/doc.go
@@ -0,0 +1,2 @@
+// Package traffic drives mixed requests at a fleet and checks every answer.
+package traffic
--- /dev/null
+++ b/internal/load/traffic/plan.go
@@ -0,0 +1,79 @@
+package traffic
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Duration is a time.Duration that is written as text in a plan, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText reads the duration.
+func (d *Duration) UnmarshalText(raw []byte) error {
+	parsed, err := time.ParseDuration(string(raw))
+	*d = Duration(parsed)
+	return err
+}
+
+// Stream is the requests of one organisation to one operation, sent at a steady rate whatever comes back.
+type Stream struct {
+	Organisation string   `json:"organisation"`
+	Key          string   `json:"key"`
+	Method       string   `json:"method"`
+	Path         string   `json:"path"`
+	Rate         float64  `json:"rate"`
+	BodyBytes    int      `json:"bodyBytes"`
+	Timeout      Duration `json:"timeout"`
+	// WithinRate marks a stream that stays inside its organisation's rate, so that a refusal of it is wrongful.
+	WithinRate bool `json:"withinRate"`
+	// Measured marks a stream whose added latency counts, until QuietUntil.
+	Measured bool `json:"measured"`
+}
+
+// Event is one HTTP request of an operator at a time after the start.
+type Event struct {
+	At     Duration `json:"at"`
+	Note   string   `json:"note"`
+	Method string   `json:"method"`
+	URL    string   `json:"url"`
+	File   string   `json:"file"`
+	// Withdraws names the organisation whose key this event takes away.
+	Withdraws string `json:"withdraws"`
+}
+
+// Plan is a whole run.
+type Plan struct {
+	Daemons    []netip.AddrPort `json:"daemons"`
+	Length     Duration         `json:"length"`
+	QuietUntil Duration         `json:"quietUntil"`
+	Streams    []Stream         `json:"streams"`
+	Events     []Event          `json:"events"`
+}
+
+// ReadPlan reads a plan from a JSON file; unknown fields are an error.
+func ReadPlan(path string) (*Plan, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "traffic: read plan")
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	plan := &Plan{}
+	if err := dec.Decode(plan); err != nil {
+		return nil, errors.Wrapf(err, "traffic: plan %s", path)
+	}
+	if len(plan.Daemons) == 0 || len(plan.Streams) == 0 || plan.Length <= 0 {
+		return nil, errors.Errorf("traffic: plan %s needs daemons, streams and a length", path)
+	}
+	for i, s := range plan.Streams {
+		if s.Rate <= 0 {
+			return nil, errors.Errorf("traffic: plan %s: streams[%d].rate must be above 0", path, i)
+		}
+	}
+	return plan, nil
+}
--- /dev/null
+++ b/internal/proof/scenario/commands_test.go
@@ -0,0 +1,321 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/load/traffic"
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+type command = func(ts *testscript.TestScript, neg bool, args []string)
+
+type fleetKey struct{}
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
+
+func commands() map[string]command {
+	return map[string]command{
+		"platform": cmdPlatform, // platform: start the stand-in platform
+		"host":     cmdHost,     // host NAME SERVICE ZONE [flag=value] [up:flag=value]: start an upstream with its daemon
+		"hosts":    cmdHosts,    // hosts [NAME=leaving] [NAME=gone]: publish the hosts list
+		"publish":  cmdPublish,  // publish LIST FILE
+		"keys":     cmdKeys,     // keys ORGANISATION=KEY...: publish exactly these keys
+		"mode":     cmdMode,     // mode up|down|stale: how the platform answers
+		"ready":    cmdReady,    // ready NAME...: wait until the daemons are ready
+		"send":     cmdSend,     // send NAME METHOD PATH [key=K] [body=B] [bytes=N] [timeout=D] [header:NAME=VALUE]: print status, outcome, reason, body
+		"await":    cmdAwait,    // await DURATION TEXT send...: repeat a send until its output has TEXT
+		// crash, shutdown, pause and resume take NAME, NAME.upstream or platform.
+		"crash":    signaller(syscall.SIGKILL, true),
+		"shutdown": signaller(syscall.SIGTERM, true),
+		"pause":    signaller(syscall.SIGSTOP, false),
+		"resume":   signaller(syscall.SIGCONT, false),
+		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed
+		// cut and heal take two hosts, or a host and platform.
+		"cut":     cutter(true),
+		"heal":    cutter(false),
+		"slow":    cmdSlow,    // slow NAME MILLISECONDS: the upstream's latency
+		"runs":    cmdRuns,    // runs: print the number of runs over all upstreams, and the most for one request
+		"status":  cmdStatus,  // status NAME: print /statusz
+		"garbage": cmdGarbage, // garbage NAME callers|peers TEXT: send raw bytes (Go escapes) and wait for the end
+		"sleep":   cmdSleep,   // sleep DURATION
+	}
+}
+
+func cmdPlatform(ts *testscript.TestScript, _ bool, _ []string) {
+	ts.Check(fleetOf(ts).startPlatform())
+}
+
+func cmdHost(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "host NAME SERVICE ZONE [flag=value]")
+	ts.Check(fleetOf(ts).add(args[0], args[1], args[2], args[3:]))
+}
+
+func cmdHosts(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	marks := pairs(ts, args)
+	var list lists.Hosts
+	for _, name := range f.order {
+		if marks[name] == "gone" {
+			continue
+		}
+		h := f.hosts[name]
+		list.Hosts = append(list.Hosts, lists.Host{
+			Host: name, Service: h.service, Region: "default", Zone: h.zone,
+			Peer: f.address(relayOffset+h.number, peersPort), Leaving: marks[name] == "leaving",
+		})
+	}
+	put(ts, lists.KindHosts, list)
+}
+
+func cmdKeys(ts *testscript.TestScript, _ bool, args []string) {
+	var list lists.Keys
+	for i, arg := range args {
+		organisation, key, _ := strings.Cut(arg, "=")
+		hash := sha256.Sum256([]byte(key))
+		list.Keys = append(list.Keys, lists.Key{
+			ID: fmt.Sprintf("%s-%d", organisation, i), Organisation: organisation, SHA256: hex.EncodeToString(hash[:]),
+		})
+	}
+	put(ts, lists.KindKeys, list)
+}
+
+func put(ts *testscript.TestScript, kind lists.Kind, value any) {
+	raw, err := json.Marshal(value)
+	ts.Check(err)
+	file := ts.MkAbs(kind.String() + ".published.json")
+	ts.Check(os.WriteFile(file, raw, 0o644))
+	publish(ts, kind.String(), file)
+}
+
+func cmdPublish(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "publish LIST FILE")
+	publish(ts, args[0], ts.MkAbs(args[1]))
+}
+
+func publish(ts *testscript.TestScript, list, file string) {
+	f := fleetOf(ts)
+	ts.Check(traffic.Act(context.Background(), http.MethodPut, "http://"+f.address(platformHost, platformPort).String()+"/v1/lists/"+list, file))
+}
+
+func cmdMode(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "mode up|down|stale")
+	f := fleetOf(ts)
+	ts.Check(traffic.Act(context.Background(), http.MethodPost, "http://"+f.address(platformHost, platformPort).String()+"/v1/mode/"+args[0], ""))
+}
+
+func cmdReady(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(fleetOf(ts).ready(args...))
+}
+
+func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
+	out, err := send(ts, args)
+	ts.Check(err)
+	_, _ = io.WriteString(ts.Stdout(), out)
+}
+
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4, "await DURATION TEXT send NAME METHOD PATH ...")
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	out := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(awaitLook) {
+		if out, err = send(ts, args[3:]); err == nil && strings.Contains(out, args[1]) {
+			_, _ = io.WriteString(ts.Stdout(), out)
+			return
+		}
+	}
+	ts.Fatalf("no answer with %q within %s; the last was %q, error %v", args[1], limit, out, err)
+}
+
+// sendSlack is added to a request's own timeout, so that a late answer is seen as one.
+const sendSlack = 5 * time.Second
+
+func send(ts *testscript.TestScript, args []string) (string, error) {
+	need(ts, args, 3, "send NAME METHOD PATH [key=K] [body=B] ...")
+	f := fleetOf(ts)
+	h := f.hosts[args[0]]
+	if h == nil {
+		ts.Fatalf("no host %q", args[0])
+	}
+	options := pairs(ts, args[3:])
+	body := options["body"]
+	if n, err := strconv.Atoi(options["bytes"]); err == nil {
+		body = strings.Repeat("x", n)
+	}
+	timeout := 5 * time.Second
+	if raw, ok := options["timeout"]; ok {
+		parsed, err := time.ParseDuration(raw)
+		ts.Check(err)
+		timeout = parsed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+sendSlack)
+	defer cancel()
+	url := "http://" + f.address(h.number, callersPort).String() + args[2]
+	req, err := http.NewRequestWithContext(ctx, args[1], url, bytes.NewReader([]byte(body)))
+	ts.Check(err)
+	req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
+	if key, ok := options["key"]; ok {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for name, value := range options {
+		if header, ok := strings.CutPrefix(name, "header:"); ok {
+			req.Header.Set(header, value)
+		}
+	}
+	return exchange(req)
+}
+
+func exchange(req *http.Request) (string, error) {
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d %s retryAfter=%q bytes=%d %s\n", res.StatusCode, res.Header.Get(upstream.HeaderOutcome),
+		res.Header.Get("Retry-After"), len(raw), bytes.TrimSpace(raw)), nil
+}
+
+func signaller(s syscall.Signal, ends bool) command {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		need(ts, args, 1, "NAME, NAME.upstream or platform")
+		p := processOf(ts, args[0])
+		ts.Check(p.signal(s))
+		if ends {
+			<-p.done
+		}
+	}
+}
+
+func processOf(ts *testscript.TestScript, name string) *process {
+	f := fleetOf(ts)
+	if name == "platform" {
+		return f.platform
+	}
+	base, isUpstream := strings.CutSuffix(name, ".upstream")
+	h := f.hosts[base]
+	if h == nil {
+		ts.Fatalf("no host %q", base)
+	}
+	if isUpstream {
+		return h.upstream
+	}
+	return h.daemon
+}
+
+func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "restart NAME or NAME.upstream")
+	f := fleetOf(ts)
+	if base, ok := strings.CutSuffix(args[0], ".upstream"); ok {
+		ts.Check(f.startUpstream(f.hosts[base]))
+		return
+	}
+	ts.Check(f.startDaemon(f.hosts[args[0]]))
+}
+
+func cutter(cut bool) command {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		need(ts, args, 2, "A B: two hosts, or a host and platform")
+		fleetOf(ts).relays.set(args[0], args[1], cut)
+	}
+}
+
+func cmdSlow(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "slow NAME MILLISECONDS")
+	f := fleetOf(ts)
+	url := fmt.Sprintf("http://%s/standin/latency/%s", f.address(f.hosts[args[0]].number, upstreamPort), args[1])
+	ts.Check(traffic.Act(context.Background(), http.MethodPost, url, ""))
+}
+
+func cmdRuns(ts *testscript.TestScript, _ bool, _ []string) {
+	f := fleetOf(ts)
+	total, most := 0, map[string]int{}
+	for _, name := range f.order {
+		res, err := http.Get(fmt.Sprintf("http://%s/standin/runs", f.address(f.hosts[name].number, upstreamPort)))
+		ts.Check(err)
+		runs := map[string]int{}
+		ts.Check(json.NewDecoder(res.Body).Decode(&runs))
+		_ = res.Body.Close()
+		for id, n := range runs {
+			total += n
+			most[id] += n
+		}
+	}
+	highest := 0
+	for _, n := range most {
+		highest = max(highest, n)
+	}
+	fmt.Fprintf(ts.Stdout(), "total=%d most=%d\n", total, highest)
+}
+
+func cmdStatus(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "status NAME")
+	f := fleetOf(ts)
+	res, err := http.Get(fmt.Sprintf("http://%s/statusz", f.address(f.hosts[args[0]].number, operatorsPort)))
+	ts.Check(err)
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(ts.Stdout(), res.Body)
+}
+
+func cmdGarbage(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "garbage NAME callers|peers TEXT")
+	f := fleetOf(ts)
+	port := uint16(callersPort)
+	if args[1] == "peers" {
+		port = peersPort
+	}
+	text, err := strconv.Unquote(`"` + args[2] + `"`)
+	ts.Check(err)
+	conn, err := net.Dial("tcp", f.address(f.hosts[args[0]].number, port).String())
+	ts.Check(err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(text))
+	ts.Check(err)
+	ts.Check(conn.SetReadDeadline(time.Now().Add(sendSlack)))
+	raw, err := io.ReadAll(conn)
+	fmt.Fprintf(ts.Stdout(), "%q closed=%v\n", raw, err == nil)
+}
+
+func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "sleep DURATION")
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+func need(ts *testscript.TestScript, args []string, count int, usage string) {
+	if len(args) < count {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+func pairs(ts *testscript.TestScript, args []string) map[string]string {
+	out := map[string]string{}
+	for _, arg := range args {
+		name, value, ok := strings.Cut(arg, "=")
+		if !ok {
+			ts.Fatalf("want NAME=VALUE, got %q", arg)
+		}
+		out[name] = value
+	}
+	return out
+}
--- /dev/null
+++ b/internal/proof/scenario/scenario_test.go
@@ -0,0 +1,68 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var binaries string
+
+// TestMain builds the programs once for all scenarios.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "../../../cmd/...")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	code := 1
+	if err := build.Run(); err == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:             "testdata",
+		Cmds:            commands(),
+		TestWork:        os.Getenv("SCENARIO_KEEP") != "",
+		Setup:           setup,
+		ContinueOnError: false,
+	})
+}
+
+func setup(env *testscript.Env) error {
+	f := newFleet(binaries, env.WorkDir)
+	env.Values[fleetKey{}] = f
+	env.Defer(f.end)
+	for name, text := range shared {
+		if err := os.WriteFile(env.WorkDir+"/"+name, []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shared are lists that most scenarios publish.
+var shared = map[string]string{
+	"plans.json": `{"organisations":[
+  {"organisation":"dealer","plan":"full","rate":1000,"burst":1000},
+  {"organisation":"maker","plan":"full","rate":1000,"burst":1000},
+  {"organisation":"small","plan":"full","rate":1,"burst":8},
+  {"organisation":"guest","plan":"none","rate":1000,"burst":1000}]}`,
+	"uses.json": `{"operations":[
+  {"operation":"lookup.find","service":"lookup","method":"POST","path":"/vehicles","priority":"interactive","idempotent":true,"runs":8},
+  {"operation":"lookup.read","service":"lookup","method":"GET","path":"/vehicles","priority":"interactive","idempotent":true,"runs":8},
+  {"operation":"lookup.export","service":"lookup","method":"POST","path":"/exports","priority":"background","idempotent":true,"runs":8},
+  {"operation":"repairs.notes","service":"repairs","method":"POST","path":"/notes","priority":"standard","idempotent":true,"runs":8},
+  {"operation":"dispatch.send","service":"dispatch","method":"POST","path":"/notices","priority":"standard","idempotent":false,"runs":8}],
+ "plans":[{"plan":"full","operations":["lookup.find","lookup.read","lookup.export","repairs.notes","dispatch.send"]},{"plan":"none","operations":[]}]}`,
+}
--- /dev/null
+++ b/internal/standin/upstream/upstream.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	wire "github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+// Config is what a stand-in upstream is told at its start.
+type Config struct {
+	Host    string
+	Service string
+	Slots   int
+	Latency time.Duration
+	// Daemon is where the upstream's own calls go.
+	Daemon netip.AddrPort
+	// Next is the path below the daemon that each request calls on, such as /repairs/notes; empty for none.
+	Next string
+}
+
+// Upstream answers requests with who asked and what was asked, and counts its runs.
+type Upstream struct {
+	config  Config
+	slots   chan struct{}
+	latency atomic.Int64
+	client  *http.Client
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Answer is the JSON body of a stand-in's answer.
+type Answer struct {
+	Service      string          `json:"service"`
+	Host         string          `json:"host"`
+	Organisation string          `json:"organisation"`
+	RequestID    string          `json:"requestId"`
+	Echo         string          `json:"echo"`
+	LeakedKey    bool            `json:"leakedKey"`
+	Next         json.RawMessage `json:"next,omitempty"`
+}
+
+// HeaderServiceTime carries the microseconds that the stand-in spent on the request.
+const HeaderServiceTime = "Standin-Service-Micros"
+
+const clientConns = 256
+
+// New returns a stand-in upstream.
+func New(c Config) *Upstream {
+	u := &Upstream{
+		config: c,
+		slots:  make(chan struct{}, c.Slots),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientConns}},
+		runs:   map[string]int{},
+	}
+	u.latency.Store(int64(c.Latency))
+	return u
+}
+
+// Handler returns the stand-in's HTTP interface.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /standin/load", u.serveLoad)
+	mux.HandleFunc("GET /standin/runs", u.serveRuns)
+	mux.HandleFunc("POST /standin/latency/{ms}", u.serveLatency)
+	mux.HandleFunc("/", u.serve)
+	return mux
+}
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	select {
+	case u.slots <- struct{}{}:
+	default:
+		w.Header().Set(wire.HeaderOutcome, "notRun")
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "no slot", http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-u.slots }()
+	u.count(r)
+	select {
+	case <-time.After(time.Duration(u.latency.Load())):
+	case <-r.Context().Done():
+		return
+	}
+	answer := Answer{
+		Service: u.config.Service, Host: u.config.Host,
+		Organisation: r.Header.Get(wire.HeaderOrganisation), RequestID: r.Header.Get(wire.HeaderRequestID),
+		Echo: string(body), LeakedKey: r.Header.Get("Authorization") != "",
+	}
+	if u.config.Next != "" {
+		next, status, err := u.callNext(r.Context(), r.Header, body)
+		if err != nil || status != http.StatusOK {
+			http.Error(w, fmt.Sprintf("next: status %d: %v", status, err), http.StatusBadGateway)
+			return
+		}
+		answer.Next = next
+	}
+	raw, _ := json.Marshal(answer)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderServiceTime, strconv.FormatInt(time.Since(begun).Microseconds(), 10))
+	_, _ = w.Write(raw)
+}
+
+func (u *Upstream) callNext(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
+	url := "http://" + u.config.Daemon.String() + u.config.Next
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set(wire.HeaderToken, in.Get(wire.HeaderToken))
+	res, err := u.client.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	return raw, res.StatusCode, err
+}
+
+func (u *Upstream) count(r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[r.Header.Get(wire.HeaderRequestID)]++
+}
+
+func (u *Upstream) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(u.runs)
+}
+
+func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]int{"inFlight": len(u.slots), "slots": cap(u.slots)})
+}
+
+func (u *Upstream) serveLatency(w http.ResponseWriter, r *http.Request) {
+	ms, err := strconv.Atoi(r.PathValue("ms"))
+	if err != nil || ms < 0 {
+		http.Error(w, "latency must be whole milliseconds", http.StatusBadRequest)
+		return
+	}
+	u.latency.Store(int64(time.Duration(ms) * time.Millisecond))
+	fmt.Fprintln(w, ms)
+}
--- /dev/null
+++ b/internal/wire/httpd/doc.go
@@ -0,0 +1,2 @@
+// Package httpd serves HTTP on nbhttp and ends a request's context when its caller hangs up.
+package httpd
--- /dev/null
+++ b/internal/wire/peer/call.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Handle sets the function that answers messages of one kind; it is called before Start.
+func Handle[Req, Resp any](n *Node, kind Kind, answer func(ctx context.Context, from netip.AddrPort, req Req) Resp) {
+	n.handlers[kind] = func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error) {
+		var req Req
+		if err := msgpack.Unmarshal(payload, &req); err != nil {
+			return nil, errors.Wrapf(err, "peer: unreadable %s", kind)
+		}
+		out, err := msgpack.Marshal(answer(ctx, from, req))
+		return out, errors.Wrapf(err, "peer: encode answer to %s", kind)
+	}
+}
+
+// Call sends a request and waits for its answer; the error is ErrNotSent, ErrLost, or the context's when it ended first.
+func Call[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req) (Resp, error) {
+	var resp Resp
+	payload, err := msgpack.Marshal(req)
+	if err != nil {
+		return resp, errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
+	}
+	if headerSize+len(payload) > n.maxFrame {
+		return resp, errors.Wrapf(ErrNotSent, "%s of %d bytes is over the frame bound", kind, len(payload))
+	}
+	l, err := n.dial(to)
+	if err != nil {
+		return resp, err
+	}
+	id, answer, ok := l.expect()
+	if !ok {
+		return resp, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
+	}
+	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
+	if err := l.write(request.encode()); err != nil {
+		l.forget(id)
+		return resp, errors.Wrapf(ErrLost, "write to %s: %v", to, err)
+	}
+	select {
+	case f, ok := <-answer:
+		if !ok {
+			return resp, errors.Wrapf(ErrLost, "connection to %s closed", to)
+		}
+		return resp, errors.Wrapf(msgpack.Unmarshal(f.payload, &resp), "peer: unreadable answer to %s", kind)
+	case <-ctx.Done():
+		l.forget(id)
+		stop := frame{form: formCancel, kind: kind, id: id}
+		_ = l.write(stop.encode())
+		return resp, ctx.Err()
+	}
+}
+
+// Send sends a message that has no answer; an error means it may not have arrived.
+func Send[Msg any](n *Node, to netip.AddrPort, kind Kind, msg Msg) error {
+	payload, err := msgpack.Marshal(msg)
+	if err != nil {
+		return errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
+	}
+	l, err := n.dial(to)
+	if err != nil {
+		return err
+	}
+	out := frame{form: formOneWay, kind: kind, payload: payload}
+	return errors.Wrapf(l.write(out.encode()), "peer: write to %s", to)
+}
--- /dev/null
+++ b/internal/wire/peer/kind.go
@@ -0,0 +1,23 @@
+package peer
+
+//go:generate stringer -type=Kind -linecomment
+
+// Kind names the handler that a message is for.
+type Kind uint8
+
+const (
+	// KindCall hands a request on to the daemon beside the chosen upstream.
+	KindCall Kind = iota + 1 // call
+	// KindDigest tells the versions of the lists that a daemon knows.
+	KindDigest // digest
+	// KindFetch asks for list values.
+	KindFetch // fetch
+	// KindLease asks a home for tokens of an organisation's rate.
+	KindLease // lease
+	// KindHandover passes rate units on to their next home.
+	KindHandover // handover
+	// KindConfirm asks a peer what it knows of membership.
+	KindConfirm // confirm
+	// KindRecall asks where an idempotency key was run.
+	KindRecall // recall
+)
--- /dev/null
+++ b/internal/wire/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform reads and watches the lists that the configuration service publishes.
+package platform
--- /dev/null
+++ b/internal/wire/upstream/doc.go
@@ -0,0 +1,2 @@
+// Package upstream runs requests on the upstream beside the daemon over HTTP.
+package upstream
