Notice a caller's hang-up, and answer whole through io.Copy

Cause: the look for closed connections never saw one. nbhttp's response holds its connection inside a wrapper (nbhttp.Conn), so the type assertion to nbio.Conn failed and no request was watched. A second fault came to light with the same test: nbhttp's Response.ReadFrom, which io.Copy calls, sends the head without a length unless the source is a file, and the caller sees an empty body.

Ruled out: that the poller doesn't mark the connection closed while a handler is at work; it does, once the right connection is asked.

Conclusion: unwrap the connection; hide ReadFrom from handlers.

--- a/internal/wire/httpd/hangup.go
+++ b/internal/wire/httpd/hangup.go
@@ -72,15 +72,26 @@
 			h.mu.Unlock()
 			cancel()
 		}()
-		next.ServeHTTP(w, r.WithContext(ctx))
+		next.ServeHTTP(plainWriter{w}, r.WithContext(ctx))
 	})
 }
 
+// plainWriter hides nbhttp's ReadFrom: called by io.Copy with anything but a
+// file, it sends the head without the body's length, and the caller sees an
+// empty answer.
+type plainWriter struct {
+	http.ResponseWriter
+}
+
 func connOf(w http.ResponseWriter) *nbio.Conn {
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil {
 		return nil
 	}
-	c, _ := res.Parser.Conn.(*nbio.Conn)
+	conn := res.Parser.Conn
+	if outer, ok := conn.(*nbhttp.Conn); ok {
+		conn = outer.Conn
+	}
+	c, _ := conn.(*nbio.Conn)
 	return c
 }
--- /dev/null
+++ b/internal/wire/httpd/server_test.go
@@ -0,0 +1,88 @@
+package httpd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// start serves the handler on a free loopback port.
+func start(t *testing.T, handler http.HandlerFunc, opts ...Option) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	s := New(address, handler, opts...)
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Stop(ctx)
+	})
+	return "http://" + address.String()
+}
+
+func TestCallerHangsUp(t *testing.T) {
+	// A dealer closes the page while its lookup waits behind a slow service.
+	// If the daemon doesn't notice, the lookup goes on using a slot that
+	// others wait for.
+	ended := make(chan struct{})
+	url := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	Convey("The request's context ends while its handler is still at work", t, func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		So(err, ShouldBeNil)
+		_, err = http.DefaultClient.Do(req)
+		So(err, ShouldNotBeNil)
+		select {
+		case <-ended:
+		case <-time.After(10 * time.Second):
+			So("the context", ShouldEqual, "ended")
+		}
+	})
+}
+
+func TestManyWaitingHandlers(t *testing.T) {
+	// A service slows and thousands of requests wait for it. With a pool of
+	// handlers of fixed size, quick requests would wait behind them.
+	release := make(chan struct{})
+	url := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.Copy(w, r.Body)
+	})
+	Convey("A quick request is answered while others wait", t, func() {
+		client := &http.Client{Transport: &http.Transport{}}
+		for range 300 {
+			go func() {
+				res, err := client.Post(url+"/slow", "text/plain", strings.NewReader("slow"))
+				if err == nil {
+					_ = res.Body.Close()
+				}
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		res, err := client.Post(url+"/quick", "text/plain", strings.NewReader("quick"))
+		So(err, ShouldBeNil)
+		raw, err := io.ReadAll(res.Body)
+		So(err, ShouldBeNil)
+		So(string(raw), ShouldEqual, "quick")
+		close(release)
+	})
+}
