Prove what was not sent, and let only peers in on the peers' port

Cause: an error of the upstream's transport or of a peer's connection was called outcomeUnknown whenever it was not a failed dial, also when nothing had been sent: a caller who hung up in time, a header that can't be written, a connection that broke with half a campaign file still in the send queue. An answer that ends with its connection was called whole, though an upstream killed in the middle of it looks the same. The peers' port took frames from anybody.

Built: writes on upstream connections are counted before the kernel sees them, and a connection whose count did not move is sealed, so not run is proved; bytes on a peer link are counted under nbio's connection lock, and a request whose end was never reached is not sent, as only whole frames are executed. Requests that may not be repeated have upstream connections of their own with a short idle time (-once-idle, 1 s). Peers prove the fleet's secret to each other with nonces and HMAC-SHA256 (-fleet-secrets, two during a change); strangers have 2 s and 52 bytes. Calls have a connection of their own beside control messages. The frame reader fills a buffer of the frame's size; it used to append and copy.

Shown failing: with cutOff returning false 'a large request that left in part' fails (outcome lost); with unsent returning false TestProofOfNotSent and TestGivenUpBeforeSending fail. With the checks in place both pass under -race.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -49,9 +49,9 @@
 		placer:   placing.New(s.Zone),
 	}
 	d.view.Store(lists.NewSet().View())
-	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound)), upstream.WithOnceIdle(s.OnceIdle)))
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
-	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
+	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -18,6 +18,8 @@
 
 // Settings is everything a daemon is told at its start.
 type Settings struct {
+	Guards
+
 	Host    string
 	Service string
 	Region  string
@@ -110,6 +112,7 @@
 	b.duration(&s.LeaveTime, "leave-time", 2*time.Second, "time between refusing new work and closing, so that others notice", 0, time.Minute)
 	b.duration(&s.DrainTime, "drain-time", 2*time.Minute, "longest wait for requests in flight at shutdown", time.Second, time.Hour)
 	b.duration(&s.Watch, "watch", 30*time.Second, "length of one watch at the platform", 100*time.Millisecond, 5*time.Minute)
+	s.Guards.bind(b)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
 }
 
@@ -120,6 +123,7 @@
 	if s.MaxTimeout < s.DefaultTimeout {
 		b.fault("-max-timeout (%s) is below -default-timeout (%s)", s.MaxTimeout, s.DefaultTimeout)
 	}
+	s.checkGuards(b)
 	seen := map[netip.AddrPort]string{}
 	own := []struct {
 		flag    string
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -30,7 +30,7 @@
 	if headerSize+len(payload) > n.maxFrame {
 		return resp, errors.Wrapf(ErrNotSent, "%s of %d bytes is over the frame bound", kind, len(payload))
 	}
-	l, err := n.dial(to)
+	l, err := n.dial(to, kind)
 	if err != nil {
 		return resp, err
 	}
@@ -39,12 +39,16 @@
 		return resp, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
 	}
 	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
-	if err := l.write(request.encode()); err != nil {
+	end, err := l.write(request.encode())
+	if err != nil {
 		l.forget(id)
-		return resp, errors.Wrapf(ErrLost, "write to %s: %v", to, err)
+		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
 	}
 	select {
 	case f, ok := <-answer:
+		if !ok && l.cutOff(end) {
+			return resp, errors.Wrapf(ErrNotSent, "connection to %s closed before the whole request left", to)
+		}
 		if !ok {
 			return resp, errors.Wrapf(ErrLost, "connection to %s closed", to)
 		}
@@ -52,7 +56,7 @@
 	case <-ctx.Done():
 		l.forget(id)
 		stop := frame{form: formCancel, kind: kind, id: id}
-		_ = l.write(stop.encode())
+		_, _ = l.write(stop.encode())
 		return resp, ctx.Err()
 	}
 }
@@ -63,10 +67,11 @@
 	if err != nil {
 		return errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
-	l, err := n.dial(to)
+	l, err := n.dial(to, kind)
 	if err != nil {
 		return err
 	}
 	out := frame{form: formOneWay, kind: kind, payload: payload}
-	return errors.Wrapf(l.write(out.encode()), "peer: write to %s", to)
+	_, err = l.write(out.encode())
+	return errors.Wrapf(err, "peer: write to %s", to)
 }
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -12,9 +12,6 @@
 	headerSize = 1 + 1 + 8
 )
 
-// preamble opens every connection; anything else on the port is not a peer.
-const preamble = "fxh1"
-
 type form uint8
 
 const (
@@ -33,7 +30,6 @@
 }
 
 var (
-	errNotPeer   = errors.New("peer: bytes on the port are not a peer's")
 	errFrameSize = errors.New("peer: frame length out of bounds")
 	errFrameForm = errors.New("peer: unknown frame form")
 )
@@ -48,57 +44,62 @@
 	return out
 }
 
-// reader cuts a byte stream into frames.
+// reader cuts a byte stream into frames. Each payload is read straight into a
+// buffer of its own size, so that a large body is held once.
 type reader struct {
-	buffer   []byte
-	greeted  bool
+	head     []byte
+	next     frame
+	filled   int
+	inBody   bool
 	maxFrame int
 }
 
 // feed takes the next bytes of the stream and passes each whole frame to emit.
 func (r *reader) feed(data []byte, emit func(frame)) error {
-	r.buffer = append(r.buffer, data...)
-	if !r.greeted {
-		if len(r.buffer) < len(preamble) {
-			return nil
-		}
-		if string(r.buffer[:len(preamble)]) != preamble {
-			return errNotPeer
+	for len(data) > 0 {
+		var err error
+		if r.inBody {
+			data = r.fill(data)
+		} else {
+			data, err = r.open(data)
 		}
-		r.buffer = r.buffer[len(preamble):]
-		r.greeted = true
-	}
-	for len(r.buffer) >= lengthSize {
-		size := int(binary.BigEndian.Uint32(r.buffer))
-		if size < headerSize || size > r.maxFrame {
-			return errors.Wrapf(errFrameSize, "%d bytes", size)
-		}
-		if len(r.buffer) < lengthSize+size {
-			break
-		}
-		next, err := decode(r.buffer[lengthSize : lengthSize+size])
 		if err != nil {
 			return err
 		}
-		r.buffer = r.buffer[lengthSize+size:]
-		emit(next)
-	}
-	if len(r.buffer) == 0 {
-		r.buffer = nil
+		if r.inBody && r.filled == len(r.next.payload) {
+			whole := r.next
+			*r = reader{maxFrame: r.maxFrame, head: r.head[:0]}
+			emit(whole)
+		}
 	}
 	return nil
 }
 
-// decode copies the payload, since the stream's buffer is used again.
-func decode(body []byte) (frame, error) {
-	f := frame{
-		form:    form(body[0]),
-		kind:    Kind(body[1]),
-		id:      binary.BigEndian.Uint64(body[2:]),
-		payload: append([]byte(nil), body[headerSize:]...),
+// open gathers a frame's head, and checks it before any memory is set aside for what follows.
+func (r *reader) open(data []byte) ([]byte, error) {
+	n := min(len(data), lengthSize+headerSize-len(r.head))
+	r.head = append(r.head, data[:n]...)
+	if len(r.head) >= lengthSize {
+		size := int(binary.BigEndian.Uint32(r.head))
+		if size < headerSize || size > r.maxFrame {
+			return nil, errors.Wrapf(errFrameSize, "%d bytes", size)
+		}
 	}
-	if f.form == 0 || f.form > formLast {
-		return frame{}, errors.Wrapf(errFrameForm, "%d", f.form)
+	if len(r.head) < lengthSize+headerSize {
+		return data[n:], nil
 	}
-	return f, nil
+	body := r.head[lengthSize:]
+	r.next = frame{form: form(body[0]), kind: Kind(body[1]), id: binary.BigEndian.Uint64(body[2:])}
+	if r.next.form == 0 || r.next.form > formLast {
+		return nil, errors.Wrapf(errFrameForm, "%d", r.next.form)
+	}
+	r.next.payload = make([]byte, int(binary.BigEndian.Uint32(r.head))-headerSize)
+	r.inBody = true
+	return data[n:], nil
+}
+
+func (r *reader) fill(data []byte) []byte {
+	n := copy(r.next.payload[r.filled:], data)
+	r.filled += n
+	return data[n:]
 }
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -13,9 +15,14 @@
 	node   *Node
 	conn   *nbio.Conn
 	remote netip.AddrPort
-	dialed netip.AddrPort
+	dialed lane
+	greet  greeting
 	reader reader
 
+	sending sync.Mutex
+	queued  uint64
+	written atomic.Uint64
+
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]chan frame
@@ -29,16 +36,45 @@
 		node:    n,
 		conn:    c,
 		remote:  remote,
+		greet:   greeting{secrets: n.secrets},
 		reader:  reader{maxFrame: n.maxFrame},
 		waiting: map[uint64]chan frame{},
 		running: map[uint64]context.CancelFunc{},
 	}
 }
 
-func (l *link) write(data []byte) error {
-	n, err := l.conn.Write(data)
-	l.node.sent.Add(uint64(max(n, 0)))
-	return err
+// write sends a frame and returns the stream offset at which it ends; an error
+// means that the frame was not sent whole, so the other side can't act on it.
+func (l *link) write(data []byte) (end uint64, err error) {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	if _, err := l.conn.Write(data); err != nil {
+		return 0, err
+	}
+	l.queued += uint64(len(data))
+	l.node.sent.Add(uint64(len(data)))
+	return l.queued, nil
+}
+
+// cutOff reports whether a frame that ends at the offset never left whole.
+//
+// A connection can break while a large request is still in the send queue. The
+// peer executes whole frames only, and bytes are counted before the connection
+// can be seen as closed, so fewer than the frame needs prove that it did not
+// run. It is asked once the link is broken, when no more bytes go out.
+func (l *link) cutOff(end uint64) bool { return l.written.Load() < end }
+
+// data takes the next bytes of the stream.
+func (l *link) data(bytes []byte) error {
+	if l.greet.done {
+		return l.reader.feed(bytes, l.take)
+	}
+	rest, err := l.greet.feed(bytes, func(out []byte) { _, _ = l.write(out) })
+	if err != nil || !l.greet.done {
+		return err
+	}
+	_ = l.conn.SetReadDeadline(time.Time{})
+	return l.reader.feed(rest, l.take)
 }
 
 // expect registers a call and returns its id and where its answer arrives; false means the link is broken.
@@ -99,6 +135,12 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	l.mu.Lock()
+	// Nobody could be told of the answer, and fail, which stops what runs, has been.
+	if l.broken {
+		l.mu.Unlock()
+		stop()
+		return
+	}
 	if f.form == formRequest {
 		l.running[f.id] = stop
 	}
@@ -123,7 +165,7 @@
 	}
 	if f.form == formRequest {
 		reply := frame{form: formAnswer, kind: f.kind, id: f.id, payload: out}
-		_ = l.write(reply.encode())
+		_, _ = l.write(reply.encode())
 	}
 }
 
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// ErrNotSent means that no byte of the message left this process, so the peer can't have acted on it.
+// ErrNotSent means that the message did not leave this process whole, so the peer can't have acted on it.
 var ErrNotSent = errors.New("peer: not sent")
 
 // ErrLost means that the message was sent and no answer came back; the peer may have acted on it.
@@ -28,16 +28,27 @@
 	maxFrame int
 	dialTime time.Duration
 	logger   Logger
+	secrets  []string
+	maxConns int
 	handlers map[Kind]handler
 
 	sent     atomic.Uint64
 	received atomic.Uint64
 
 	mu    sync.Mutex
-	links map[netip.AddrPort]*link
+	links map[lane]*link
 	all   map[*nbio.Conn]*link
 }
 
+// lane is one connection to a peer. Requests that are handed on have one of
+// their own, so that large bodies on it don't hold up leases and digests.
+type lane struct {
+	to    netip.AddrPort
+	calls bool
+}
+
+func laneOf(to netip.AddrPort, k Kind) lane { return lane{to: to, calls: k == KindCall} }
+
 type handler func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error)
 
 // Option sets one property of a node.
@@ -46,6 +57,9 @@
 const (
 	defaultMaxFrame = 80 << 20
 	defaultDialTime = 500 * time.Millisecond
+	defaultMaxConns = 8192
+	// greetTime bounds how long a connection may take to prove that it is a peer's.
+	greetTime = 2 * time.Second
 )
 
 // WithMaxFrame bounds the size of one frame in bytes.
@@ -57,6 +71,18 @@
 // WithLogger sets who hears of faulty connections.
 func WithLogger(l Logger) Option { return func(n *Node) { n.logger = l } }
 
+// WithSecrets sets the fleet's secrets: the first is used towards others, all are accepted from them.
+func WithSecrets(secrets ...string) Option {
+	return func(n *Node) {
+		if len(secrets) > 0 {
+			n.secrets = secrets
+		}
+	}
+}
+
+// WithMaxConns bounds the open connections, both those of peers and those not yet proved to be.
+func WithMaxConns(count int) Option { return func(n *Node) { n.maxConns = count } }
+
 // New returns a node that will listen on the address; handlers are added before Start.
 func New(address netip.AddrPort, opts ...Option) *Node {
 	n := &Node{
@@ -64,8 +90,10 @@
 		maxFrame: defaultMaxFrame,
 		dialTime: defaultDialTime,
 		logger:   func(netip.AddrPort, error) {},
+		secrets:  []string{noSecret},
+		maxConns: defaultMaxConns,
 		handlers: map[Kind]handler{},
-		links:    map[netip.AddrPort]*link{},
+		links:    map[lane]*link{},
 		all:      map[*nbio.Conn]*link{},
 	}
 	for _, opt := range opts {
@@ -79,6 +107,7 @@
 	n.engine = nbio.NewEngine(nbio.Config{Name: "peer", Network: "tcp", Addrs: []string{n.address.String()}, NPoller: pollers})
 	n.engine.OnOpen(n.opened)
 	n.engine.OnData(n.data)
+	n.engine.OnWrittenSize(written)
 	n.engine.OnClose(n.closed)
 	return errors.Wrapf(n.engine.Start(), "peer: listen on %s", n.address)
 }
@@ -99,12 +128,30 @@
 	return len(n.all)
 }
 
+// opened takes a connection from outside; a flood of them is bounded in number
+// and, until they have proved to be peers, in time.
 func (n *Node) opened(c *nbio.Conn) {
-	n.linkOf(c)
+	if n.linkOf(c).greet.done {
+		return
+	}
+	if n.Connections() > n.maxConns {
+		_ = c.CloseWithError(errTooMany)
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(greetTime))
 }
 
-// linkOf returns the connection's link, making it on first sight: data may be
-// handled before a dialer has its connection back.
+var errTooMany = errors.New("peer: too many connections")
+
+// written counts what went to the kernel; it runs under the connection's lock.
+func written(c *nbio.Conn, _ []byte, bytes int) {
+	if l, ok := c.Session().(*link); ok {
+		l.written.Add(uint64(bytes))
+	}
+}
+
+// linkOf returns the connection's link, making it on first sight. A connection
+// that was dialed has one before the poller knows it, and has its handshake behind it.
 func (n *Node) linkOf(c *nbio.Conn) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,6 +159,7 @@
 	if !ok {
 		l = newLink(n, c)
 		n.all[c] = l
+		c.SetSession(l)
 	}
 	return l
 }
@@ -119,7 +167,7 @@
 func (n *Node) data(c *nbio.Conn, data []byte) {
 	n.received.Add(uint64(len(data)))
 	l := n.linkOf(c)
-	if err := l.reader.feed(data, l.take); err != nil {
+	if err := l.data(data); err != nil {
 		n.logger(l.remote, err)
 		_ = c.CloseWithError(err)
 	}
@@ -138,10 +186,11 @@
 	}
 }
 
-// dial returns the open link to a peer, opening one if there is none.
-func (n *Node) dial(to netip.AddrPort) (*link, error) {
+// dial returns the open link for messages of a kind to a peer, opening one if there is none.
+func (n *Node) dial(to netip.AddrPort, k Kind) (*link, error) {
+	at := laneOf(to, k)
 	n.mu.Lock()
-	l, ok := n.links[to]
+	l, ok := n.links[at]
 	n.mu.Unlock()
 	if ok {
 		return l, nil
@@ -150,7 +199,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, err)
 	}
-	return n.adopt(to, c)
+	return n.adopt(at, c)
 }
 
 // connect dials from the node's own address, so that a host with several speaks with the one its peers know.
@@ -160,6 +209,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := greet(c, n.secrets[0], n.dialTime); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
 	return nbio.NBConn(c)
 }
 
@@ -171,27 +224,24 @@
 	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
 }
 
-// adopt makes a freshly dialed connection the link to a peer; of two dialed at once one stays.
-// The preamble goes out before others can write on the link.
-func (n *Node) adopt(to netip.AddrPort, c *nbio.Conn) (*link, error) {
-	if _, err := n.engine.AddConn(c); err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "add %s: %v", to, err)
-	}
+// adopt makes a freshly dialed connection the link of a lane; of two dialed at once one stays.
+func (n *Node) adopt(at lane, c *nbio.Conn) (*link, error) {
 	l := n.linkOf(c)
-	l.reader.greeted = true
-	if err := l.write([]byte(preamble)); err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "greet %s: %v", to, err)
+	l.greet.done = true
+	if _, err := n.engine.AddConn(c); err != nil {
+		n.closed(c, err)
+		return nil, errors.Wrapf(ErrNotSent, "add %s: %v", at.to, err)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if other, ok := n.links[to]; ok {
+	if other, ok := n.links[at]; ok {
 		_ = c.Close()
 		return other, nil
 	}
 	if n.all[c] != l {
-		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
+		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", at.to)
 	}
-	l.dialed = to
-	n.links[to] = l
+	l.dialed = at
+	n.links[at] = l
 	return l, nil
 }
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -89,3 +90,70 @@
 		So(err, ShouldWrap, ErrNotSent)
 	})
 }
+
+// breakingPeer greets as a peer does, reads up to some bytes of what follows and closes the connection.
+func breakingPeer(t *testing.T, reads int64) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			breakAfter(conn, reads)
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func breakAfter(conn net.Conn, reads int64) {
+	defer func() { _ = conn.Close() }()
+	g := greeting{secrets: []string{noSecret}}
+	buffer := make([]byte, 1)
+	for !g.done {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		if _, err := g.feed(buffer, func(out []byte) { _, _ = conn.Write(out) }); err != nil {
+			return
+		}
+	}
+	_, _ = io.CopyN(io.Discard, conn, reads)
+	time.Sleep(100 * time.Millisecond)
+}
+
+func TestConnectionBreaksInTheMiddle(t *testing.T) {
+	// A connection to a peer breaks while a request is on it. A campaign file
+	// of which only a part had left can't have been run, and its maker may send
+	// it again at once; of one that had left whole nobody can tell.
+	const large = 32 << 20
+	cases := []struct {
+		name  string
+		bytes int
+		reads int64
+		want  error
+	}{
+		{"a large request that left in part", large, 1 << 20, ErrNotSent},
+		{"a large request that left whole", large, large, ErrLost},
+		{"a small request that was never read", 100, 0, ErrLost},
+	}
+	client := New(freeAddress(t))
+	if err := client.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Stop)
+	Convey("Not sent is said only of a request that did not leave whole", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				peer := breakingPeer(t, c.reads)
+				text := string(make([]byte, c.bytes))
+				_, err := Call[question, question](t.Context(), client, peer, KindCall, question{text})
+				So(err, ShouldWrap, c.want)
+			})
+		}
+	})
+}
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,15 +28,19 @@
 // Client sends requests to one upstream, each at most once.
 type Client struct {
 	address   netip.AddrPort
-	transport *http.Transport
+	once      *http.Transport
+	repeated  *http.Transport
+	onceIdle  time.Duration
 	maxAnswer int64
 }
 
 const (
-	dialTimeout   = 500 * time.Millisecond
-	idleConns     = 512
-	idleTime      = 30 * time.Second
-	defaultAnswer = 64 << 20
+	dialTimeout = 500 * time.Millisecond
+	idleConns   = 512
+	idleTime    = 30 * time.Second
+	// defaultOnceIdle is below the idle timeouts that upstreams commonly have (2 s and more).
+	defaultOnceIdle = time.Second
+	defaultAnswer   = 64 << 20
 )
 
 // Option sets one property of a client.
@@ -46,36 +49,54 @@
 // WithMaxAnswer bounds one answer's body in bytes.
 func WithMaxAnswer(bytes int64) Option { return func(c *Client) { c.maxAnswer = bytes } }
 
+// WithOnceIdle sets how long a connection may be idle before a request that is
+// not idempotent opens a new one instead; it belongs below the upstream's own idle timeout.
+func WithOnceIdle(d time.Duration) Option { return func(c *Client) { c.onceIdle = d } }
+
 // New returns a client for the upstream at the address.
+//
+// Requests that may not be repeated have connections of their own with a short
+// idle time: an upstream that closes an idle connection just as a request takes
+// it leaves that request's outcome unknown, and unlike an idempotent one it
+// can't be sent again. A connection for each would cost about 1 ms a request.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	c := &Client{
-		address:   address,
-		maxAnswer: defaultAnswer,
-		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     idleTime,
-			DisableCompression:  true,
-		},
-	}
+	c := &Client{address: address, maxAnswer: defaultAnswer, onceIdle: defaultOnceIdle}
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.once = newTransport(c.onceIdle)
+	c.repeated = newTransport(idleTime)
 	return c
 }
 
+func newTransport(idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:         counted((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idle,
+		DisableCompression:  true,
+	}
+}
+
+func (c *Client) transport(r *call.Request) *http.Transport {
+	if r.Idempotent {
+		return c.repeated
+	}
+	return c.once
+}
+
 // Do runs the request once; token lets the upstream make calls of its own on the request's behalf.
 func (c *Client) Do(ctx context.Context, r *call.Request, token string) call.Answer {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	body := &once{Reader: bytes.NewReader(r.Body)}
-	out, err := c.build(ctx, r, token, body)
+	sent := &proof{}
+	out, err := c.build(sent.trace(ctx), r, token, &once{Reader: bytes.NewReader(r.Body)})
 	if err != nil {
 		return call.Refuse(call.BadRequest, 0)
 	}
-	res, err := c.transport.RoundTrip(out)
+	res, err := c.transport(r).RoundTrip(out)
 	if err != nil {
-		return c.failed(body, err)
+		return failed(sent, err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	return c.read(res)
@@ -98,19 +119,30 @@
 	return out, nil
 }
 
-// failed tells what a transport error says of the request. Only a connection
-// that could not be opened proves that the upstream never saw it.
-func (c *Client) failed(body *once, err error) call.Answer {
+// failed tells what a transport error says of the request: not run only where
+// it is proved that no byte of it reached the upstream.
+func failed(sent *proof, err error) call.Answer {
+	unsent := sent.unsent()
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && !body.started.Load() {
-		return call.Refuse(call.NoUpstream, 0)
-	}
-	if errors.Is(err, context.Canceled) {
+	switch {
+	case unsent && errors.Is(err, context.Canceled):
+		return call.Refuse(call.Cancelled, 0)
+	case unsent && errors.Is(err, context.DeadlineExceeded):
+		return call.Refuse(call.DeadlineTooNear, 0)
+	case unsent && (sent.connected() || errors.As(err, &op)):
+		return call.Refuse(call.NoUpstream, comeBack)
+	case unsent:
+		return call.Refuse(call.BadRequest, 0)
+	case errors.Is(err, context.Canceled):
 		return call.Lose(call.Cancelled)
+	default:
+		return call.Lose(call.AnswerLost)
 	}
-	return call.Lose(call.AnswerLost)
 }
 
+// comeBack is when to come back after an upstream that could not be reached.
+const comeBack = time.Second
+
 func (c *Client) read(res *http.Response) call.Answer {
 	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxAnswer+1))
 	if err != nil || int64(len(body)) > c.maxAnswer {
@@ -119,6 +151,11 @@
 	if res.ContentLength >= 0 && int64(len(body)) != res.ContentLength && res.Request.Method != http.MethodHead {
 		return call.Lose(call.AnswerLost)
 	}
+	// An answer that ends with its connection looks the same when the upstream
+	// dies in the middle of it, so only one with a length or chunks is whole.
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Request.Method != http.MethodHead {
+		return call.Lose(call.AnswerLost)
+	}
 	if res.Header.Get(HeaderOutcome) == call.NotRun.String() {
 		return call.Refuse(call.UpstreamShed, retryAfter(res.Header))
 	}
@@ -136,16 +173,7 @@
 // once is a body that the transport can't rewind, so that it never sends a
 // request again by itself. Without it, the transport repeats a request whose
 // reused connection fails: a dispatch would run twice and nobody would know.
-type once struct {
-	io.Reader
-	started atomic.Bool
-}
-
-// Read marks the request as begun.
-func (o *once) Read(p []byte) (int, error) {
-	o.started.Store(true)
-	return o.Reader.Read(p)
-}
+type once struct{ io.Reader }
 
 // Close does nothing.
 func (o *once) Close() error { return nil }
