Run a request that may not be repeated once for its idempotency key

Cause: a repeat by the caller ran again, on any daemon.

Built: all attempts with a key meet at its holder, chosen by rendezvous hash over the service's live hosts; it remembers what became of the first, and the run goes on when its first caller hangs up. A holder that may not know all (started within the window, the list changed, the key went to another daemon) asks the service's daemons, and each that is asked lets go of the key. In doubt nothing runs and the answer is outcomeUnknown, repeated. A leaving daemon passes its memory on. A list counts only while most of its hosts have it.

Weighed: marking first attempts by a header (HTTP clients copy it when they repeat by themselves); remembering on a second host before each run (a replicated store, and a round trip on every booking); asking always (n messages a booking). A UUID of version 7 tells its age, so a daemon without memory knows a new one at once; an opaque key may be as old as the window.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -41,6 +41,7 @@
 
 func (c *control) start() {
 	c.done.Go(c.run)
+	c.done.Go(func() { c.daemon.repeats.confirm(c.ctx) })
 	for k := range lists.Kinds {
 		c.done.Go(func() { c.watch(lists.Kind(k)) })
 	}
@@ -92,6 +93,7 @@
 func (c *control) publish() {
 	view := c.set.View()
 	c.daemon.rates.Configure(view.Organisations(), len(view.Hosts()), time.Now())
+	c.daemon.repeats.observe(view, time.Now())
 	c.daemon.view.Store(view)
 }
 
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -35,6 +35,7 @@
 	placer   *placing.Placer
 	owner    *owner
 	peers    *peer.Node
+	repeats  *repeats
 	callers  *httpd.Server
 	operator *httpd.Server
 }
@@ -53,6 +54,7 @@
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	d.repeats = newRepeats(d)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
 	return d
@@ -92,6 +94,7 @@
 	d.log.Info("leaving")
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
+	d.repeats.pass()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = d.callers.Stop(ctx)
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -41,7 +41,7 @@
 		d.finish(w, nil, refusal, begun)
 		return
 	}
-	answer := d.dispatch(r.Context(), a)
+	answer := d.repeats.route(r.Context(), a)
 	d.finish(w, &a.request, answer, begun)
 }
 
--- /dev/null
+++ b/internal/app/daemon/once.go
@@ -0,0 +1,316 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/ledger"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+// repeats lets a request that may not be repeated run once for its idempotency key.
+//
+// All attempts with a key meet at its holder, one of the service's hosts, which
+// remembers what became of the first. The holder places the request like any
+// other; only the memory has a fixed place.
+type repeats struct {
+	daemon  *Daemon
+	ledger  *ledger.Ledger
+	history *ledger.History
+	window  time.Duration
+	passed  atomic.Bool
+}
+
+func newRepeats(d *Daemon) *repeats {
+	s := d.settings
+	r := &repeats{
+		daemon:  d,
+		ledger:  ledger.New(s.RepeatWindow, s.RepeatKeys, s.RepeatBytes, time.Now()),
+		history: ledger.NewHistory(s.RepeatWindow),
+		window:  s.RepeatWindow,
+	}
+	peer.Handle(d.peers, peer.KindOnce, r.takeOnce)
+	peer.Handle(d.peers, peer.KindRecall, r.takeRecall)
+	peer.Handle(d.peers, peer.KindLegacy, r.takeLegacy)
+	return r
+}
+
+// observe notes the hosts of the daemon's own service; it runs on the control thread.
+func (r *repeats) observe(view *lists.View, now time.Time) {
+	r.history.Observe(view.Version(lists.KindHosts), holders(view, r.daemon.settings.Service), now)
+}
+
+// holders returns the hosts of a service among which keys are spread. A leaving
+// host passes on what it remembers, so it holds none.
+func holders(view *lists.View, service string) []string {
+	var names []string
+	for _, h := range view.HostsOf(service) {
+		if !h.Leaving {
+			names = append(names, h.Host)
+		}
+	}
+	return names
+}
+
+const (
+	// holderTries and holderPause bound how long a request follows its key's
+	// holder while daemons take up a new host list one after another.
+	holderTries = 4
+	holderPause = 150 * time.Millisecond
+)
+
+// route runs a request at its key's holder if it must not be repeated, else anywhere.
+func (r *repeats) route(ctx context.Context, a admitted) call.Answer {
+	if a.request.Idempotent || a.request.IdempotencyKey == "" {
+		return r.daemon.dispatch(ctx, a)
+	}
+	answer := call.Refuse(call.NoUpstream, time.Second)
+	for try := 1; try <= holderTries; try++ {
+		answer = r.toHolder(ctx, a)
+		if answer.Outcome != call.NotRun || answer.Reason != call.Draining {
+			break
+		}
+		sleep(ctx, holderPause)
+	}
+	answer.BudgetLeft = a.account.Left()
+	return answer
+}
+
+func keyOf(q *call.Request) ledger.Key {
+	return ledger.Key{Organisation: q.Organisation, Operation: q.Operation, Text: q.IdempotencyKey}
+}
+
+func (r *repeats) toHolder(ctx context.Context, a admitted) call.Answer {
+	view := r.daemon.view.Load()
+	holder := ledger.Holder(keyOf(&a.request), holders(view, a.request.Service))
+	host, ok := view.Host(holder)
+	if !ok {
+		return call.Refuse(call.NoUpstream, time.Second)
+	}
+	if holder == r.daemon.settings.Host {
+		return r.hold(ctx, a)
+	}
+	sent := a.request
+	sent.Budget = a.account.Draw(0)
+	if sent.Budget == 0 {
+		return call.Refuse(call.BudgetSpent, 0)
+	}
+	ctx, cancel := context.WithDeadline(ctx, sent.Deadline)
+	defer cancel()
+	back, err := peer.Call[handoff, handback](ctx, r.daemon.peers, host.Peer, peer.KindOnce, newHandoff(&sent, time.Now()))
+	switch {
+	case err == nil:
+		a.account.Return(back.BudgetLeft)
+		return back.answer()
+	case errors.Is(err, peer.ErrNotSent):
+		a.account.Return(sent.Budget)
+		return call.Refuse(call.NoUpstream, time.Second)
+	case errors.Is(err, context.Canceled):
+		return call.Lose(call.Cancelled)
+	default:
+		return call.Lose(call.AnswerLost)
+	}
+}
+
+func (r *repeats) takeOnce(ctx context.Context, _ netip.AddrPort, h handoff) handback {
+	r.daemon.inFlight.Add(1)
+	defer r.daemon.inFlight.Add(-1)
+	a := admitted{request: *h.request(time.Now()), account: budget.New(h.Budget)}
+	answer := r.hold(ctx, a)
+	answer.BudgetLeft = a.account.Left()
+	return newHandback(answer)
+}
+
+// hold is the holder's part: it runs the request, or answers what became of the one that came first.
+func (r *repeats) hold(ctx context.Context, a admitted) call.Answer {
+	key := keyOf(&a.request)
+	if r.passed.Load() || ledger.Holder(key, r.history.Hosts()) != r.daemon.settings.Host {
+		return call.Refuse(call.Draining, time.Second)
+	}
+	fingerprint := ledger.NewFingerprint(a.request.Method, a.request.Path, a.request.Body)
+	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
+	defer cancel()
+	for {
+		ticket := r.ledger.Begin(key, fingerprint, time.Now())
+		switch ticket.Claim {
+		case ledger.Begun:
+			return r.begun(ctx, a, key, ticket)
+		case ledger.Joined:
+			select {
+			case <-ticket.Done:
+				continue
+			case <-ctx.Done():
+				return call.Lose(call.Repeated)
+			}
+		case ledger.Answered:
+			return ticket.Answer
+		case ledger.Mismatched:
+			return call.Refuse(call.Repeated, 0)
+		case ledger.Crowded:
+			return call.Refuse(call.Overloaded, ticket.Wait)
+		default:
+			return call.Lose(call.Repeated)
+		}
+	}
+}
+
+// begun runs the request of a key that is certainly new.
+//
+// The run goes on when its first caller hangs up: it is bounded by its deadline,
+// and the caller comes back with the key for the answer.
+func (r *repeats) begun(ctx context.Context, a admitted, key ledger.Key, t ledger.Ticket) call.Answer {
+	answer, known := r.ask(ctx, key, t)
+	if known {
+		r.ledger.Release(key, time.Now())
+	} else {
+		answer = r.daemon.dispatch(context.WithoutCancel(ctx), a)
+		r.ledger.Finish(key, answer, time.Now())
+	}
+	r.daemon.log.WithFields(logrus.Fields{
+		"decision": "hold", "requestId": a.request.ID, "organisation": a.request.Organisation, "operation": a.request.Operation,
+		"new": !known, "outcome": answer.Outcome.String(), "reason": answer.Reason.String(),
+	}).Info("route")
+	return answer
+}
+
+// ask returns what the other daemons say of a key, or false if no request with it can have run.
+func (r *repeats) ask(ctx context.Context, key ledger.Key, t ledger.Ticket) (call.Answer, bool) {
+	now := time.Now()
+	q := ledger.Question{
+		Self: r.daemon.settings.Host, Own: r.ledger.Own(now), Moves: t.Moves, Window: r.window,
+		Need: key.Age(now, r.window), Required: r.history.Required(key, now),
+	}
+	if q.Need > r.window {
+		return call.Lose(call.Repeated), true
+	}
+	if r.history.Confirmed(now) && !q.Asking() {
+		return call.Answer{}, false
+	}
+	q.Replies = r.recallAll(ctx, recall{Key: key, Asker: q.Self}, now)
+	if m, ok := q.Known(); ok {
+		if m.State == ledger.Finished && m.Kept {
+			return m.Answer, true
+		}
+		return call.Lose(call.Repeated), true
+	}
+	if !r.history.Confirmed(time.Now()) || !q.New() {
+		return call.Lose(call.Repeated), true
+	}
+	return call.Answer{}, false
+}
+
+// recallTime bounds how long the other daemons are waited for.
+const recallTime = 500 * time.Millisecond
+
+// recallAll asks every daemon that may hold the key, and learns from the same answers whether the host list is theirs too.
+func (r *repeats) recallAll(ctx context.Context, question recall, now time.Time) map[string]ledger.Memory {
+	ctx, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	view := r.daemon.view.Load()
+	replies := map[string]ledger.Memory{}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for _, name := range r.history.Everyone(now) {
+		host, ok := view.Host(name)
+		if !ok || name == question.Asker {
+			continue
+		}
+		asking.Go(func() {
+			m, err := peer.Call[recall, ledger.Memory](ctx, r.daemon.peers, host.Peer, peer.KindRecall, question)
+			if err == nil {
+				mu.Lock()
+				replies[name] = m
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	others := make(map[string][]string, len(replies))
+	for name, m := range replies {
+		others[name] = m.Hosts
+	}
+	r.history.Confirm(question.Asker, others, now)
+	return replies
+}
+
+// recall asks what a daemon knows of a key, and that it lets go of it; without a key it asks for the host list only.
+type recall struct {
+	Key   ledger.Key `msgpack:"key"`
+	Asker string     `msgpack:"asker"`
+}
+
+func (r *repeats) takeRecall(_ context.Context, _ netip.AddrPort, q recall) ledger.Memory {
+	now := time.Now()
+	m := ledger.Memory{}
+	if q.Key != (ledger.Key{}) {
+		m = r.ledger.Recall(q.Key, q.Asker, now)
+		m.Required = r.history.Required(q.Key, now)
+	}
+	m.Hosts = r.history.Hosts()
+	return m
+}
+
+// confirmsPerWindow is how often a daemon asks whether its host list is still
+// the others' list; a confirmation lasts half the window, so several may fail.
+const confirmsPerWindow = 16
+
+// confirm keeps the host list confirmed until ctx ends, so that requests need not wait for it.
+func (r *repeats) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.recallAll(ctx, recall{Asker: r.daemon.settings.Host}, time.Now())
+		sleep(ctx, r.window/confirmsPerWindow)
+	}
+}
+
+// legacy is the memory of a daemon that leaves.
+type legacy struct {
+	From    string          `msgpack:"from"`
+	Records []ledger.Record `msgpack:"records"`
+	Age     time.Duration   `msgpack:"age"`
+}
+
+// accepted tells whether a message was taken over.
+type accepted struct {
+	OK bool `msgpack:"ok"`
+}
+
+func (r *repeats) takeLegacy(_ context.Context, _ netip.AddrPort, l legacy) accepted {
+	return accepted{OK: r.ledger.Inherit(l.From, l.Records, l.Age, time.Now())}
+}
+
+// legacyTime bounds how long a leaving daemon waits for the others to take over its memory.
+const legacyTime = 2 * time.Second
+
+// pass gives the memory to every other host of the service, so that a restart of
+// all hosts one by one loses no key; after it this daemon holds no keys.
+func (r *repeats) pass() {
+	r.passed.Store(true)
+	r.daemon.drain()
+	ctx, cancel := context.WithTimeout(context.Background(), legacyTime)
+	defer cancel()
+	now := time.Now()
+	out := legacy{From: r.daemon.settings.Host, Records: r.ledger.Records(now), Age: r.ledger.Own(now).Age}
+	view := r.daemon.view.Load()
+	var passing sync.WaitGroup
+	for _, host := range view.HostsOf(r.daemon.settings.Service) {
+		if host.Host == out.From {
+			continue
+		}
+		passing.Go(func() {
+			got, err := peer.Call[legacy, accepted](ctx, r.daemon.peers, host.Peer, peer.KindLegacy, out)
+			if err != nil || !got.OK {
+				r.daemon.log.WithField("to", host.Host).Warn("idempotency keys not passed on")
+			}
+		})
+	}
+	passing.Wait()
+}
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -20,4 +20,8 @@
 	KindConfirm // confirm
 	// KindRecall asks where an idempotency key was run.
 	KindRecall // recall
+	// KindOnce hands a request on to the holder of its idempotency key.
+	KindOnce // once
+	// KindLegacy passes a leaving daemon's idempotency keys on.
+	KindLegacy // legacy
 )
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -15,11 +15,13 @@
 	_ = x[KindHandover-5]
 	_ = x[KindConfirm-6]
 	_ = x[KindRecall-7]
+	_ = x[KindOnce-8]
+	_ = x[KindLegacy-9]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecall"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacy"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -47,7 +47,9 @@
 	calls bool
 }
 
-func laneOf(to netip.AddrPort, k Kind) lane { return lane{to: to, calls: k == KindCall} }
+func laneOf(to netip.AddrPort, k Kind) lane {
+	return lane{to: to, calls: k == KindCall || k == KindOnce}
+}
 
 type handler func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error)
 
