Admit by a learned limit and a fair queue

A semaphore of fixed size let a slow upstream queue inside, unseen and in no fair order, and its queue was first come, first served. The daemon beside an upstream now holds a gate: a limit learned from the upstream's own time (gradient by default, AIMD and fixed to compare), and a queue by priority and weighted shares of the organisations. The time an upstream waits for its own calls is taken out, so that a slow deep service lowers no limit above it.

Ruled out: one baseline for all operations (a mix of 5 ms and 400 ms work moves its mean); the least latency as baseline (widely spread latencies then look slow at any load).

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -49,7 +49,7 @@
 		placer:   placing.New(s.Zone),
 	}
 	d.view.Store(lists.NewSet().View())
-	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -21,8 +21,19 @@
 // dispatch places the request and repeats it on another host only after a true
 // notRun, or after a lost answer where the operation is idempotent.
 func (d *Daemon) dispatch(ctx context.Context, a admitted) call.Answer {
+	if a.origin != nil {
+		a.origin.enter(time.Now())
+	}
 	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
 	defer cancel()
+	answer := d.try(ctx, a)
+	if a.origin != nil {
+		a.origin.exit(time.Now(), answer.Load.Pressure)
+	}
+	return answer
+}
+
+func (d *Daemon) try(ctx context.Context, a admitted) call.Answer {
 	tried := map[string]bool{}
 	answer := call.Refuse(call.NoUpstream, time.Second)
 	ran := false
@@ -69,7 +80,7 @@
 		return call.Refuse(call.BudgetSpent, 0), true
 	}
 	begun := time.Now()
-	answer := d.send(ctx, host, &r)
+	answer := d.send(ctx, host, &r, a.still)
 	a.account.Return(answer.BudgetLeft)
 	d.log.WithFields(logrus.Fields{
 		"decision": "place", "requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
@@ -80,9 +91,9 @@
 }
 
 // send runs the request on this host's upstream or hands it on to the daemon beside the chosen one.
-func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request) call.Answer {
+func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request, still func() bool) call.Answer {
 	if host.Host == d.settings.Host {
-		return d.owner.run(ctx, r)
+		return d.owner.run(ctx, r, still)
 	}
 	back, err := peer.Call[handoff, handback](ctx, d.peers, host.Peer, peer.KindCall, newHandoff(r, time.Now()))
 	if err == nil {
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -24,6 +24,10 @@
 type admitted struct {
 	request call.Request
 	account *budget.Account
+	// origin is the request that an upstream's call belongs to; nil for a caller's.
+	origin *origin
+	// still reports, after a wait, whether the caller's key is still in force; nil means that it need not be asked.
+	still func() bool
 }
 
 // admit decides in the order key, plan, rate, deadline, so that nothing is
@@ -86,6 +90,7 @@
 	a.request.Depth = origin.request.Depth + 1
 	a.request.Priority = origin.request.Priority
 	a.account = origin.account
+	a.origin = origin
 	return a, call.Answer{}, true
 }
 
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -82,5 +82,5 @@
 		refusal.BudgetLeft = r.Budget
 		return newHandback(refusal)
 	}
-	return newHandback(d.owner.run(ctx, r))
+	return newHandback(d.owner.run(ctx, r, nil))
 }
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -4,56 +4,112 @@
 	"context"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/settings"
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
+	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
-// owner runs requests on the upstream beside the daemon, a bounded number at once.
+// owner runs requests on the upstream beside the daemon, as many at once as its gate lets through.
 type owner struct {
-	slots    chan struct{}
+	gate     *admission.Gate
 	upstream *upstream.Client
 	chains   *chains
 }
 
-func newOwner(slots int, u *upstream.Client) *owner {
-	return &owner{slots: make(chan struct{}, slots), upstream: u, chains: newChains()}
+func newOwner(s settings.Settings, u *upstream.Client) *owner {
+	gate := admission.New(
+		limit.New(s.Limit, s.Slots),
+		admission.WithQueue(queue.New[*admission.Ticket](s.Queue)),
+		admission.WithWait(s.QueueTime),
+		admission.WithLength(s.QueueLength),
+	)
+	return &owner{gate: gate, upstream: u, chains: newChains()}
 }
 
-// longestWait bounds the queue in time: what waits longer than this is refused while it can still go elsewhere.
-const longestWait = 250 * time.Millisecond
+// waiter hands the gate's decision to the goroutine that waits for it.
+type waiter chan admission.Decision
 
-func (o *owner) run(ctx context.Context, r *call.Request) call.Answer {
-	if !o.enter(ctx, r) {
-		refusal := call.Refuse(call.Overloaded, time.Second)
-		refusal.BudgetLeft = r.Budget
-		return refusal
+// Decide never blocks: the channel has room for the one decision.
+func (w waiter) Decide(d admission.Decision) { w <- d }
+
+// run runs the request, or refuses it before the upstream has seen it. After a
+// wait it asks still whether the request may still run; nil means that it may.
+func (o *owner) run(ctx context.Context, r *call.Request, still func() bool) call.Answer {
+	t := &admission.Ticket{
+		Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority, Deadline: r.Deadline,
+	}
+	if d := o.enter(ctx, t); d.Verdict != admission.Run {
+		return o.refused(r, d)
+	}
+	if still != nil && !still() {
+		o.gate.Settle(time.Now(), t, admission.Result{Withdrawn: true})
+		return o.refused(r, admission.Decision{Reason: call.UnknownKey})
+	}
+	return o.execute(ctx, r, t)
+}
+
+func (o *owner) enter(ctx context.Context, t *admission.Ticket) admission.Decision {
+	decided := make(waiter, 1)
+	t.Waiter = decided
+	d := o.gate.Arrive(time.Now(), t)
+	if d.Verdict != admission.Wait {
+		return d
+	}
+	timer := time.NewTimer(time.Until(t.StartBy()))
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	defer o.leave()
+	if d, left := o.gate.Leave(time.Now(), t); left {
+		return d
+	}
+	return <-decided
+}
+
+func (o *owner) refused(r *call.Request, d admission.Decision) call.Answer {
+	answer := call.Refuse(d.Reason, d.RetryAfter)
+	answer.BudgetLeft = r.Budget
+	answer.Load = o.gate.Load(time.Now())
+	return answer
+}
+
+// execute runs an admitted request; the gate is settled however it ends.
+func (o *owner) execute(ctx context.Context, r *call.Request, t *admission.Ticket) call.Answer {
 	account := budget.New(r.Budget - 1)
-	token := o.chains.open(r, account)
+	token, origin := o.chains.open(r, account)
+	begun := time.Now()
 	answer := o.upstream.Do(ctx, r, token)
 	o.chains.shut(token)
+	now := time.Now()
+	waited, deeper := origin.waited(now)
+	o.gate.Settle(now, t, result(answer, max(now.Sub(begun)-waited, 0)))
 	answer.BudgetLeft = account.Left()
 	if answer.Outcome == call.NotRun {
 		answer.BudgetLeft++
 	}
-	answer.Load = call.Load{InFlight: len(o.slots), Limit: cap(o.slots)}
+	answer.Load = o.gate.Load(now)
+	answer.Load.Pressure = max(answer.Load.Pressure, deeper)
 	return answer
 }
 
-func (o *owner) enter(ctx context.Context, r *call.Request) bool {
-	wait := min(r.Remaining(time.Now()), longestWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case o.slots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return false
+// result tells the gate how a run ended. A caller that hung up, or an upstream
+// that could not be reached, says nothing about how much the upstream can run.
+func result(a call.Answer, own time.Duration) admission.Result {
+	r := admission.Result{Own: own}
+	switch {
+	case a.Reason == call.UpstreamShed:
+		r.Shed = true
+	case a.Reason == call.AnswerLost:
+		r.Lost = true
+	case a.Outcome != call.Whole:
+		r.Withdrawn = true
 	}
+	return r
 }
-
-func (o *owner) leave() { <-o.slots }
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -11,6 +11,10 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 )
 
 // EnvPrefix stands before a flag's name in its environment variable, as in FOXTAILHOOK_HOST.
@@ -30,6 +34,10 @@
 	Platform  netip.AddrPort
 
 	Slots          int
+	Limit          limit.Kind
+	Queue          queue.Kind
+	QueueTime      time.Duration
+	QueueLength    int
 	DefaultTimeout time.Duration
 	MaxTimeout     time.Duration
 	DefaultRuns    int
@@ -101,7 +109,11 @@
 	b.address(&s.Operators, "operators", "127.0.0.1:7002", "IP:port for health, status and metrics (HTTP)")
 	b.address(&s.Upstream, "upstream", "127.0.0.1:8000", "IP:port of the upstream beside this daemon (HTTP)")
 	b.address(&s.Platform, "platform", "127.0.0.1:9000", "IP:port of the configuration service (HTTP, read only)")
-	b.count(&s.Slots, "slots", 64, "requests that the upstream runs at once", 1, 100_000)
+	b.count(&s.Slots, "slots", 64, "most requests that the upstream runs at once; the learned limit stays at or below it", 1, 100_000)
+	choice(b, &s.Limit, "limit", limit.Gradient, "how the limit is found: gradient, aimd or fixed (at -slots)", limit.ParseKind)
+	choice(b, &s.Queue, "queue", queue.Fair, "order of waiting requests: fair, fifo or lifo", queue.ParseKind)
+	b.duration(&s.QueueTime, "queue-time", admission.DefaultWait, "longest wait for a slot", time.Millisecond, 10*time.Second)
+	b.count(&s.QueueLength, "queue-length", admission.DefaultLength, "most requests that wait for a slot", 1, 100_000)
 	b.duration(&s.DefaultTimeout, "default-timeout", 5*time.Second, "time for a request whose caller names none", time.Millisecond, time.Hour)
 	b.duration(&s.MaxTimeout, "max-timeout", 2*time.Minute, "longest time that a caller may name", time.Millisecond, time.Hour)
 	b.count(&s.DefaultRuns, "default-runs", 32, "upstream runs that one request may cause over its whole call chain", 1, 1<<16)
--- a/internal/app/settings/settings_test.go
+++ b/internal/app/settings/settings_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 )
 
 var least = []string{"-host", "h", "-service", "s", "-zone", "z"}
@@ -25,6 +28,14 @@
 		So(ok, ShouldBeTrue)
 		So(problems, ShouldHaveLength, 5)
 	})
+	Convey("Choices are taken by name, and others are refused", t, func() {
+		s, err := Parse(append(least, "-limit", "aimd", "-queue", "lifo"), &bytes.Buffer{})
+		So(err, ShouldBeNil)
+		So(s.Limit, ShouldEqual, limit.AIMD)
+		So(s.Queue, ShouldEqual, queue.LIFO)
+		_, err = Parse(append(least, "-limit", "magic", "-queue", ""), &bytes.Buffer{})
+		So(err, ShouldHaveLength, 2)
+	})
 	Convey("Help lists the flags", t, func() {
 		var out bytes.Buffer
 		_, err := Parse([]string{"-h"}, &out)
--- /dev/null
+++ b/internal/decide/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which requests an upstream runs now, which wait and which are refused.
+package admission
--- /dev/null
+++ b/internal/decide/limit/window.go
@@ -0,0 +1,54 @@
+package limit
+
+import "time"
+
+// window sums the samples of a short time, so that one slow run moves nothing.
+type window struct {
+	begun    time.Time
+	samples  int
+	ratios   float64
+	peak     int
+	sheds    int
+	shedFrom int
+}
+
+const (
+	// windowTime is the least time between two changes of the limit; a 2 s recovery has room for 20 of them.
+	windowTime = 100 * time.Millisecond
+	// windowSamples makes the mean of exponentially spread latencies good to about a fifth.
+	windowSamples = 20
+	// windowLongest ends a window with few samples, so that a slow upstream is noticed too.
+	windowLongest = time.Second
+)
+
+func (w *window) add(s Sample, ratio float64) {
+	w.peak = max(w.peak, s.InFlight)
+	if s.Shed {
+		if w.sheds == 0 || s.InFlight < w.shedFrom {
+			w.shedFrom = s.InFlight
+		}
+		w.sheds++
+		return
+	}
+	w.samples++
+	w.ratios += ratio
+}
+
+func (w *window) ended(now time.Time) bool {
+	if w.begun.IsZero() {
+		w.begun = now
+	}
+	elapsed := now.Sub(w.begun)
+	if elapsed < windowTime {
+		return false
+	}
+	return w.samples+w.sheds >= windowSamples || elapsed >= windowLongest
+}
+
+// ratio returns the mean latency relative to the baselines.
+func (w *window) ratio() float64 {
+	if w.samples == 0 {
+		return 1
+	}
+	return w.ratios / float64(w.samples)
+}
--- /dev/null
+++ b/internal/decide/pressure/doc.go
@@ -0,0 +1,2 @@
+// Package pressure feeds the overload of deep services back up the call chain.
+package pressure
--- /dev/null
+++ b/internal/decide/queue/fair_test.go
@@ -0,0 +1,153 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+)
+
+func item(organisation string, weight int, p call.Priority) *Item[int] {
+	return &Item[int]{Organisation: organisation, Weight: weight, Priority: p}
+}
+
+func TestFairShares(t *testing.T) {
+	cases := []struct {
+		name   string
+		weight []int
+		queued []int
+		pops   int
+		want   []int
+	}{
+		{"one organisation sends five times the others", []int{1, 1, 1}, []int{500, 100, 100}, 300, []int{100, 100, 100}},
+		{"weights count", []int{3, 1}, []int{400, 400}, 400, []int{300, 100}},
+		{"what one leaves goes to the others", []int{1, 1}, []int{300, 10}, 200, []int{190, 10}},
+	}
+	Convey("Organisations are served by weight, whatever they queue", t, func() {
+		for _, c := range cases {
+			q := NewFair[int]()
+			for o, n := range c.queued {
+				for range n {
+					q.Push(item(fmt.Sprint(o), c.weight[o], call.Standard))
+				}
+			}
+			got := make([]int, len(c.want))
+			for range c.pops {
+				var o int
+				_, _ = fmt.Sscan(q.Pop().Organisation, &o)
+				got[o]++
+			}
+			So(got, ShouldResemble, c.want)
+		}
+	})
+}
+
+func TestFairPriorities(t *testing.T) {
+	Convey("Higher work goes first, and lower work is not starved", t, func() {
+		q := NewFair[int]()
+		for range 10 {
+			q.Push(item("a", 1, call.Background))
+		}
+		served := map[call.Priority]int{}
+		for range 320 {
+			q.Push(item("b", 1, call.Interactive))
+			i := q.Pop()
+			served[i.Priority]++
+		}
+		So(served[call.Background], ShouldEqual, 10)
+		So(served[call.Interactive], ShouldEqual, 310)
+	})
+	Convey("A full queue gives up lower work, the longest queue's newest first, and never the last of a priority", t, func() {
+		q := NewFair[int]()
+		first := item("small", 1, call.Background)
+		q.Push(first)
+		newest := first
+		for range 3 {
+			newest = item("large", 1, call.Background)
+			q.Push(newest)
+		}
+		So(q.Victim(item("c", 1, call.Interactive)), ShouldEqual, newest)
+		So(q.Victim(item("large", 1, call.Background)), ShouldBeNil)
+		So(q.Victim(item("small", 1, call.Background)), ShouldEqual, newest)
+		for range 3 {
+			q.Remove(q.Victim(item("c", 1, call.Interactive)))
+		}
+		So(q.Victim(item("c", 1, call.Interactive)), ShouldBeNil)
+	})
+}
+
+// naive keeps all items in a slice and looks through them for each answer.
+type naive struct {
+	items []*Item[int]
+}
+
+func (n *naive) remove(i *Item[int]) {
+	for at, e := range n.items {
+		if e == i {
+			n.items = append(n.items[:at:at], n.items[at+1:]...)
+			return
+		}
+	}
+}
+
+func (n *naive) oldest(organisation string, p call.Priority) *Item[int] {
+	for _, e := range n.items {
+		if e.Organisation == organisation && e.Priority == p {
+			return e
+		}
+	}
+	return nil
+}
+
+func (n *naive) longest(p call.Priority) int {
+	lengths, most := map[string]int{}, -1
+	for _, e := range n.items {
+		if e.Priority == p {
+			lengths[e.Organisation]++
+			most = max(most, lengths[e.Organisation]/e.Weight)
+		}
+	}
+	return most
+}
+
+func TestFairAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, n := NewFair[int](), &naive{}
+		for step := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "do") {
+			case 0, 1:
+				o := rapid.IntRange(0, 4).Draw(t, "organisation")
+				i := item(fmt.Sprint(o), o+1, call.Priority(rapid.IntRange(0, 2).Draw(t, "priority")))
+				i.Value = step
+				q.Push(i)
+				n.items = append(n.items, i)
+			case 2:
+				i := q.Pop()
+				if (i == nil) != (len(n.items) == 0) {
+					t.Fatalf("popped %v of %d items", i, len(n.items))
+				}
+				if i != nil && n.oldest(i.Organisation, i.Priority) != i {
+					t.Fatalf("%q was served out of its own order", i.Organisation)
+				}
+				n.remove(i)
+			case 3:
+				if len(n.items) > 0 {
+					i := n.items[rapid.IntRange(0, len(n.items)-1).Draw(t, "gives up")]
+					q.Remove(i)
+					n.remove(i)
+				}
+			}
+			if q.Len() != len(n.items) {
+				t.Fatalf("%d items, want %d", q.Len(), len(n.items))
+			}
+			for p := range q.classes {
+				if got, want := q.classes[p].longest(), n.longest(call.Priority(p)); got != want {
+					t.Fatalf("longest %d, want %d", got, want)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/queue/queue.go
@@ -0,0 +1,74 @@
+package queue
+
+import "github.com/foxtailhook/foxtailhook/internal/domain/call"
+
+//go:generate stringer -type=Kind -linecomment
+
+// Kind names an order of service.
+type Kind uint8
+
+const (
+	// Fair serves by priority and, within one, in weighted fair shares of the organisations.
+	Fair Kind = iota // fair
+	// FIFO serves the oldest first.
+	FIFO // fifo
+	// LIFO serves the newest first.
+	LIFO // lifo
+)
+
+// ParseKind returns the kind with the given name, or false.
+func ParseKind(name string) (Kind, bool) {
+	for k := Fair; k <= LIFO; k++ {
+		if k.String() == name {
+			return k, true
+		}
+	}
+	return Fair, false
+}
+
+// Item is one waiting request; it holds its own links, so that queueing allocates nothing.
+type Item[T any] struct {
+	Value        T
+	Organisation string
+	Weight       int
+	Priority     call.Priority
+	// Cost is the expected slot time relative to the mean of all requests; 0 counts as 1.
+	Cost float64
+
+	prev, next *Item[T]
+	flow       *flow[T]
+	queued     bool
+}
+
+// Queued reports whether the item is in a queue.
+func (i *Item[T]) Queued() bool { return i.queued }
+
+// Queue is an order of service; it is used by one goroutine at a time.
+type Queue[T any] interface {
+	// Push adds an item that is in no queue.
+	Push(i *Item[T])
+	// Pop takes out the item to serve next, or returns nil.
+	Pop() *Item[T]
+	// Remove takes out an item that gave up; it does nothing when the item is not queued.
+	Remove(i *Item[T])
+	// Len returns the number of items.
+	Len() int
+	// Ahead estimates how many items would be served before the item if it were pushed now.
+	Ahead(i *Item[T]) int
+	// Victim returns the item that should leave a full queue for the arrival, or nil if the arrival should go.
+	Victim(arrival *Item[T]) *Item[T]
+	// Last returns the item that is likely to be served last, or nil.
+	Last() *Item[T]
+}
+
+// New returns an empty queue of the kind.
+func New[T any](k Kind) Queue[T] {
+	switch k {
+	case FIFO:
+		return &line[T]{}
+	case LIFO:
+		return &line[T]{newest: true}
+	default:
+		return NewFair[T]()
+	}
+}
