Place by two choices, bound the chain's runs exactly, refuse doomed work at the door

Placing looked through all hosts for each request and knew only its own requests in flight: a host that fails at once was always the least busy. It now takes the better of two by what it has seen itself (in flight, latency against the mean of the operation, failures), with reported load as a bounded hint and one request in 64 sent regardless, so that no signal empties or fills a host.

A call drew all of the budget but one run, so that calls made beside it were refused. A draw now takes the need that was learned for its operation and part of the spare, and waits for its siblings when they hold what it lacks. An account closes with its run: a late repeat could spend what had gone back up.

Whether a request failed for overload at any depth comes back with its answer. The door then lets through twice what succeeded lately, for each organisation and operation. Ruled out: the refused share that an instance reports, since one organisation's excess would close the door for all; 1.5 times the successes, since failures of two in five that don't depend on load closed the door for good.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -11,7 +11,9 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
+	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -33,6 +35,8 @@
 	control  *control
 	rates    *rate.Split
 	placer   *placing.Placer
+	needs    *budget.Needs
+	doors    *pressure.Doors
 	owner    *owner
 	peers    *peer.Node
 	callers  *httpd.Server
@@ -46,7 +50,9 @@
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
 		rates:    rate.NewSplit(),
-		placer:   placing.New(s.Zone),
+		placer:   placing.New(s.Zone, placing.WithKind(s.Placing)),
+		needs:    budget.NewNeeds(),
+		doors:    pressure.New(),
 	}
 	d.view.Store(lists.NewSet().View())
 	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
@@ -82,6 +88,7 @@
 		}
 	}
 	d.control.start()
+	d.control.done.Go(d.observe)
 	return nil
 }
 
--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -15,11 +16,8 @@
 // attemptsPerHop bounds the hosts that one hop tries; the chain's budget bounds them all together.
 const attemptsPerHop = 3
 
-// retryReserve is kept back from an attempt, so that a lost answer leaves enough for one repeat.
-const retryReserve = 1
-
-// dispatch places the request and repeats it on another host only after a true
-// notRun, or after a lost answer where the operation is idempotent.
+// dispatch places the request, and tells those above it how it went: the door
+// that let it in, or the request that the upstream made this call for.
 func (d *Daemon) dispatch(ctx context.Context, a admitted) call.Answer {
 	if a.origin != nil {
 		a.origin.enter(time.Now())
@@ -27,21 +25,30 @@
 	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
 	defer cancel()
 	answer := d.try(ctx, a)
-	if a.origin != nil {
+	if answer.Reason.Overload() || answer.Reason == call.AnswerLost && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		answer.Load.Pressure = 1
+	}
+	switch {
+	case a.origin != nil:
 		a.origin.exit(time.Now(), answer.Load.Pressure)
+	case answer.Reason != call.Cancelled:
+		d.doors.Report(time.Now(), a.request.Organisation, a.request.Operation, answer.Load.Pressure, answer.RetryAfter)
 	}
 	return answer
 }
 
+// try repeats the request on another host only after a true notRun, or after a
+// lost answer where the operation is idempotent.
 func (d *Daemon) try(ctx context.Context, a admitted) call.Answer {
-	tried := map[string]bool{}
+	tried := make([]string, 0, attemptsPerHop)
 	answer := call.Refuse(call.NoUpstream, time.Second)
 	ran := false
-	for attempt := 1; attempt <= attemptsPerHop; attempt++ {
-		next, ok := d.attempt(ctx, a, tried, attempt)
+	for len(tried) < attemptsPerHop {
+		next, host, ok := d.attempt(ctx, a, tried)
 		if !ok {
 			break
 		}
+		tried = append(tried, host)
 		answer = next
 		ran = ran || next.Outcome == call.Unknown
 		if !repeatable(a.request, next) || ctx.Err() != nil {
@@ -67,27 +74,77 @@
 	}
 }
 
-func (d *Daemon) attempt(ctx context.Context, a admitted, tried map[string]bool, number int) (call.Answer, bool) {
-	host, ok := d.placer.Pick(d.view.Load().HostsOf(a.request.Service), tried)
-	if !ok {
-		return call.Answer{}, false
-	}
-	defer d.placer.Done(host.Host)
-	tried[host.Host] = true
+// attempt sends the request to one more host and returns its answer and name; false if there is no other host.
+func (d *Daemon) attempt(ctx context.Context, a admitted, tried []string) (call.Answer, string, bool) {
 	r := a.request
-	r.Budget = a.account.Draw(retryReserve)
-	if r.Budget == 0 {
-		return call.Refuse(call.BudgetSpent, 0), true
+	if r.Budget = d.draw(ctx, a); r.Budget == 0 {
+		return unfunded(ctx), "", true
 	}
 	begun := time.Now()
+	place, ok := d.placer.Pick(begun, r.Service, d.view.Load().HostsOf(r.Service), tried)
+	if !ok {
+		a.account.Settle(r.Budget, r.Budget)
+		return call.Answer{}, "", false
+	}
+	host := place.Host
 	answer := d.send(ctx, host, &r, a.still)
-	a.account.Return(answer.BudgetLeft)
+	now := time.Now()
+	d.placer.Settle(now, place, r.Operation, ending(answer), answer.Load)
+	a.account.Settle(r.Budget, answer.BudgetLeft)
+	if answer.Outcome == call.Whole {
+		d.needs.Learn(r.Operation, r.Budget, r.Budget-answer.BudgetLeft, answer.Status < statusFault)
+	}
 	d.log.WithFields(logrus.Fields{
 		"decision": "place", "requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
-		"service": r.Service, "host": host.Host, "zone": host.Zone, "attempt": number, "depth": r.Depth,
-		"outcome": answer.Outcome.String(), "reason": answer.Reason.String(), "durationUs": time.Since(begun).Microseconds(),
+		"service": r.Service, "host": host.Host, "zone": host.Zone, "attempt": len(tried) + 1, "depth": r.Depth, "budget": r.Budget,
+		"outcome": answer.Outcome.String(), "reason": answer.Reason.String(), "durationUs": now.Sub(begun).Microseconds(),
 	}).Info("route")
-	return answer, true
+	return answer, host.Host, true
+}
+
+// unfunded is the answer for an attempt without budget, which may have waited for some until its time was up.
+func unfunded(ctx context.Context) call.Answer {
+	if ctx.Err() != nil {
+		return call.Refuse(call.DeadlineTooNear, 0)
+	}
+	return call.Refuse(call.BudgetSpent, 0)
+}
+
+// draw takes what the attempt may spend from the request's account, waiting for
+// calls made beside it if they hold what is missing; 0 means that there is nothing.
+func (d *Daemon) draw(ctx context.Context, a admitted) int {
+	for {
+		runs, wait := a.account.Draw(d.needs.Expect(a.request.Operation, a.request.Depth))
+		if wait == nil {
+			return runs
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
+// statusFault is the lowest HTTP status code of a fault of the upstream.
+const statusFault = 500
+
+// ending is what an answer tells of the host that it came from.
+func ending(a call.Answer) placing.Ending {
+	switch {
+	case a.Outcome == call.Whole && a.Status < statusFault:
+		return placing.Served
+	case a.Outcome == call.Whole && a.Load.Pressure > 0:
+		return placing.Silent
+	case a.Outcome == call.Whole:
+		return placing.Faulty
+	case a.Reason.Overload():
+		return placing.Declined
+	case a.Reason == call.NoUpstream, a.Reason == call.Draining, a.Reason == call.AnswerLost:
+		return placing.Failed
+	default:
+		return placing.Silent
+	}
 }
 
 // send runs the request on this host's upstream or hands it on to the daemon beside the chosen one.
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -30,7 +30,7 @@
 	still func() bool
 }
 
-// admit decides in the order key, plan, rate, deadline, so that nothing is
+// admit decides in the order key, plan, rate, overload, so that nothing is
 // spent on a request that an earlier check refuses.
 func (d *Daemon) admit(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	if token := r.Header.Get(upstream.HeaderToken); token != "" {
@@ -69,6 +69,9 @@
 	if wait, ok := d.rates.Spend(organisation, now); !ok {
 		return refuse(call.OverRate, wait)
 	}
+	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
+		return refuse(call.Overloaded, back)
+	}
 	return a, call.Answer{}, true
 }
 
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -15,6 +16,7 @@
 	Ready       bool                  `json:"ready"`
 	Leaving     bool                  `json:"leaving"`
 	InFlight    int64                 `json:"inFlight"`
+	Gate        call.Load             `json:"gate"`
 	Lists       map[string]ListStatus `json:"lists"`
 	Connections int                   `json:"peerConnections"`
 	SentBytes   uint64                `json:"peerBytesSent"`
@@ -61,7 +63,7 @@
 	sent, received := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
-		Ready: d.view.Load().Complete(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Ready: d.view.Load().Complete(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(), Gate: d.owner.gate.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
 	}
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -76,7 +76,7 @@
 func (o *owner) refused(r *call.Request, d admission.Decision) call.Answer {
 	answer := call.Refuse(d.Reason, d.RetryAfter)
 	answer.BudgetLeft = r.Budget
-	answer.Load = o.gate.Load(time.Now())
+	answer.Load = o.gate.Load()
 	return answer
 }
 
@@ -90,12 +90,14 @@
 	now := time.Now()
 	waited, deeper := origin.waited(now)
 	o.gate.Settle(now, t, result(answer, max(now.Sub(begun)-waited, 0)))
-	answer.BudgetLeft = account.Left()
+	answer.BudgetLeft = account.Close()
 	if answer.Outcome == call.NotRun {
 		answer.BudgetLeft++
 	}
-	answer.Load = o.gate.Load(now)
-	answer.Load.Pressure = max(answer.Load.Pressure, deeper)
+	answer.Load = o.gate.Load()
+	if answer.Status >= statusFault {
+		answer.Load.Pressure = deeper
+	}
 	return answer
 }
 
@@ -106,9 +108,7 @@
 	switch {
 	case a.Reason == call.UpstreamShed:
 		r.Shed = true
-	case a.Reason == call.AnswerLost:
-		r.Lost = true
-	case a.Outcome != call.Whole:
+	case a.Outcome != call.Whole && a.Reason != call.AnswerLost:
 		r.Withdrawn = true
 	}
 	return r
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -14,6 +14,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 )
 
@@ -38,6 +39,7 @@
 	Queue          queue.Kind
 	QueueTime      time.Duration
 	QueueLength    int
+	Placing        placing.Kind
 	DefaultTimeout time.Duration
 	MaxTimeout     time.Duration
 	DefaultRuns    int
@@ -114,6 +116,7 @@
 	choice(b, &s.Queue, "queue", queue.Fair, "order of waiting requests: fair, fifo or lifo", queue.ParseKind)
 	b.duration(&s.QueueTime, "queue-time", admission.DefaultWait, "longest wait for a slot", time.Millisecond, 10*time.Second)
 	b.count(&s.QueueLength, "queue-length", admission.DefaultLength, "most requests that wait for a slot", 1, 100_000)
+	choice(b, &s.Placing, "placing", placing.TwoChoices, "how a host is chosen: twoChoices, roundRobin or leastLatency", placing.ParseKind)
 	b.duration(&s.DefaultTimeout, "default-timeout", 5*time.Second, "time for a request whose caller names none", time.Millisecond, time.Hour)
 	b.duration(&s.MaxTimeout, "max-timeout", 2*time.Minute, "longest time that a caller may name", time.Millisecond, time.Hour)
 	b.count(&s.DefaultRuns, "default-runs", 32, "upstream runs that one request may cause over its whole call chain", 1, 1<<16)
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
-	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
@@ -24,7 +23,6 @@
 	running int
 	held    latencies
 	back    comeBack
-	gauge   pressure.Gauge
 
 	longestWait time.Duration
 	length      int
@@ -171,11 +169,6 @@
 	} else {
 		g.held.learn(t.Operation, now.Sub(t.begun), now)
 	}
-	if r.Shed || r.Lost {
-		g.gauge.Refused(now)
-	} else {
-		g.gauge.Done(now)
-	}
 	g.limit.Learn(now, limit.Sample{Operation: t.Operation, Latency: r.Own, InFlight: t.inFlight, Shed: r.Shed})
 }
 
@@ -207,7 +200,6 @@
 
 func (g *Gate) refuse(now time.Time, reason call.Reason) Decision {
 	g.counts.Refused++
-	g.gauge.Refused(now)
 	return Decision{Verdict: Refuse, Reason: reason, RetryAfter: g.back.place(now, g.queue.Len(), g.interval())}
 }
 
@@ -217,10 +209,10 @@
 }
 
 // Load returns what the gate tells others with each answer.
-func (g *Gate) Load(now time.Time) call.Load {
+func (g *Gate) Load() call.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return call.Load{InFlight: g.running, Queued: g.queue.Len(), Limit: g.limit.Limit(), Pressure: g.gauge.Share(now)}
+	return call.Load{InFlight: g.running, Queued: g.queue.Len(), Limit: g.limit.Limit()}
 }
 
 // Counts returns the totals since the start.
--- a/internal/decide/admission/ticket.go
+++ b/internal/decide/admission/ticket.go
@@ -57,8 +57,6 @@
 	Own time.Duration
 	// Shed means that the upstream declined the run.
 	Shed bool
-	// Lost means that no whole answer came back in time.
-	Lost bool
 	// Withdrawn means that the request did not run after all and tells nothing of the upstream.
 	Withdrawn bool
 }
--- a/internal/decide/budget/account.go
+++ b/internal/decide/budget/account.go
@@ -9,10 +9,17 @@
 // run is drawn from what came in with the request, and what was handed to an
 // attempt whose answer got lost stays lost.
 type Account struct {
-	mu   sync.Mutex
-	left int
+	mu      sync.Mutex
+	left    int
+	out     int
+	closed  bool
+	changed chan struct{}
 }
 
+// spareShare is the part of the spare runs that one draw may take beyond its
+// need, for repeats below it; siblings that draw later find the rest.
+const spareShare = 4
+
 // New returns an account with the given number of runs.
 func New(runs int) *Account { return &Account{left: max(runs, 0)} }
 
@@ -23,19 +30,67 @@
 	return a.left
 }
 
-// Draw takes runs for one attempt, the attempt's own included, keeping reserve
-// back for a repeat if it can; 0 means that nothing is left.
-func (a *Account) Draw(reserve int) int {
+// Draw takes runs for one attempt that is likely to need so many, its own run
+// included; Settle must follow. A channel in place of runs means that another
+// attempt holds what is missing: it closes when something has come back. No
+// runs and no channel mean that the account is spent.
+//
+// A first call that took everything would starve the calls made beside it, and
+// equal parts would starve a deep chain, where one call needs all that is left.
+// So a draw takes its need, and as much again for repeats where there is spare.
+// One that finds too little waits for its siblings: the runs that they do not
+// use come back, while a call sent with too few fails deep down, after the
+// work above it was done.
+func (a *Account) Draw(need int) (int, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	grant := max(a.left-reserve, min(a.left, 1))
-	a.left -= grant
-	return grant
+	need = max(need, 1)
+	if a.closed || a.left == 0 && a.out == 0 {
+		return 0, nil
+	}
+	if a.left < need && a.out > 0 {
+		if a.changed == nil {
+			a.changed = make(chan struct{})
+		}
+		return 0, a.changed
+	}
+	spare := max(a.left-need, 0)
+	runs := min(a.left, need+min(need, spare/spareShare))
+	a.left -= runs
+	a.out++
+	return runs, nil
 }
 
-// Return gives back what an answered attempt did not use.
-func (a *Account) Return(runs int) {
+// Settle ends an attempt that drew runs and gives back what its answer says is
+// unused. A lost answer gives back none: its runs may still happen.
+func (a *Account) Settle(drawn, unused int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.left += max(runs, 0)
+	a.out--
+	if !a.closed {
+		a.left += min(max(unused, 0), drawn)
+	}
+	a.wake()
+}
+
+// Close ends the account and returns what is left of it.
+//
+// An upstream may answer while calls of its own are still being repeated. What
+// is left then goes back up with the answer, and a repeat that could still draw
+// here would spend the same runs twice.
+func (a *Account) Close() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	left := a.left
+	a.left = 0
+	a.closed = true
+	a.wake()
+	return left
+}
+
+func (a *Account) wake() {
+	if a.changed != nil {
+		close(a.changed)
+		a.changed = nil
+	}
 }
--- a/internal/domain/call/answer.go
+++ b/internal/domain/call/answer.go
@@ -19,11 +19,11 @@
 
 // Load is what a host says of itself with each answer.
 type Load struct {
-	InFlight int
-	Queued   int
-	Limit    int
-	// Pressure is the share of recent work refused at this service or deeper, 0 to 1.
-	Pressure float64
+	InFlight int `json:"inFlight" msgpack:"inFlight"`
+	Queued   int `json:"queued" msgpack:"queued"`
+	Limit    int `json:"limit" msgpack:"limit"`
+	// Pressure is 1 when the request failed for overload at this service or deeper, and 0 otherwise.
+	Pressure float64 `json:"-" msgpack:"pressure"`
 }
 
 // Refuse returns an answer for a request that was not run; retryAfter zero means that coming back won't help.
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// Overload reports whether the reason is that there is more work than can be done in time.
+func (r Reason) Overload() bool {
+	switch r {
+	case Overloaded, DeadlineTooNear, UpstreamShed:
+		return true
+	default:
+		return false
+	}
+}
+
 const (
 	statusBadRequest   = 400
 	statusUnauthorized = 401
