--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
@@ -73,6 +72,8 @@
 	if a.request.Idempotent || a.request.IdempotencyKey == "" {
 		return r.daemon.dispatch(ctx, a)
 	}
+	ctx, cancel := context.WithDeadline(ctx, a.request.Deadline)
+	defer cancel()
 	answer := call.Refuse(call.NoUpstream, time.Second)
 	for try := 1; try <= holderTries; try++ {
 		answer = r.toHolder(ctx, a)
@@ -100,25 +101,20 @@
 		return r.hold(ctx, a)
 	}
 	sent := a.request
-	sent.Budget = a.account.Draw(0)
-	if sent.Budget == 0 {
-		return call.Refuse(call.BudgetSpent, 0)
+	if sent.Budget = r.daemon.draw(ctx, a); sent.Budget == 0 {
+		return unfunded(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, sent.Deadline)
-	defer cancel()
-	back, err := peer.Call[handoff, handback](ctx, r.daemon.peers, host.Peer, peer.KindOnce, newHandoff(&sent, time.Now()))
-	switch {
-	case err == nil:
-		a.account.Return(back.BudgetLeft)
+	answer := r.handOn(ctx, host, &sent)
+	a.account.Settle(sent.Budget, answer.BudgetLeft)
+	return answer
+}
+
+func (r *repeats) handOn(ctx context.Context, host lists.Host, sent *call.Request) call.Answer {
+	back, err := peer.Call[handoff, handback](ctx, r.daemon.peers, host.Peer, peer.KindOnce, newHandoff(sent, time.Now()))
+	if err == nil {
 		return back.answer()
-	case errors.Is(err, peer.ErrNotSent):
-		a.account.Return(sent.Budget)
-		return call.Refuse(call.NoUpstream, time.Second)
-	case errors.Is(err, context.Canceled):
-		return call.Lose(call.Cancelled)
-	default:
-		return call.Lose(call.AnswerLost)
 	}
+	return r.daemon.unanswered(sent, err)
 }
 
 func (r *repeats) takeOnce(ctx context.Context, _ netip.AddrPort, h handoff) handback {
