Hold the deciding packages free of input and output, and the settings' bounds for set values

Cause: nothing kept internal/decide, internal/domain and internal/fleet from importing sockets, and call.Request already imported net/http for its header type. Settings that a program sets directly passed by the bounds of the command line: a negative count of slots ended the process with a panic.

An alias of map[string][]string is assignable to and from net/http's type.

--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -15,6 +15,7 @@
 type binder struct {
 	fs       *flag.FlagSet
 	reads    []func()
+	rules    []func()
 	problems Problems
 }
 
@@ -28,6 +29,13 @@
 	}
 }
 
+// obey checks the bounds of values that were set rather than parsed.
+func (b *binder) obey() {
+	for _, rule := range b.rules {
+		rule()
+	}
+}
+
 func (b *binder) required(name, value string) {
 	if value == "" || strings.ContainsAny(value, " /\t\r\n\"") {
 		b.fault("-%s must be given, without blanks, quotes or slashes", name)
@@ -38,9 +46,15 @@
 	b.fs.StringVar(into, name, value, help)
 }
 
-// read binds a flag whose text is turned into a T after parsing.
-func read[T any](b *binder, into *T, name, value, help string, parse func(string) (T, error)) {
+// read binds a flag whose text is turned into a T after parsing; the rule holds for parsed and for set values.
+func read[T any](b *binder, into *T, name, value, help string, parse func(string) (T, error), rule func(T) error) {
+	obey := func() {
+		if err := rule(*into); err != nil {
+			b.fault("-%s: %v", name, err)
+		}
+	}
 	raw := b.fs.String(name, value, help)
+	b.rules = append(b.rules, obey)
 	b.reads = append(b.reads, func() {
 		parsed, err := parse(*raw)
 		if err != nil {
@@ -48,41 +62,65 @@
 			return
 		}
 		*into = parsed
+		obey()
 	})
 }
 
 func (b *binder) address(into *netip.AddrPort, name, value, help string) {
-	read(b, into, name, value, help, func(raw string) (netip.AddrPort, error) {
+	parse := func(raw string) (netip.AddrPort, error) {
 		a, err := netip.ParseAddrPort(raw)
 		if err != nil {
 			return a, fmt.Errorf("%q is not an IP number with a port", raw)
 		}
 		return a, nil
+	}
+	read(b, into, name, value, help, parse, func(a netip.AddrPort) error {
+		if !a.IsValid() || a.Port() == 0 {
+			return fmt.Errorf("%q is not an IP number with a port above 0", a)
+		}
+		return nil
 	})
 }
 
 func (b *binder) count(into *int, name string, value int, help string, least, most int) {
 	help = fmt.Sprintf("%s (%d to %d)", help, least, most)
-	read(b, into, name, strconv.Itoa(value), help, func(raw string) (int, error) {
+	parse := func(raw string) (int, error) {
 		n, err := strconv.Atoi(raw)
-		if err != nil || n < least || n > most {
+		if err != nil {
 			return 0, fmt.Errorf("%q is not a whole number from %d to %d", raw, least, most)
 		}
 		return n, nil
+	}
+	read(b, into, name, strconv.Itoa(value), help, parse, func(n int) error {
+		if n < least || n > most {
+			return fmt.Errorf("%d is not from %d to %d", n, least, most)
+		}
+		return nil
 	})
 }
 
 func (b *binder) duration(into *time.Duration, name string, value time.Duration, help string, least, most time.Duration) {
 	help = fmt.Sprintf("%s (%s to %s)", help, least, most)
-	read(b, into, name, value.String(), help, func(raw string) (time.Duration, error) {
+	parse := func(raw string) (time.Duration, error) {
 		d, err := time.ParseDuration(raw)
-		if err != nil || d < least || d > most {
+		if err != nil {
 			return 0, fmt.Errorf("%q is not a duration from %s to %s", raw, least, most)
 		}
 		return d, nil
+	}
+	read(b, into, name, value.String(), help, parse, func(d time.Duration) error {
+		if d < least || d > most {
+			return fmt.Errorf("%s is not from %s to %s", d, least, most)
+		}
+		return nil
 	})
 }
 
 func (b *binder) level(into *logrus.Level, name, value, help string) {
-	read(b, into, name, value, help, logrus.ParseLevel)
+	read(b, into, name, value, help, logrus.ParseLevel, func(l logrus.Level) error {
+		if l > logrus.TraceLevel {
+			return fmt.Errorf("%d is not a level of the log", l)
+		}
+		return nil
+	})
 }
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -83,8 +83,12 @@
 
 // Check returns Problems with every fault of settings that were not parsed, or nil.
 func (s *Settings) Check() error {
-	b := &binder{}
-	s.check(b)
+	b := &binder{fs: flag.NewFlagSet("foxtailhook", flag.ContinueOnError)}
+	var bound Settings
+	bound.bind(b)
+	bound = *s // binding wrote the defaults; what is checked are the values set.
+	b.obey()
+	bound.check(b)
 	if len(b.problems) > 0 {
 		return b.problems
 	}
--- a/internal/domain/call/answer.go
+++ b/internal/domain/call/answer.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -10,7 +9,7 @@
 	Outcome    Outcome
 	Reason     Reason
 	Status     int
-	Header     http.Header
+	Header     Header
 	Body       []byte
 	RetryAfter time.Duration
 	BudgetLeft int
--- a/internal/domain/call/request.go
+++ b/internal/domain/call/request.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -13,7 +12,7 @@
 	Service        string
 	Method         string
 	Path           string
-	Header         http.Header
+	Header         Header
 	Body           []byte
 	Deadline       time.Time
 	Priority       Priority
--- /dev/null
+++ b/internal/proof/architecture/doc.go
@@ -0,0 +1,2 @@
+// Package architecture holds the rules of the folders: what may import what.
+package architecture
