Give operators foxctl: check, diff, key, status and explain

Cause: lists were published unseen: a slip in one was found when daemons rejected it, and two lists that don't fit each other only by the refusals. Nothing made a key, and /statusz told of one host at a time.

Ruled out: checks of one list against another inside the daemons (a plan may come seconds before what it may use, so each list is accepted by itself); fault places without lines (an operator edits a file, not a path).

--- /dev/null
+++ b/internal/ctl/check/finding.go
@@ -0,0 +1,49 @@
+package check
+
+import (
+	"fmt"
+	"slices"
+)
+
+//go:generate stringer -type=Severity -linecomment
+
+// Severity tells whether the daemons would refuse what was found.
+type Severity uint8
+
+const (
+	// Fault means that a daemon rejects the value or does not start.
+	Fault Severity = iota // fault
+	// Warning means that the lists are accepted and yet hardly what was meant.
+	Warning // warning
+)
+
+// MarshalText returns the severity's name.
+func (s Severity) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Finding is one thing to look at, with its place.
+type Finding struct {
+	Severity Severity `json:"severity"`
+	// File is the name of the file or "settings".
+	File string `json:"file"`
+	// Line counts from 1; 0 means that the place names no line.
+	Line int `json:"line,omitempty"`
+	// Place is the path to the entry, such as organisations[2].rate, or the flag.
+	Place string `json:"place"`
+	Text  string `json:"text"`
+}
+
+// String returns the finding as one line that editors can jump to.
+func (f Finding) String() string {
+	if f.Line > 0 {
+		return fmt.Sprintf("%s:%d: %s: %s: %s", f.File, f.Line, f.Severity, f.Place, f.Text)
+	}
+	return fmt.Sprintf("%s: %s: %s: %s", f.File, f.Severity, f.Place, f.Text)
+}
+
+// Findings is all that was found.
+type Findings []Finding
+
+// Faulty reports whether one of the findings is a Fault.
+func (f Findings) Faulty() bool {
+	return slices.ContainsFunc(f, func(e Finding) bool { return e.Severity == Fault })
+}
--- /dev/null
+++ b/internal/ctl/explain/advice.go
@@ -0,0 +1,128 @@
+package explain
+
+import (
+	"strings"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+)
+
+var wholeOutcome = call.Whole.String()
+
+// Advice says what a reason means and who can do what about it.
+type Advice struct {
+	Reason call.Reason
+	// Meaning is one sentence on what was decided and why.
+	Meaning string
+	// Caller is what the caller does next.
+	Caller string
+	// Operator is what the operator looks at.
+	Operator string
+}
+
+// Of returns the advice on the reason with the given name, or false.
+func Of(reason string) (Advice, bool) {
+	for r, a := range advices {
+		if r.String() == reason {
+			a.Reason = r
+			return a, true
+		}
+	}
+	return Advice{}, false
+}
+
+// Reasons returns every reason that a daemon can give, in the order of their numbers.
+func Reasons() []call.Reason {
+	var all []call.Reason
+	for r := call.None; !strings.HasPrefix(r.String(), "Reason("); r++ {
+		all = append(all, r)
+	}
+	return all
+}
+
+var advices = map[call.Reason]Advice{
+	call.None: {
+		Meaning:  "The upstream's complete answer was passed on.",
+		Caller:   "Use the answer; its status is the upstream's.",
+		Operator: "Nothing.",
+	},
+	call.BadRequest: {
+		Meaning:  "The request could not be understood.",
+		Caller:   "Mend the request; it fails the same way each time.",
+		Operator: "Nothing, unless one organisation sends many.",
+	},
+	call.UnknownKey: {
+		Meaning:  "The organisation key, or the token of an upstream's own call, is missing, wrong, withdrawn or over.",
+		Caller:   "Ask the operator for a key; don't retry.",
+		Operator: "Compare the keys list with what the organisation sends; `foxctl check` finds keys without an organisation.",
+	},
+	call.UnknownOperation: {
+		Meaning:  "No listed operation has this service, method and path.",
+		Caller:   "Check method and path; don't retry.",
+		Operator: "Add the operation to uses if it should exist.",
+	},
+	call.NotAllowed: {
+		Meaning:  "The organisation's plan may not use the operation.",
+		Caller:   "Don't retry.",
+		Operator: "Grant the operation to the plan in uses if it should be allowed.",
+	},
+	call.OverRate: {
+		Meaning:  "The organisation has spent its rate and burst over the whole fleet.",
+		Caller:   "Come back after Retry-After, and send at an even pace.",
+		Operator: "Raise rate or burst in plans if the organisation should have more.",
+	},
+	call.Overloaded: {
+		Meaning:  "The upstream had no slot for the request in time, and what was more important or owed more went first.",
+		Caller:   "Come back after Retry-After.",
+		Operator: "Look at the service's latency and in-flight requests; add instances if it lasts.",
+	},
+	call.NoUpstream: {
+		Meaning:  "No live instance of the service could be reached.",
+		Caller:   "Come back after Retry-After.",
+		Operator: "Look at the hosts list and at the daemons of the service.",
+	},
+	call.DeadlineTooNear: {
+		Meaning:  "The request could not have finished before its deadline, so it wasn't begun.",
+		Caller:   "Retry with a longer timeout.",
+		Operator: "Compare the callers' timeouts with the service's latency.",
+	},
+	call.TooLarge: {
+		Meaning:  "The body or the head is larger than the daemon takes.",
+		Caller:   "Send less; don't retry unchanged.",
+		Operator: "Raise -body-bound if such bodies are meant to pass.",
+	},
+	call.Draining: {
+		Meaning:  "The host is leaving and takes no new work.",
+		Caller:   "Come back after Retry-After, at any daemon.",
+		Operator: "Expected during a restart; the host should leave the hosts list.",
+	},
+	call.NotReady: {
+		Meaning:  "The daemon has just started and holds no complete lists yet.",
+		Caller:   "Come back after Retry-After, at any daemon.",
+		Operator: "If it lasts, look at -platform and `foxctl status`.",
+	},
+	call.BudgetSpent: {
+		Meaning:  "The call chain has used up the upstream runs that the operation allows.",
+		Caller:   "Retry later; the chain below is failing.",
+		Operator: "Find the failing service deeper in the chain; raise runs in uses only if the chain really needs more.",
+	},
+	call.Repeated: {
+		Meaning:  "A request with this idempotency key came before, and its outcome can't be given again.",
+		Caller:   "Find out what became of the first; don't send it under a new key before.",
+		Operator: "Nothing.",
+	},
+	call.UpstreamShed: {
+		Meaning:  "The upstream itself said that it did not run the request.",
+		Caller:   "Come back after Retry-After.",
+		Operator: "Compare -slots with what the upstream really runs at once.",
+	},
+	call.AnswerLost: {
+		Meaning:  "The request was sent on and no whole answer came back, so it may have run.",
+		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
+		Operator: "Look for a crash, a restart or a cut between the hosts at that time.",
+	},
+	call.Cancelled: {
+		Meaning:  "The caller hung up while the request was on its way, so it may have run.",
+		Caller:   "Wait at least as long as the timeout that was named.",
+		Operator: "Nothing, unless callers hang up in numbers: then they wait shorter than they say.",
+	},
+}
--- /dev/null
+++ b/internal/ctl/status/status_test.go
@@ -0,0 +1,45 @@
+package status
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func serve(t *testing.T, body string) netip.AddrPort {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+const sound = `{"host":"h1","ready":true,"lists":{"keys":{"version":4},"plans":{"version":2}}}`
+
+func TestFleet(t *testing.T) {
+	// A host that was cut off goes on with an older list: a key withdrawn
+	// elsewhere still works there, and no single host's status shows it.
+	behind := strings.NewReplacer("h1", "h2", `"version":4`, `"version":3`).Replace(sound)
+	rejecting := strings.NewReplacer("h1", "h3", `"version":2`, `"version":2,"rejected":{"version":5,"faults":[{"place":"line 1","text":"unknown field"}]}`).Replace(sound)
+	Convey("Hosts that agree give no concern", t, func() {
+		fleet := New(Fetch(t.Context(), []netip.AddrPort{serve(t, sound), serve(t, sound)}, time.Second))
+		So(fleet.Concerns, ShouldBeEmpty)
+		So(fleet.Hosts[0].Status.Host, ShouldEqual, "h1")
+	})
+	Convey("Hosts that differ, reject or don't answer are named", t, func() {
+		silent := netip.MustParseAddrPort("127.0.0.1:1")
+		fleet := New(Fetch(t.Context(), []netip.AddrPort{
+			serve(t, sound), serve(t, behind), serve(t, rejecting), serve(t, `{"host":"h4","lists":{"keys":{"version":4},"plans":{"version":2}}}`), silent, serve(t, "x"),
+		}, time.Second))
+		all := strings.Join(fleet.Concerns, "\n")
+		So(fleet.Concerns, ShouldHaveLength, 5)
+		So(all, ShouldContainSubstring, "keys: version 3 instead of 4 on h2")
+		So(all, ShouldContainSubstring, "rejected plans version 5: line 1: unknown field")
+		So(all, ShouldContainSubstring, "h4")
+		So(all, ShouldContainSubstring, "127.0.0.1:1: no answer")
+		So(all, ShouldContainSubstring, "unreadable answer")
+	})
+}
--- a/internal/domain/lists/keys.go
+++ b/internal/domain/lists/keys.go
@@ -23,6 +23,13 @@
 	return sha256.Sum256([]byte(key))
 }
 
+// Faults returns what a list with this key alone would be rejected for.
+func (k Key) Faults() Faults {
+	f := &faults{}
+	(&Keys{Keys: []Key{k}}).check(f)
+	return f.list
+}
+
 func (k *Keys) check(f *faults) {
 	ids := map[string]int{}
 	hashes := map[string]int{}
--- a/internal/domain/lists/parse.go
+++ b/internal/domain/lists/parse.go
@@ -14,11 +14,14 @@
 	check(*faults)
 }
 
-// Parse reads a value of type T and returns it, or Faults with everything that is wrong with it.
-func Parse[T any, P interface {
+// Checked is a pointer to a published value of type T.
+type Checked[T any] interface {
 	*T
 	checked
-}](raw []byte) (*T, error) {
+}
+
+// Parse reads a value of type T and returns it, or Faults with everything that is wrong with it.
+func Parse[T any, P Checked[T]](raw []byte) (*T, error) {
 	if len(raw) > MaxBytes {
 		return nil, Faults{{Place: "value", Text: fmt.Sprintf("is %d bytes, at most %d are allowed", len(raw), MaxBytes)}}
 	}
--- a/internal/domain/lists/set.go
+++ b/internal/domain/lists/set.go
@@ -74,10 +74,7 @@
 	return err
 }
 
-func adopt[T any, P interface {
-	*T
-	checked
-}](into **T, raw []byte) error {
+func adopt[T any, P Checked[T]](into **T, raw []byte) error {
 	value, err := Parse[T, P](raw)
 	if err != nil {
 		return err
