--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -127,11 +127,15 @@
 
 // choice binds a flag that takes one of an enum's names.
 func choice[E fmt.Stringer](b *binder, into *E, name string, value E, help string, parse func(string) (E, bool)) {
-	read(b, into, name, value.String(), help, func(raw string) (E, error) {
+	named := func(raw string) (E, error) {
 		e, ok := parse(raw)
 		if !ok {
 			return e, fmt.Errorf("%q is not one of its names", raw)
 		}
 		return e, nil
+	}
+	read(b, into, name, value.String(), help, named, func(e E) error {
+		_, err := named(e.String())
+		return err
 	})
 }
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -10,6 +10,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
 // ErrNotSent means that no byte of the message left this process, so the peer can't have acted on it.
@@ -23,7 +25,7 @@
 
 // Node is one daemon's end of the peer network.
 type Node struct {
-	engine   *nbio.Engine
+	engine   *loops.Engine
 	address  netip.AddrPort
 	maxFrame int
 	dialTime time.Duration
@@ -76,10 +78,8 @@
 
 // Start listens and serves until Stop.
 func (n *Node) Start() error {
-	n.engine = nbio.NewEngine(nbio.Config{Name: "peer", Network: "tcp", Addrs: []string{n.address.String()}, NPoller: pollers})
-	n.engine.OnOpen(n.opened)
-	n.engine.OnData(n.data)
-	n.engine.OnClose(n.closed)
+	config := nbio.Config{Name: "peer", Network: "tcp", Addrs: []string{n.address.String()}, NPoller: pollers}
+	n.engine = loops.New(config, loops.Handlers{Open: n.opened, Data: n.data, Close: n.closed})
 	return errors.Wrapf(n.engine.Start(), "peer: listen on %s", n.address)
 }
 
