--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -46,11 +46,13 @@
 	b.fs.StringVar(into, name, value, help)
 }
 
-// read binds a flag whose text is turned into a T after parsing; the rule holds for parsed and for set values.
-func read[T any](b *binder, into *T, name, value, help string, parse func(string) (T, error), rule func(T) error) {
+// read binds a flag whose text is turned into a T after parsing; the rules hold for parsed and for set values.
+func read[T any](b *binder, into *T, name, value, help string, parse func(string) (T, error), rules ...func(T) error) {
 	obey := func() {
-		if err := rule(*into); err != nil {
-			b.fault("-%s: %v", name, err)
+		for _, rule := range rules {
+			if err := rule(*into); err != nil {
+				b.fault("-%s: %v", name, err)
+			}
 		}
 	}
 	raw := b.fs.String(name, value, help)
