--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -30,7 +29,7 @@
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
 	begun := time.Now()
-	body, err := io.ReadAll(r.Body)
+	body, err := readBody(r)
 	if err != nil {
 		d.finish(w, nil, call.Refuse(call.BadRequest, 0), begun)
 		return
@@ -67,9 +66,11 @@
 func writeWhole(w http.ResponseWriter, r *call.Request, a call.Answer) {
 	for name, values := range a.Header {
 		switch name {
-		case "Connection", "Transfer-Encoding", "Content-Length", upstream.HeaderToken:
+		case "Connection", "Transfer-Encoding", "Content-Length":
 		default:
-			w.Header()[name] = values
+			if !forged(name) {
+				w.Header()[name] = values
+			}
 		}
 	}
 	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -42,7 +42,7 @@
 	switch {
 	case d.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !d.view.Load().Complete():
+	case !d.view.Load().Complete() || !d.serving.Load():
 		http.Error(w, "no complete lists yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -40,6 +40,7 @@
 	order    []string
 	platform *process
 	relays   *relays
+	load     *load
 }
 
 // host is one upstream host: a daemon and the stand-in upstream beside it.
