Answer broken requests, bound what callers can make the daemon hold, and try strangers on it

Cause: nbhttp closes a connection without an answer on malformed HTTP, takes in a head of up to 65 MB and a body before anyone can refuse it, and closes a connection that is to end with the answer still in its send queue.

--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -24,7 +24,9 @@
 	parser *nbhttp.Parser
 	conn   *nbio.Conn
 
-	// What follows belongs to the goroutine that parses.
+	// What follows belongs to whoever parses.
+	parsing  sync.Mutex
+	over     bool
 	begun    bool
 	inBody   bool
 	chunked  bool
@@ -33,6 +35,7 @@
 	headRead int
 	headSize int
 	arriving int64
+	timer    *time.Timer
 
 	mu     sync.Mutex
 	taken  []int64
@@ -55,23 +58,22 @@
 	return g
 }
 
-// UnderlayerConn returns the parser's connection.
-func (g *guard) UnderlayerConn() net.Conn { return g.parser.UnderlayerConn() }
-
-// Parse takes the next bytes; a fault is answered, and what follows it is dropped.
-func (g *guard) Parse(data []byte) error {
-	if g.dropping {
-		return nil
+// parse takes the next bytes; a fault is answered, and what follows it is dropped.
+func (g *guard) parse(data []byte) {
+	g.parsing.Lock()
+	defer g.parsing.Unlock()
+	if g.dropping || g.over {
+		return
 	}
 	g.begin()
 	if !g.inBody {
 		g.headRead += len(data)
 	} else if g.chunked && !g.grow(int64(len(data))) {
-		return nil
+		return
 	}
 	err := g.parser.Parse(data)
 	switch {
-	case g.dropping:
+	case g.dropping, errors.Is(err, net.ErrClosed):
 	case errors.Is(err, nbhttp.ErrTooLong):
 		g.refuse(BodyTooLarge)
 	case err != nil:
@@ -79,7 +81,6 @@
 	case g.begun && !g.inBody && g.headRead > g.server.headBound:
 		g.refuse(HeadTooLarge)
 	}
-	return nil
 }
 
 // begin starts the clock of a head. Callers that send one byte now and then
@@ -90,7 +91,24 @@
 	}
 	g.begun = true
 	if g.running() == 0 {
-		_ = g.conn.SetReadDeadline(time.Now().Add(g.server.headTime))
+		g.closeIn(g.server.headTime)
+	}
+}
+
+// closeIn closes the connection after a time unless it is told another. The
+// connection's own read deadline won't do: nbhttp sets it right after a new
+// connection was added, which can be after its first bytes were handled.
+func (g *guard) closeIn(d time.Duration) {
+	if g.timer == nil {
+		g.timer = time.AfterFunc(d, func() { _ = g.conn.Close() })
+		return
+	}
+	g.timer.Reset(d)
+}
+
+func (g *guard) stopClock() {
+	if g.timer != nil {
+		g.timer.Stop()
 	}
 }
 
@@ -132,7 +150,7 @@
 	if g.chunked {
 		most = g.server.bodyBound
 	}
-	_ = g.conn.SetReadDeadline(time.Now().Add(g.server.headTime + time.Duration(most/leastRate)*time.Second))
+	g.closeIn(g.server.headTime + time.Duration(most/leastRate)*time.Second)
 	if g.expects {
 		_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -171,13 +189,14 @@
 	g.mu.Unlock()
 	g.arriving, g.headRead, g.headSize = 0, 0, 0
 	g.begun, g.inBody, g.chunked, g.expects = false, false, false, false
-	// A request at work has a deadline of its own.
-	_ = g.conn.SetReadDeadline(time.Time{})
+	g.stopClock()
 	g.Processor.OnComplete(p)
 }
 
 // serve marks the next whole request as begun; the function that it returns ends it and gives its bytes back.
 func (g *guard) serve() (done func()) {
+	// A request at work has a deadline of its own; the connection's would cut it.
+	_ = g.conn.SetReadDeadline(time.Time{})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	bytes := int64(0)
@@ -213,20 +232,23 @@
 	g.server.held.give(g.arriving)
 	g.arriving = 0
 	raw := g.server.refusal(f)
+	g.stopClock()
 	g.conn.Execute(func() {
 		_, _ = g.conn.Write(raw)
-		_ = g.conn.SetReadDeadline(time.Now().Add(linger))
+		time.AfterFunc(linger, func() { _ = g.conn.Close() })
 	})
 }
 
-// CloseAndClean ends the connection; bytes of requests that no handler has seen are given back.
-func (g *guard) CloseAndClean(err error) {
-	g.parser.CloseAndClean(err)
-	g.server.guards.Delete(g)
-	g.server.held.give(g.arriving)
-	g.arriving = 0
+// close gives back the bytes of requests that no handler has seen.
+func (g *guard) close() {
+	g.parsing.Lock()
+	defer g.parsing.Unlock()
+	g.over = true
+	g.stopClock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.server.held.give(g.arriving)
+	g.arriving = 0
 	for _, bytes := range g.taken {
 		g.server.held.give(bytes)
 	}
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -96,6 +96,7 @@
 		ServerExecutor: func(f func()) { go f() },
 	})
 	s.engine.Engine.OnOpen(s.opened)
+	s.engine.OnClose(s.closed)
 	return s
 }
 
@@ -107,13 +108,35 @@
 
 // opened puts a guard between a new connection and its parser.
 func (s *Server) opened(c *nbio.Conn) {
-	p, ok := c.Session().(*nbhttp.Parser)
+	if p, ok := c.Session().(*nbhttp.Parser); ok {
+		s.guards.Store(c, newGuard(s, c, p))
+		c.OnData(s.data)
+	}
+}
+
+func (s *Server) guardOf(c *nbio.Conn) (*guard, bool) {
+	g, ok := s.guards.Load(c)
+	if !ok {
+		return nil, false
+	}
+	return g.(*guard), true
+}
+
+func (s *Server) data(c *nbio.Conn, data []byte) {
+	if g, ok := s.guardOf(c); ok {
+		g.parse(data)
+	}
+}
+
+func (s *Server) closed(c net.Conn, _ error) {
+	conn, ok := c.(*nbio.Conn)
 	if !ok {
 		return
 	}
-	g := newGuard(s, c, p)
-	c.SetSession(g)
-	s.guards.Store(g, struct{}{})
+	if g, ok := s.guardOf(conn); ok {
+		s.guards.Delete(conn)
+		g.close()
+	}
 }
 
 // readSlack is room for a request's head beside its body.
@@ -157,8 +180,8 @@
 // closeIdle closes connections without a request and reports whether none is left.
 func (s *Server) closeIdle(now time.Time) bool {
 	none := true
-	s.guards.Range(func(key, _ any) bool {
-		g := key.(*guard)
+	s.guards.Range(func(_, value any) bool {
+		g := value.(*guard)
 		since, idle := g.idleSince()
 		switch {
 		case idle && now.Sub(since) >= idleEnough:
--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -16,7 +16,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if g, ok := conn.Session().(*guard); ok {
+		if g, ok := s.guardOf(conn); ok {
 			defer g.serve()()
 		}
 		out := &closer{ResponseWriter: w, server: s, asked: r.Close}
@@ -33,6 +33,7 @@
 	server *Server
 	asked  bool
 	closes bool
+	begun  bool
 }
 
 // Unwrap returns the writer below.
@@ -40,6 +41,7 @@
 
 // WriteHeader adds the connection's header.
 func (c *closer) WriteHeader(status int) {
+	c.begun = true
 	if c.asked || c.server.closing() {
 		c.closes = true
 		c.Header().Set("Connection", "close")
@@ -47,6 +49,14 @@
 	c.ResponseWriter.WriteHeader(status)
 }
 
+// Write begins the answer with status 200 if it has not begun.
+func (c *closer) Write(p []byte) (int, error) {
+	if !c.begun {
+		c.WriteHeader(http.StatusOK)
+	}
+	return c.ResponseWriter.Write(p)
+}
+
 // finish closes the connection later: at once, what is still in the send queue would be lost.
 func (c *closer) finish(conn *nbio.Conn) {
 	if !c.closes {
