Watch whether lowering the limit lowers latency, and take it back if not

Fewer requests at once don't speed up a slow disk.

Cuts go to 0.6 now and wait for 60 samples, and only a smoothed ratio lowers baselines.

--- a/cmd/foxtailbench/main.go
+++ b/cmd/foxtailbench/main.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
@@ -36,20 +37,22 @@
 	budget                         int
 	ceiling, rates                 float64
 	doors, polite, json            bool
+	wait                           time.Duration
 }
 
 func run(args []string) error {
 	var c choices
 	fs := flag.NewFlagSet("foxtailbench", flag.ContinueOnError)
-	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, limit, queue, placing, budget or doors")
+	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, limit, queue, placing, budget, doors, wait or ceiling")
 	fs.StringVar(&c.limit, "limit", limit.Gradient.String(), "limit of ours: gradient, aimd or fixed")
 	fs.StringVar(&c.queue, "queue", queue.Fair.String(), "queue of ours: fair, fifo or lifo")
 	fs.StringVar(&c.placing, "placing", placing.TwoChoices.String(), "placing of ours: twoChoices, roundRobin or leastLatency")
 	fs.StringVar(&c.loads, "loads", "1,2,5,10", "multiples of load 1, or of the deepest service's time")
-	fs.StringVar(&c.causes, "causes", "surge,skew,slow,oneSlow", "causes of overload to bring about")
+	fs.StringVar(&c.causes, "causes", "surge,skew,slow,oneSlow,lossy", "causes of trouble to bring about")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of all chance")
 	fs.IntVar(&c.budget, "budget", chain.Ours().Budget, "upstream runs of one request; 0 for three tries at each hop")
 	fs.Float64Var(&c.ceiling, "ceiling", chain.Ours().Ceiling, "highest limit in slots of an instance")
+	fs.DurationVar(&c.wait, "wait", chain.Ours().Wait, "longest wait for a slot")
 	fs.Float64Var(&c.rates, "rates", 0, "rate of each organisation relative to what it sends at load 1; 0 for none")
 	fs.BoolVar(&c.doors, "doors", true, "refuse at the entry what would fail deeper down")
 	fs.BoolVar(&c.polite, "polite", false, "callers come back when they are told to")
@@ -70,6 +73,7 @@
 
 func (c *choices) ours() (chain.Policy, error) {
 	p := chain.Ours()
+	p.Wait = c.wait
 	p.Doors, p.Budget, p.Ceiling, p.Rates = c.doors, c.budget, c.ceiling, c.rates
 	var ok bool
 	if p.Limit, ok = limit.ParseKind(c.limit); !ok {
@@ -115,6 +119,16 @@
 		for _, n := range []int{0, 32, 16, 8, 4} {
 			all = append(all, vary("runs="+strconv.Itoa(n), func(p *chain.Policy) { p.Budget = n }))
 		}
+	case "wait":
+		for _, d := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second} {
+			all = append(all, vary(d.String(), func(p *chain.Policy) { p.Wait = d }))
+		}
+	case "ceiling":
+		for _, n := range []float64{1, 2, 6} {
+			for k := limit.Gradient; k <= limit.Fixed; k++ {
+				all = append(all, vary(fmt.Sprintf("%s %gx", k, n), func(p *chain.Policy) { p.Limit, p.Ceiling = k, n }))
+			}
+		}
 	case "doors":
 		all = append(all, vary("doors", func(p *chain.Policy) { p.Doors = true }), vary("noDoors", func(p *chain.Policy) { p.Doors = false }))
 	default:
--- a/internal/decide/limit/aimd.go
+++ b/internal/decide/limit/aimd.go
@@ -37,7 +37,7 @@
 		ratio = a.bases.ratio(s, float64(s.InFlight) <= a.limit/2)
 	}
 	a.window.add(s, ratio)
-	if !a.window.ended(now) {
+	if !a.window.ended(now, windowSamples) {
 		return
 	}
 	switch {
--- a/internal/decide/limit/baseline.go
+++ b/internal/decide/limit/baseline.go
@@ -42,8 +42,8 @@
 	return seconds / max(base.seconds, leastLatency)
 }
 
-// lower scales every baseline, for an upstream that has become faster than it was when they were learned.
-func (b baselines) lower(factor float64) {
+// scale moves every baseline, for an upstream that has become faster or slower at any load.
+func (b baselines) scale(factor float64) {
 	for _, base := range b {
 		base.seconds *= factor
 	}
--- a/internal/decide/limit/gradient.go
+++ b/internal/decide/limit/gradient.go
@@ -15,12 +15,22 @@
 	limit     float64
 	floor     float64
 	ceiling   float64
-	reference float64
 	ramping   bool
 	wall      int
 	wallUntil time.Time
 	bases     baselines
 	window    window
+	trial     trial
+	smooth    float64
+}
+
+// trial is a cut whose effect is being watched.
+type trial struct {
+	running bool
+	limit   float64
+	ratio   float64
+	// notBefore keeps a next trial from following at once on one that failed.
+	notBefore time.Time
 }
 
 const (
@@ -30,6 +40,12 @@
 	fastest = 0.8
 	// deepestCut bounds the fall in one window, so that one stall can't collapse the limit.
 	deepestCut = 0.7
+	// trialCut is deep enough for its effect to stand out from chance: with
+	// trialSamples, latencies spread exponentially mislead once in 40 trials.
+	trialCut     = 0.6
+	trialSamples = 60
+	// smoothing is the weight of one window in the mean that may lower the baselines.
+	smoothing = 0.1
 	// rampFactor is the growth per window of a cold upstream: an eighth of the ceiling to all of it in about 0.6 s.
 	rampFactor = 1.5
 	// startShare and floorShare set where a cold upstream starts and how low the limit falls.
@@ -37,65 +53,102 @@
 	floorShare = 10
 	// busyShare is the part of the limit that must have been in use before it may grow.
 	busyShare = 0.8
-	// referenceDecay forgets an older, higher limit by half in about 3.4 s of windows.
-	referenceDecay = 0.98
 	// wallTime is how long a level at which the upstream shed is not tried again: each trial costs refusals.
 	wallTime = 5 * time.Second
+	// trialPause is the time between two cuts that didn't help.
+	trialPause = 2 * time.Second
 )
 
 // NewGradient returns a learner that starts low and ramps up to the ceiling.
 func NewGradient(ceiling int) *GradientLearner {
 	top := float64(max(ceiling, 1))
-	g := &GradientLearner{ceiling: top, floor: max(1, math.Floor(top/floorShare)), ramping: true, bases: baselines{}}
+	g := &GradientLearner{ceiling: top, floor: max(1, math.Floor(top/floorShare)), ramping: true, bases: baselines{}, smooth: 1}
 	g.limit = max(g.floor, math.Ceil(top/startShare))
-	g.reference = g.limit
 	return g
 }
 
 // Limit returns how many requests may run at once.
 func (g *GradientLearner) Limit() int { return int(g.limit) }
 
-// Learn takes in one finished run.
-//
-// Latency also rises for reasons that fewer requests don't cure. Once the limit
-// has come down to half of where it was and latency is still high, the baseline
-// takes over the new latency; without that, a release that is merely slower
-// would hold the limit at its floor forever.
+// Learn takes in one finished run. While a cut is watched, runs that began before it don't count.
 func (g *GradientLearner) Learn(now time.Time, s Sample) {
 	ratio := 1.0
 	if !s.Shed {
-		ratio = g.bases.ratio(s, float64(s.InFlight) <= g.reference/2)
+		ratio = g.bases.ratio(s, float64(s.InFlight) <= g.limit/2)
+	}
+	if g.trial.running && !s.Shed && s.InFlight > g.Limit() {
+		return
 	}
 	g.window.add(s, ratio)
-	if g.window.ended(now) {
+	if g.window.ended(now, g.samples()) {
 		g.adjust(now)
 		g.window = window{begun: now}
 	}
 }
 
+func (g *GradientLearner) samples() int {
+	if g.trial.running {
+		return trialSamples
+	}
+	return windowSamples
+}
+
 func (g *GradientLearner) adjust(now time.Time) {
 	w := &g.window
 	ratio := w.ratio()
+	if g.trial.running && w.samples > 0 {
+		if !g.helped(ratio) {
+			g.takeBack(now, ratio)
+			return
+		}
+	}
 	switch {
 	case w.sheds > 0:
 		g.hit(now, w.shedFrom)
-	case ratio > tolerance:
-		g.ramping = false
-		g.limit *= max(deepestCut, tolerance/ratio)
+	case ratio > tolerance && !now.Before(g.trial.notBefore):
+		g.cut(ratio)
 	case float64(w.peak) >= g.limit*busyShare:
 		g.grow(now)
 	}
-	if ratio < fastest {
-		g.bases.lower(ratio)
+	g.smooth += (ratio - g.smooth) * smoothing
+	if g.smooth < fastest {
+		g.bases.scale(g.smooth)
+		g.smooth = 1
 	}
 	g.limit = min(max(g.limit, g.floor), g.ceiling)
-	g.reference = max(g.limit, g.reference*referenceDecay)
+}
+
+func (g *GradientLearner) cut(ratio float64) {
+	g.ramping = false
+	g.trial = trial{running: true, limit: g.limit, ratio: ratio}
+	g.limit *= trialCut
+}
+
+// helped reports whether the watched cut brought latency down.
+//
+// Latency also rises for reasons that fewer requests don't cure: a slow disk, a
+// release that does more. If requests queue inside the upstream, latency falls
+// as the limit does; if it stays, the cut only costs throughput, and a learner
+// that went on cutting would turn a service at half its speed into one at a
+// tenth.
+func (g *GradientLearner) helped(ratio float64) bool {
+	g.trial.running = false
+	expected := g.trial.limit / g.limit
+	return g.trial.ratio/ratio >= math.Sqrt(expected)
+}
+
+// takeBack undoes a cut that didn't help; the baselines take over the latency as it is.
+func (g *GradientLearner) takeBack(now time.Time, ratio float64) {
+	g.bases.scale(ratio)
+	g.limit = g.trial.limit
+	g.trial.notBefore = now.Add(trialPause)
 }
 
 // hit remembers where the upstream shed. A shed answer may have other causes
 // than the number of runs, so it takes the limit down by a bounded step only.
 func (g *GradientLearner) hit(now time.Time, inFlight int) {
 	g.ramping = false
+	g.trial.running = false
 	g.limit = max(g.limit*deepestCut, float64(min(inFlight-1, int(g.limit))))
 	g.wall = inFlight - 1
 	g.wallUntil = now.Add(wallTime)
--- a/internal/decide/limit/window.go
+++ b/internal/decide/limit/window.go
@@ -34,7 +34,7 @@
 	w.ratios += ratio
 }
 
-func (w *window) ended(now time.Time) bool {
+func (w *window) ended(now time.Time, samples int) bool {
 	if w.begun.IsZero() {
 		w.begun = now
 	}
@@ -42,7 +42,7 @@
 	if elapsed < windowTime {
 		return false
 	}
-	return w.samples+w.sheds >= windowSamples || elapsed >= windowLongest
+	return w.samples+w.sheds >= samples || elapsed >= windowLongest
 }
 
 // ratio returns the mean latency relative to the baselines.
--- a/internal/load/chain/cause_string.go
+++ b/internal/load/chain/cause_string.go
@@ -12,11 +12,12 @@
 	_ = x[Skew-1]
 	_ = x[Slow-2]
 	_ = x[OneSlow-3]
+	_ = x[Lossy-4]
 }
 
-const _Cause_name = "surgeskewslowoneSlow"
+const _Cause_name = "surgeskewslowoneSlowlossy"
 
-var _Cause_index = [...]uint8{0, 5, 9, 13, 20}
+var _Cause_index = [...]uint8{0, 5, 9, 13, 20, 25}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/load/chain/experiment.go
+++ b/internal/load/chain/experiment.go
@@ -19,10 +19,12 @@
 	Slow // slow
 	// OneSlow means that one instance of the first service takes a multiple of its time.
 	OneSlow // oneSlow
+	// Lossy means that one answer in 100 is lost on its way, times the multiple.
+	Lossy // lossy
 )
 
 // Causes is the number of causes.
-const Causes = int(OneSlow) + 1
+const Causes = int(Lossy) + 1
 
 // Experiment is one run: load 1, then the cause, then load 1 again.
 type Experiment struct {
@@ -98,6 +100,8 @@
 	switch e.Cause {
 	case Slow:
 		f.slow(f.hosts[e.Deployment.deepest()], factor)
+	case Lossy:
+		f.loss = (factor - 1) / 100
 	case OneSlow:
 		f.slow(f.hosts[e.Deployment.Operations[0].Path[0]][:1], factor)
 	}
--- a/internal/load/chain/fleet.go
+++ b/internal/load/chain/fleet.go
@@ -25,7 +25,9 @@
 	weights    []int
 	turn       int
 	buckets    []bucket
-	runs       int
+	// loss is the part of all answers that are lost after the work was done.
+	loss float64
+	runs int
 }
 
 // weightScale turns an organisation's part of the demand into a whole weight.
@@ -61,6 +63,9 @@
 	}
 }
 
+// lost reports whether the next answer is lost.
+func (f *fleet) lost() bool { return f.loss > 0 && f.random.Float64() < f.loss }
+
 // bucket is an organisation's rate and burst, kept in one place; how hosts share it is no matter here.
 type bucket struct {
 	rate   float64
--- a/internal/load/chain/host.go
+++ b/internal/load/chain/host.go
@@ -58,6 +58,7 @@
 	h.gate = admission.New(
 		limit.New(f.policy.Limit, ceiling),
 		admission.WithQueue(queue.New[*admission.Ticket](f.policy.Queue)),
+		admission.WithWait(f.policy.Wait),
 		admission.WithRand(f.random.Float64),
 	)
 	return h
@@ -249,6 +250,9 @@
 	now := v.host.fleet.clock.now
 	v.host.instance.release(v.work)
 	v.host.gate.Settle(now, &v.ticket, admission.Result{Own: max(now.Sub(v.begun)-v.nested, 0)})
+	if v.host.fleet.lost() {
+		a = answer{}
+	}
 	a.load = v.host.gate.Load()
 	v.done(a)
 }
--- a/internal/load/chain/naive.go
+++ b/internal/load/chain/naive.go
@@ -32,6 +32,10 @@
 }
 
 func (f *fleet) naiveServe(i *instance, r request, done func(bool)) {
+	if f.lost() {
+		inner := done
+		done = func(bool) { inner(false) }
+	}
 	var w *work
 	w = i.take(func() {
 		if r.last() {
--- a/internal/load/chain/policy.go
+++ b/internal/load/chain/policy.go
@@ -1,6 +1,9 @@
 package chain
 
 import (
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
@@ -21,12 +24,16 @@
 	Budget int
 	// Ceiling is the most that the limit may be, in slots of the instance.
 	Ceiling float64
+	// Wait is the longest time that a request waits for a slot.
+	Wait time.Duration
 	// Rates is each organisation's rate, relative to what it sends at load 1; 0 for no rates.
 	Rates float64
 }
 
 // Ours returns the choices that the daemon makes by default.
-func Ours() Policy { return Policy{Name: "ours", Doors: true, Budget: defaultRuns, Ceiling: 2} }
+func Ours() Policy {
+	return Policy{Name: "ours", Doors: true, Budget: defaultRuns, Ceiling: 2, Wait: admission.DefaultWait}
+}
 
 // Naive returns what the decisions are compared with.
 func Naive() Policy { return Policy{Name: "naive", Naive: true} }
