--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -156,13 +156,19 @@
 	if err == nil {
 		return back.answer()
 	}
-	if errors.Is(err, peer.ErrNotSent) {
+	return d.unanswered(r, err)
+}
+
+// unanswered tells what a failed handoff says of the request.
+func (d *Daemon) unanswered(r *call.Request, err error) call.Answer {
+	switch {
+	case errors.Is(err, peer.ErrNotSent):
 		refusal := call.Refuse(call.NoUpstream, time.Second)
 		refusal.BudgetLeft = r.Budget
 		return refusal
-	}
-	if errors.Is(err, context.Canceled) {
+	case errors.Is(err, context.Canceled):
 		return call.Lose(call.Cancelled)
+	default:
+		return call.Lose(call.AnswerLost)
 	}
-	return call.Lose(call.AnswerLost)
 }
