Open the root package and the parts to importers, and cite refusals by id

Cause: WithSettings took a type that only this module can name, and the coordination parts could not be imported at all. A refusal at the door had no request id and its log line no organisation, so nobody could look it up. Each answer made a tagged metrics scope, each log line went through reflection.

Ruled out: moving the packages out of internal/ (every change of an inner type would be a break for importers); aliases in one package (an importer of the queue would link the rest).

--- a/cmd/foxtailhook/main.go
+++ b/cmd/foxtailhook/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/foxtailhook/foxtailhook"
-	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 )
 
@@ -24,7 +23,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	s, err := settings.Parse(os.Args[1:], os.Stdout)
+	s, err := foxtailhook.ParseSettings(os.Args[1:], os.Stdout)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
 	}
@@ -32,7 +31,9 @@
 		fmt.Fprintf(os.Stderr, "foxtailhook: the settings have faults:\n%v\n", err)
 		return exitSettings
 	}
-	log := telemetry.NewLog(os.Stderr, s.LogLevel)
+	out := telemetry.NewBuffered(os.Stderr)
+	defer func() { _ = out.Close() }()
+	log := telemetry.NewLog(out, s.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := foxtailhook.New(foxtailhook.WithSettings(s), foxtailhook.WithLogger(log)).Run(ctx); err != nil {
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,67 @@
+package foxtailhook_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook"
+)
+
+// quiet drops the log.
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// A program runs the daemon beside the upstream that it serves itself, and
+// drains it when its own context ends.
+func ExampleDaemon_Run() {
+	settings := foxtailhook.DefaultSettings()
+	settings.LeaveTime = 0
+	daemon := foxtailhook.New(
+		foxtailhook.WithSettings(settings),
+		foxtailhook.WithHost("lookup-1", "lookup", "a"),
+		foxtailhook.WithListeners(
+			netip.MustParseAddrPort("127.88.1.1:7000"),
+			netip.MustParseAddrPort("127.88.1.1:7001"),
+			netip.MustParseAddrPort("127.88.1.1:7002"),
+		),
+		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.88.1.1:8000"), 35),
+		foxtailhook.WithPlatform(netip.MustParseAddrPort("127.88.1.1:9000")),
+		foxtailhook.WithLogger(quiet()),
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	fmt.Println("ended with:", daemon.Run(ctx))
+	// Output: ended with: <nil>
+}
+
+// Settings with faults keep the daemon from starting, and every fault is told.
+func ExampleDaemon_Run_faults() {
+	daemon := foxtailhook.New(
+		foxtailhook.WithHost("lookup-1", "lookup", ""),
+		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.88.1.2:8000"), 0),
+		foxtailhook.WithLogger(quiet()),
+	)
+	fmt.Println(daemon.Run(context.Background()))
+	// Output:
+	// -slots: 0 is not from 1 to 100000
+	// -zone must be given, without blanks, quotes or slashes
+}
+
+// A program of its own reads the flags and variables of cmd/foxtailhook.
+func ExampleParseSettings() {
+	settings, err := foxtailhook.ParseSettings([]string{"-host", "lookup-1", "-service", "lookup", "-zone", "a", "-slots", "35"}, io.Discard)
+	fmt.Println(settings.Slots, settings.DefaultTimeout, err)
+	_, err = foxtailhook.ParseSettings([]string{"-host", "lookup-1", "-service", "lookup", "-zone", "a", "-slots", "many"}, io.Discard)
+	fmt.Println(err)
+	// Output:
+	// 35 5s <nil>
+	// -slots: "many" is not a whole number from 1 to 100000
+}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -27,6 +27,7 @@
 	settings settings.Settings
 	log      *logrus.Logger
 	metrics  *telemetry.Metrics
+	answers  *answerCounts
 
 	view     atomic.Pointer[lists.View]
 	leaving  atomic.Bool
@@ -54,6 +55,7 @@
 		needs:    budget.NewNeeds(),
 		doors:    pressure.New(),
 	}
+	d.answers = newAnswerCounts(d.metrics.Scope)
 	d.view.Store(lists.NewSet().View())
 	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -11,7 +11,6 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
-	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
@@ -22,8 +21,8 @@
 type Refusal struct {
 	Outcome      string `json:"outcome"`
 	Reason       string `json:"reason"`
-	RequestID    string `json:"requestId,omitempty"`
 	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	RequestID    string `json:"requestId,omitempty"`
 }
 
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -32,31 +31,31 @@
 	begun := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		d.finish(w, nil, call.Refuse(call.BadRequest, 0), begun)
+		d.turnAway(w, r, call.Refuse(call.BadRequest, 0), begun)
 		return
 	}
 	a, refusal, ok := d.admit(r, body, begun)
 	if !ok {
-		d.logRefusal(r, refusal)
-		d.finish(w, nil, refusal, begun)
+		d.turnAway(w, r, refusal, begun)
 		return
 	}
 	answer := d.dispatch(r.Context(), a)
 	d.finish(w, &a.request, answer, begun)
 }
 
-func (d *Daemon) logRefusal(r *http.Request, refusal call.Answer) {
-	service, path := splitPath(r.URL.Path)
+// turnAway answers and logs a request that did not get past the door.
+func (d *Daemon) turnAway(w http.ResponseWriter, r *http.Request, refusal call.Answer, begun time.Time) {
+	known := d.refused(r)
 	d.log.WithFields(logrus.Fields{
-		"decision": "refuse", "service": service, "path": path, "method": r.Method,
+		"decision": "refuse", "requestId": known.ID, "organisation": known.Organisation, "service": known.Service,
+		"path": known.Path, "method": known.Method, "depth": known.Depth,
 		"outcome": refusal.Outcome.String(), "reason": refusal.Reason.String(), "retryAfterMs": refusal.RetryAfter.Milliseconds(),
 	}).Info("door")
+	d.finish(w, known, refusal, begun)
 }
 
 func (d *Daemon) finish(w http.ResponseWriter, r *call.Request, a call.Answer, begun time.Time) {
-	scope := d.metrics.Scope.Tagged(map[string]string{"outcome": a.Outcome.String(), "reason": a.Reason.String()})
-	scope.Counter("answers").Inc(1)
-	scope.Histogram("answer_seconds", telemetry.LatencyBuckets()).RecordDuration(time.Since(begun))
+	d.answers.add(a, time.Since(begun))
 	if a.Outcome == call.Whole {
 		writeWhole(w, r, a)
 		return
@@ -80,15 +79,13 @@
 }
 
 func writeRefusal(w http.ResponseWriter, r *call.Request, a call.Answer) {
-	body := Refusal{Outcome: a.Outcome.String(), Reason: a.Reason.String(), RetryAfterMs: a.RetryAfter.Milliseconds()}
-	if r != nil {
-		body.RequestID = r.ID
-	}
+	body := Refusal{Outcome: a.Outcome.String(), Reason: a.Reason.String(), RequestID: r.ID, RetryAfterMs: a.RetryAfter.Milliseconds()}
 	raw, _ := json.Marshal(body)
 	raw = append(raw, '\n')
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
+	w.Header().Set(upstream.HeaderRequestID, r.ID)
 	if a.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
 	}
--- /dev/null
+++ b/internal/app/telemetry/bench_test.go
@@ -0,0 +1,92 @@
+package telemetry
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func decision(log *logrus.Logger) {
+	log.WithFields(logrus.Fields{
+		"decision": "place", "requestId": "0193c1f0-5f3e-7bb4-b0a2-7e8f2f9d3c11", "organisation": "dealer-lublin", "operation": "lookup.find",
+		"service": "lookup", "host": "lookup-2", "zone": "b", "attempt": 1, "depth": 0, "budget": 4,
+		"outcome": "whole", "reason": "none", "durationUs": int64(3120),
+	}).Info("route")
+}
+
+func openLog(b *testing.B) *os.File {
+	f, err := os.Create(b.TempDir() + "/log")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
+// BenchmarkDecisionLine is what one line of the log costs the request that it is about.
+func BenchmarkDecisionLine(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		log := NewLog(openLog(b), logrus.InfoLevel)
+		b.ReportAllocs()
+		for b.Loop() {
+			decision(log)
+		}
+	})
+	b.Run("buffered", func(b *testing.B) {
+		out := NewBuffered(openLog(b))
+		log := NewLog(out, logrus.InfoLevel)
+		b.ReportAllocs()
+		for b.Loop() {
+			decision(log)
+		}
+		if err := out.Close(); err != nil {
+			b.Fatal(err)
+		}
+	})
+	b.Run("parallelDirect", func(b *testing.B) {
+		log := NewLog(openLog(b), logrus.InfoLevel)
+		b.RunParallel(func(p *testing.PB) {
+			for p.Next() {
+				decision(log)
+			}
+		})
+	})
+	b.Run("parallelBuffered", func(b *testing.B) {
+		out := NewBuffered(openLog(b))
+		log := NewLog(out, logrus.InfoLevel)
+		b.RunParallel(func(p *testing.PB) {
+			for p.Next() {
+				decision(log)
+			}
+		})
+		if err := out.Close(); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
+
+// BenchmarkAnswerMetrics is what counting one answer costs.
+func BenchmarkAnswerMetrics(b *testing.B) {
+	m := NewMetrics("lookup-1", "a")
+	defer m.Close()
+	b.Run("taggedEachTime", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			scope := m.Scope.Tagged(map[string]string{"outcome": "whole", "reason": "none"})
+			scope.Counter("answers").Inc(1)
+			scope.Histogram("answer_seconds", LatencyBuckets()).RecordDuration(3 * time.Millisecond)
+		}
+	})
+	b.Run("kept", func(b *testing.B) {
+		scope := m.Scope.Tagged(map[string]string{"outcome": "notRun", "reason": "none"})
+		counter := scope.Counter("answers")
+		histogram := scope.Histogram("answer_seconds", LatencyBuckets())
+		b.ReportAllocs()
+		for b.Loop() {
+			counter.Inc(1)
+			histogram.RecordDuration(3 * time.Millisecond)
+		}
+	})
+}
--- a/internal/app/telemetry/log.go
+++ b/internal/app/telemetry/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -12,6 +11,6 @@
 	log := logrus.New()
 	log.SetOutput(out)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetFormatter(formatter{})
 	return log
 }
--- a/internal/ctl/diff/diff.go
+++ b/internal/ctl/diff/diff.go
@@ -163,7 +163,11 @@
 	return ""
 }
 
+// operations compares what the organisation may use; one that leaves loses all of it anyway.
 func (p *pair) operations() {
+	if _, stays := p.after.organisations[p.name]; !stays {
+		return
+	}
 	before, after := p.before.uses(p.name), p.after.uses(p.name)
 	for _, name := range slices.Sorted(maps.Keys(before)) {
 		if a, ok := after[name]; ok {
--- /dev/null
+++ b/internal/proof/scenario/program_test.go
@@ -0,0 +1,60 @@
+package scenario
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func cmdProgram(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "program CODE NAME ARGUMENT...")
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	f := fleetOf(ts)
+	var given []string
+	for _, arg := range args[2:] {
+		given = append(given, f.expand(ts, arg))
+	}
+	err = ts.Exec(filepath.Join(f.bin, args[1]), given...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// expand replaces a name by the address or the log that it stands for.
+func (f *fleet) expand(ts *testscript.TestScript, arg string) string {
+	if arg == "@platform" {
+		return f.address(platformHost, platformPort).String()
+	}
+	if name, ok := strings.CutPrefix(arg, "%"); ok {
+		return filepath.Join(f.dir, fmt.Sprintf("%s.log", name))
+	}
+	name, ok := strings.CutPrefix(arg, "@")
+	if !ok {
+		return arg
+	}
+	h := f.hosts[name]
+	if h == nil {
+		ts.Fatalf("no host %q", name)
+	}
+	return f.address(h.number, operatorsPort).String()
+}
+
+func cmdBig(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "big FILE")
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), bytes.Repeat([]byte(" "), 2<<20), 0o644))
+}
--- /dev/null
+++ b/internal/wire/loops/engine_test.go
@@ -0,0 +1,41 @@
+package loops
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/lesismal/nbio"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestStopRightAfterStart(t *testing.T) {
+	// A daemon is told to stop in the moment it starts, on a machine so busy
+	// that its loops have not run yet. The stop was forgotten: the process
+	// never ended and burnt two cores.
+	Convey("An engine that has started can be stopped at once", t, func() {
+		var all sync.WaitGroup
+		failed := make(chan error, 400)
+		for range 20 {
+			all.Go(func() {
+				for range 20 {
+					engine := New(nbio.Config{Network: "tcp", Addrs: []string{"127.0.0.1:0"}, NPoller: 3}, Handlers{
+						Open:  func(*nbio.Conn) {},
+						Data:  func(*nbio.Conn, []byte) {},
+						Close: func(*nbio.Conn, error) {},
+					})
+					if err := engine.Start(); err != nil {
+						failed <- err
+						return
+					}
+					engine.Stop()
+				}
+			})
+		}
+		all.Wait()
+		So(failed, ShouldBeEmpty)
+	})
+	Convey("An address that is not the host's is an error", t, func() {
+		engine := New(nbio.Config{Network: "tcp", Addrs: []string{"192.0.2.1:1"}, NPoller: 1}, Handlers{})
+		So(engine.Start(), ShouldNotBeNil)
+	})
+}
--- a/option.go
+++ b/option.go
@@ -5,15 +5,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 )
 
 // Option sets one property of a daemon.
 type Option func(*Daemon)
 
-// WithSettings takes over all settings at once.
-func WithSettings(s settings.Settings) Option { return func(d *Daemon) { d.settings = s } }
+// WithSettings takes over all settings at once, and goes before the options that set one of them.
+func WithSettings(s Settings) Option { return func(d *Daemon) { d.settings = s } }
 
 // WithLogger sets where decisions are logged, standard error as JSON lines by default.
 func WithLogger(log *logrus.Logger) Option { return func(d *Daemon) { d.log = log } }
--- /dev/null
+++ b/parts/admission/doc.go
@@ -0,0 +1,3 @@
+// Package admission decides which requests run now, which wait and which are
+// refused: the concurrency limit and the fair queue joined.
+package admission
--- /dev/null
+++ b/parts/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget bounds the runs that one request may cause over its whole call chain.
+package budget
--- /dev/null
+++ b/parts/queue/example_test.go
@@ -0,0 +1,30 @@
+package queue_test
+
+import (
+	"fmt"
+
+	"github.com/foxtailhook/foxtailhook/parts/queue"
+)
+
+// A maker's campaign files came first and are many; the dealer's lookup waits
+// behind none of them, and another maker behind one.
+func ExampleNew() {
+	q := queue.New[string]()
+	push := func(organisation, work string, p queue.Priority) {
+		q.Push(&queue.Item[string]{Value: work, Organisation: organisation, Weight: 1, Priority: p, Cost: 1})
+	}
+	push("maker-a", "file a1", queue.Background)
+	push("maker-a", "file a2", queue.Background)
+	push("maker-a", "file a3", queue.Background)
+	push("maker-b", "file b1", queue.Background)
+	push("dealer", "lookup", queue.Interactive)
+	for i := q.Pop(); i != nil; i = q.Pop() {
+		fmt.Println(i.Value)
+	}
+	// Output:
+	// lookup
+	// file a1
+	// file b1
+	// file a2
+	// file a3
+}
