--- /dev/null
+++ b/internal/app/daemon/chain_test.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+// chainDaemon has lists with one operation of low priority, and nothing that needs a socket.
+func chainDaemon() *Daemon {
+	d := &Daemon{owner: &owner{chains: newChains()}}
+	plans := &lists.Plans{Organisations: []lists.Organisation{{Organisation: "dealer", Plan: "full", Rate: 1, Burst: 1}}}
+	uses := &lists.Uses{
+		Operations: []lists.Operation{{Operation: "repairs.notes", Service: "repairs", Method: "POST", Path: "/notes", Priority: "background"}},
+		Plans:      []lists.Grant{{Plan: "full", Operations: []string{"repairs.notes"}}},
+	}
+	d.view.Store(lists.NewView([lists.Kinds]uint64{1, 1, 1, 1}, plans, uses, nil, nil))
+	return d
+}
+
+// A lookup calls a service whose operation is of low priority in the list. If
+// the call took that priority, or a deadline of its own, it would be shed or
+// outlive the request it belongs to, and the work above it would be for nothing.
+func TestCallsOfAnUpstreamCarryTheRequest(t *testing.T) {
+	Convey("Priority, deadline, organisation, request id and budget come from the request that is running", t, func() {
+		d, now := chainDaemon(), time.Now()
+		running := &call.Request{ID: "r1", Organisation: "dealer", Priority: call.Interactive, Deadline: now.Add(time.Second), Depth: 3}
+		account := budget.New(5)
+		token, _ := d.owner.chains.open(running, account)
+		r, _ := http.NewRequest(http.MethodPost, "http://daemon/repairs/notes", nil)
+		r.Header.Set(upstream.HeaderToken, token)
+		r.Header.Set(upstream.HeaderTimeout, "60000")
+		a, _, ok := d.admit(r, nil, now)
+		So(ok, ShouldBeTrue)
+		So(a.request.Priority, ShouldEqual, call.Interactive)
+		So(a.request.Deadline, ShouldEqual, running.Deadline)
+		So(a.request.Organisation, ShouldEqual, "dealer")
+		So(a.request.ID, ShouldEqual, "r1")
+		So(a.request.Depth, ShouldEqual, 4)
+		So(a.account, ShouldEqual, account)
+	})
+	Convey("A token ends with its request", t, func() {
+		d := chainDaemon()
+		token, _ := d.owner.chains.open(&call.Request{Organisation: "dealer"}, budget.New(1))
+		d.owner.chains.shut(token)
+		r, _ := http.NewRequest(http.MethodPost, "http://daemon/repairs/notes", nil)
+		r.Header.Set(upstream.HeaderToken, token)
+		_, refusal, ok := d.admit(r, nil, time.Now())
+		So(ok, ShouldBeFalse)
+		So(refusal.Reason, ShouldEqual, call.UnknownKey)
+	})
+}
+
+// The deepest service becomes slow. Each service above it is slow as well; if
+// that counted as its own latency, all of them would lower their limits.
+func TestTimeOfNestedCallsIsTakenOut(t *testing.T) {
+	Convey("Calls side by side count once, and one that is still out counts up to now", t, func() {
+		var waited, later time.Duration
+		var pressure float64
+		synctest.Test(t, func(*testing.T) {
+			o := &origin{}
+			time.Sleep(time.Second)
+			o.enter(time.Now())
+			time.Sleep(time.Second)
+			o.enter(time.Now())
+			time.Sleep(time.Second)
+			o.exit(time.Now(), 1)
+			o.exit(time.Now(), 0)
+			time.Sleep(time.Second)
+			waited, pressure = o.waited(time.Now())
+			o.enter(time.Now())
+			time.Sleep(time.Second)
+			later, _ = o.waited(time.Now())
+		})
+		So(waited, ShouldEqual, 2*time.Second)
+		So(pressure, ShouldEqual, 1)
+		So(later, ShouldEqual, 3*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/app/daemon/owner_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/settings"
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+// A key is withdrawn while a request of its organisation waits for a slot. The
+// request would otherwise run for someone who is no longer a customer.
+func TestWithdrawnWhileWaiting(t *testing.T) {
+	Convey("A request whose key has gone leaves the queue unrun, and its slot goes to the next", t, func() {
+		s := settings.Default()
+		s.Slots = 1
+		s.QueueTime = 5 * time.Second
+		o := newOwner(s, upstream.New(netip.MustParseAddrPort("127.0.0.1:1")))
+		holds := &admission.Ticket{Organisation: "other", Operation: "op", Deadline: time.Now().Add(time.Minute)}
+		So(o.gate.Arrive(time.Now(), holds).Verdict, ShouldEqual, admission.Run)
+		answered := make(chan call.Answer)
+		go func() {
+			r := &call.Request{Organisation: "dealer", Operation: "op", Deadline: time.Now().Add(time.Minute), Budget: 4}
+			answered <- o.run(context.Background(), r, func() bool { return false })
+		}()
+		for o.gate.Load().Queued == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		o.gate.Settle(time.Now(), holds, admission.Result{Own: time.Millisecond})
+		a := <-answered
+		So(a.Outcome, ShouldEqual, call.NotRun)
+		So(a.Reason, ShouldEqual, call.UnknownKey)
+		So(a.BudgetLeft, ShouldEqual, 4)
+		So(o.gate.Load().InFlight, ShouldEqual, 0)
+	})
+}
