--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every check is run the same way here and in CI.
 TOOLS := go tool -modfile=tools/go.mod
 
-.PHONY: all test race lint format generate demo fuzz bench
+.PHONY: all test race lint format generate docs demo fuzz bench
 
 all: lint test
 
@@ -23,6 +23,11 @@
 generate:
 	PATH="$(CURDIR)/.bin:$$PATH" go generate ./...
 
+# The tables of settings and reasons are the program's own; a test holds that they are current.
+docs:
+	go run ./cmd/foxctl reference settings >docs/SETTINGS.md
+	go run ./cmd/foxctl reference reasons >docs/REASONS.md
+
 demo:
 	@./scripts/demo.sh
 
--- a/internal/ctl/command/command_test.go
+++ b/internal/ctl/command/command_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	lines := []string{"", "check", "diff", "key", "key new", "key hash", "status", "explain"}
+	lines := []string{"", "check", "diff", "key", "key new", "key hash", "status", "explain", "reference"}
 	Convey("Every command describes itself with its exit codes, on standard output", t, func() {
 		for _, line := range lines {
 			Convey("foxctl "+line, func() {
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -102,7 +102,7 @@
 	},
 	call.BudgetSpent: {
 		Meaning:  "The call chain has used up the upstream runs that the operation allows.",
-		Caller:   "Retry later; the chain below is failing.",
+		Caller:   "Don't repeat at once: the chain below is failing.",
 		Operator: "Find the failing service deeper in the chain; raise runs in uses only if the chain really needs more.",
 	},
 	call.Repeated: {
--- /dev/null
+++ b/internal/ctl/reference/reference.go
@@ -0,0 +1,63 @@
+package reference
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/settings"
+	"github.com/foxtailhook/foxtailhook/internal/ctl/explain"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+)
+
+// Settings returns a Markdown page with every setting of the daemon, its variable, default, unit and bounds.
+func Settings() string {
+	var page strings.Builder
+	page.WriteString("# Settings of the daemon\n\n" +
+		"Each setting is a flag of `foxtailhook` and an environment variable; the flag goes first.\n" +
+		"Durations are written as `250ms`, `5s` or `2m`. `foxctl check` finds every fault of them before a start.\n" +
+		"This page is written by `make docs`.\n\n" +
+		"| flag | variable | default | meaning, unit, bounds |\n| --- | --- | --- | --- |\n")
+	for _, f := range settings.Flags() {
+		fmt.Fprintf(&page, "| `-%s` | `%s` | %s | %s |\n", f.Name, f.Env, standard(f.Default), cell(f.Help))
+	}
+	return page.String()
+}
+
+func standard(value string) string {
+	if value == "" {
+		return "none"
+	}
+	return "`" + value + "`"
+}
+
+// Reasons returns a Markdown page with every reason that a daemon gives, what it means and who does what about it.
+func Reasons() string {
+	var page strings.Builder
+	page.WriteString("# Outcomes and reasons\n\n" +
+		"| outcome | meaning |\n| --- | --- |\n" +
+		"| `" + call.Whole.String() + "` | The upstream's complete answer, with the upstream's status. |\n" +
+		"| `" + call.NotRun.String() + "` | No upstream executed any part of the request. |\n" +
+		"| `" + call.Unknown.String() + "` | An upstream may have executed the request. |\n\n" +
+		"*Come back* says whether the same request can succeed later; the answer then names when, in `Retry-After` and `retryAfterMs`.\n" +
+		"This page is written by `make docs`.\n\n" +
+		"| reason | status | come back | meaning | caller | operator |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range explain.Reasons() {
+		if r == call.None {
+			continue
+		}
+		advice, _ := explain.Of(r.String())
+		fmt.Fprintf(&page, "| `%s` | %d | %s | %s | %s | %s |\n",
+			r, r.Status(), yes(r.ComeBack()), cell(advice.Meaning), cell(advice.Caller), cell(advice.Operator))
+	}
+	return page.String()
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// cell keeps a text inside its cell.
+func cell(text string) string { return strings.ReplaceAll(text, "|", "\\|") }
--- /dev/null
+++ b/internal/ctl/reference/reference_test.go
@@ -0,0 +1,25 @@
+package reference
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestPagesAreThoseOfTheProgram(t *testing.T) {
+	pages := []struct {
+		file string
+		want string
+	}{
+		{"../../../docs/SETTINGS.md", Settings()},
+		{"../../../docs/REASONS.md", Reasons()},
+	}
+	Convey("The pages are as the program would write them; make docs writes them anew", t, func() {
+		for _, p := range pages {
+			raw, err := os.ReadFile(p.file)
+			So(err, ShouldBeNil)
+			So(string(raw), ShouldEqual, p.want)
+		}
+	})
+}
