--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -4,37 +4,21 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/program"
 	"github.com/foxtailhook/foxtailhook/internal/load/traffic"
 )
 
 func main() {
-	root := &ffcli.Command{
-		Name:        "foxtailload",
-		ShortUsage:  "foxtailload run|publish|ready [flags]",
-		ShortHelp:   "Drives traffic at a fleet and checks every answer.",
-		Subcommands: []*ffcli.Command{runCommand(), publishCommand(), readyCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := root.ParseAndRun(ctx, os.Args[1:])
-	if err != nil && !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "foxtailload:", err)
-		os.Exit(1)
-	}
+	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.", runCommand(), publishCommand(), readyCommand()))
 }
 
 func runCommand() *ffcli.Command {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,35 +5,20 @@
 	"context"
 	"errors"
 	"flag"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/program"
 	"github.com/foxtailhook/foxtailhook/internal/standin/platform"
 	"github.com/foxtailhook/foxtailhook/internal/standin/upstream"
 )
 
 func main() {
-	root := &ffcli.Command{
-		Name:        "standin",
-		ShortUsage:  "standin platform|upstream [flags]",
-		ShortHelp:   "Plays an outside system in demos and tests.",
-		Subcommands: []*ffcli.Command{platformCommand(), upstreamCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	err := root.ParseAndRun(ctx, os.Args[1:])
-	if err != nil && !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "standin:", err)
-		os.Exit(1)
-	}
+	os.Exit(program.Run("standin", "Plays an outside system in demos and tests.", platformCommand(), upstreamCommand()))
 }
 
 func platformCommand() *ffcli.Command {
--- /dev/null
+++ b/internal/app/program/doc.go
@@ -0,0 +1,2 @@
+// Package program runs the commands of the tools that come with the daemon.
+package program
--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -55,6 +55,7 @@
 		"garbage": cmdGarbage, // garbage NAME callers|peers TEXT: send raw bytes (Go escapes) and wait for the end
 		"sleep":   cmdSleep,   // sleep DURATION
 		"program": cmdProgram, // program CODE NAME ARGUMENT...: run a program to its end and expect its exit code; @HOST stands for an operators' address, %HOST for a log, @platform for the platform
+		"direct":  cmdDirect,  // direct NAME METHOD PATH [body=B]: send to the upstream past its daemon
 		"big":     cmdBig,     // big FILE: write a value of 2 MB, twice what the platform holds
 	}
 }
--- a/internal/proof/scenario/program_test.go
+++ b/internal/proof/scenario/program_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -58,3 +60,14 @@
 	need(ts, args, 1, "big FILE")
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), bytes.Repeat([]byte(" "), 2<<20), 0o644))
 }
+
+func cmdDirect(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "direct NAME METHOD PATH [body=B]")
+	f := fleetOf(ts)
+	url := "http://" + f.address(f.hosts[args[0]].number, upstreamPort).String() + args[2]
+	req, err := http.NewRequest(args[1], url, strings.NewReader(pairs(ts, args[3:])["body"]))
+	ts.Check(err)
+	out, err := exchange(req)
+	ts.Check(err)
+	_, _ = io.WriteString(ts.Stdout(), out)
+}
