--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -40,6 +40,7 @@
 	doors    *pressure.Doors
 	owner    *owner
 	peers    *peer.Node
+	repeats  *repeats
 	callers  *httpd.Server
 	operator *httpd.Server
 }
@@ -57,10 +58,11 @@
 	}
 	d.answers = newAnswerCounts(d.metrics.Scope)
 	d.view.Store(lists.NewSet().View())
-	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound)), upstream.WithOnceIdle(s.OnceIdle)))
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
-	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
+	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	d.repeats = newRepeats(d)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
 	return d
@@ -101,6 +103,7 @@
 	d.log.Info("leaving")
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
+	d.repeats.pass()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = d.callers.Stop(ctx)
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -39,7 +39,7 @@
 		d.turnAway(w, r, refusal, begun)
 		return
 	}
-	answer := d.dispatch(r.Context(), a)
+	answer := d.repeats.route(r.Context(), a)
 	d.finish(w, &a.request, answer, begun)
 }
 
--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -30,7 +31,7 @@
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
 func commands() map[string]command {
-	return map[string]command{
+	all := map[string]command{
 		"platform": cmdPlatform, // platform: start the stand-in platform
 		"host":     cmdHost,     // host NAME SERVICE ZONE [flag=value] [up:flag=value]: start an upstream with its daemon
 		"hosts":    cmdHosts,    // hosts [NAME=leaving] [NAME=gone]: publish the hosts list
@@ -58,6 +59,8 @@
 		"direct":  cmdDirect,  // direct NAME METHOD PATH [body=B]: send to the upstream past its daemon
 		"big":     cmdBig,     // big FILE: write a value of 2 MB, twice what the platform holds
 	}
+	maps.Copy(all, truthCommands())
+	return all
 }
 
 func cmdPlatform(ts *testscript.TestScript, _ bool, _ []string) {
