Prove lost answers and their truth with real processes, and measure ways side by side

Scenario truth: crashes, freezes, cuts, a platform that is down and stale under load; refusals are checked against what the upstreams ran.

--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -18,7 +18,7 @@
 )
 
 func main() {
-	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.", runCommand(), publishCommand(), readyCommand()))
+	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.", runCommand(), publishCommand(), readyCommand(), latencyCommand()))
 }
 
 func runCommand() *ffcli.Command {
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -41,6 +41,7 @@
 	platform *process
 	relays   *relays
 	load     *load
+	begun    chan string
 }
 
 // host is one upstream host: a daemon and the stand-in upstream beside it.
--- a/internal/proof/scenario/truth_test.go
+++ b/internal/proof/scenario/truth_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,6 +25,8 @@
 func truthCommands() map[string]command {
 	return map[string]command{
 		"newkey":  cmdNewKey,  // newkey NAME: set $NAME to an idempotency key that tells its time
+		"begin":   cmdBegin,   // begin NAME METHOD PATH [options as for send]: send without waiting for the answer
+		"end":     cmdEnd,     // end: print the answer of the request that was begun
 		"load":    cmdLoad,    // load RATE METHOD PATH key=K: send requests at a steady rate to all hosts in turn, over kept connections
 		"loadend": cmdLoadEnd, // loadend: stop the load and print what became of it
 		"hangup":  cmdHangup,  // hangup DURATION NAME METHOD PATH [options as for send]: send and close the connection after a while
@@ -34,6 +38,22 @@
 	ts.Setenv(args[0], uuid.Must(uuid.NewV7()).String())
 }
 
+func cmdBegin(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	f.begun = make(chan string, 1)
+	go func() {
+		out, err := send(ts, args)
+		if err != nil {
+			out = "broken: " + err.Error()
+		}
+		f.begun <- out
+	}()
+}
+
+func cmdEnd(ts *testscript.TestScript, _ bool, _ []string) {
+	_, _ = io.WriteString(ts.Stdout(), <-fleetOf(ts).begun)
+}
+
 func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 4, "hangup DURATION NAME METHOD PATH ...")
 	after, err := time.ParseDuration(args[0])
@@ -66,6 +86,7 @@
 	mu     sync.Mutex
 	counts map[string]int
 	faults []string
+	notRun []string
 }
 
 const loadTimeout = 5 * time.Second
@@ -128,16 +149,48 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[what]++
+	if id := requestID.FindStringSubmatch(out); what == call.NotRun.String() && id != nil {
+		l.notRun = append(l.notRun, id[1])
+	}
 	if what != call.Whole.String() {
 		l.faults = append(l.faults, fmt.Sprintf("%d: %s%v", number, out, err))
 	}
 }
 
+var requestID = regexp.MustCompile(`"requestId":"([^"]+)"`)
+
+// untrue returns how many of the requests that were called not run did run.
+func (l *load) untrue(ts *testscript.TestScript) int {
+	ran := map[string]bool{}
+	for _, name := range l.fleet.order {
+		for id := range runsOf(ts, name) {
+			ran[id] = true
+		}
+	}
+	count := 0
+	for _, id := range l.notRun {
+		if ran[id] {
+			count++
+		}
+	}
+	return count
+}
+
+func runsOf(ts *testscript.TestScript, name string) map[string]int {
+	f := fleetOf(ts)
+	res, err := http.Get(fmt.Sprintf("http://%s/standin/runs", f.address(f.hosts[name].number, upstreamPort)))
+	ts.Check(err)
+	defer func() { _ = res.Body.Close() }()
+	runs := map[string]int{}
+	ts.Check(json.NewDecoder(res.Body).Decode(&runs))
+	return runs
+}
+
 func cmdLoadEnd(ts *testscript.TestScript, _ bool, _ []string) {
 	l := fleetOf(ts).load
 	close(l.stop)
 	l.done.Wait()
-	fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d\n%s\n",
-		l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"],
+	fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d untrue=%d\n%s\n",
+		l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], l.untrue(ts),
 		strings.Join(l.faults, "\n"))
 }
