Spread the lists between peers, and know members by their own word

Until now every daemon watched the platform for every list: 3,400 daemons would hold 13,600 watches open, and a platform outage left a restarted daemon with nothing, or with what a stale replica still served.

Three readers an availability zone, found by rendezvous hash, watch the platform now. The others learn of a version by digests: pushed to six neighbours at a change, exchanged with one a second otherwise. A value travels as splices onto what the peer has, with a checksum of the whole. A daemon takes callers once its versions were confirmed by peers, or by the platform where no peer takes callers either; after a pause of the process it asks again first.

Members: a host's own word that it is leaving counts at once and is passed on; a host that doesn't answer two digests in a row is a suspect and is passed over by placing while another is left. Peer links are bounded and idle ones closed.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -7,59 +7,87 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/spread"
 	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
 )
 
-// control is the one thread that owns the lists; it publishes views for the traffic threads.
+// control is the one thread that owns the lists and what is known of the
+// other daemons; it publishes views for the traffic threads.
 type control struct {
-	daemon   *Daemon
-	platform *platform.Client
-	set      *lists.Set
-	offers   chan lists.Value
-	asks     chan func()
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	daemon      *Daemon
+	platform    *platform.Client
+	set         *lists.Set
+	archive     *spread.Archive
+	core        *spread.Core
+	members     *member.Table
+	incarnation uint64
+	leaving     bool
+	// exchanging holds the peers with a digest in flight; a slow one gets no second.
+	exchanging map[netip.AddrPort]bool
+	reader     context.CancelFunc
+	reading    bool
+	viewed     time.Time
+
+	asks   chan func()
+	doubts chan doubt
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 }
 
 func newControl(d *Daemon, p *platform.Client) *control {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &control{
-		daemon:   d,
-		platform: p,
-		set:      lists.NewSet(),
-		offers:   make(chan lists.Value),
-		asks:     make(chan func()),
-		ctx:      ctx,
-		cancel:   cancel,
+	now := time.Now()
+	s := d.settings
+	config := spread.Config{
+		Host: s.Host, Region: s.Region, Zone: s.Zone, Seeds: s.Seeds, Watch: s.Watch, IsolationTime: s.IsolationTime,
 	}
-}
-
-func (c *control) start() {
-	c.done.Go(c.run)
-	for k := range lists.Kinds {
-		c.done.Go(func() { c.watch(lists.Kind(k)) })
+	c := &control{
+		daemon:      d,
+		platform:    p,
+		set:         lists.NewSet(),
+		archive:     &spread.Archive{},
+		core:        spread.New(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now),
+		members:     member.New(),
+		incarnation: uint64(now.UnixNano()),
+		exchanging:  map[netip.AddrPort]bool{},
+		asks:        make(chan func()),
+		doubts:      make(chan doubt, doubtsWaiting),
+		ctx:         ctx,
+		cancel:      cancel,
 	}
+	c.show(now)
+	return c
 }
 
+func (c *control) start() { c.done.Go(c.run) }
+
 func (c *control) stop() {
 	c.cancel()
 	c.done.Wait()
 }
 
+// lookEvery is how often the control thread looks at the clock. It is a
+// twentieth of the pause that makes a daemon's lists count as old.
+const lookEvery = 100 * time.Millisecond
+
 func (c *control) run() {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-c.ctx.Done():
 			return
-		case v := <-c.offers:
-			c.offer(v)
 		case ask := <-c.asks:
 			ask()
+		case doubt := <-c.doubts:
+			c.doubt(doubt)
+		case <-ticker.C:
+			c.tick(time.Now())
 		}
 	}
 }
@@ -76,17 +104,32 @@
 	}
 }
 
+// offer puts a value in force if it is newer and sound, and tells peers of it at once.
 func (c *control) offer(v lists.Value) {
 	verdict, faults := c.set.Offer(v)
 	entry := c.daemon.log.WithFields(logrus.Fields{"list": v.Kind.String(), "version": v.Version, "verdict": verdict.String()})
+	now := time.Now()
 	switch verdict {
 	case lists.Accepted:
 		entry.Info("list")
+		c.archive.Store(v)
+		if v.Kind == lists.KindHosts {
+			c.takeHosts()
+		}
 		c.publish()
+		c.carryOut(c.core.Accepted(v.Kind, v.Version, now, c.unusable), now)
 	case lists.Rejected:
 		entry.WithField("faults", faults).Error("list")
+		c.core.Rejected(v.Kind, v.Version, now)
 	case lists.Old:
 	}
+	c.show(now)
+}
+
+func (c *control) takeHosts() {
+	hosts := c.set.View().Hosts()
+	c.core.SetHosts(hosts)
+	c.members.SetHosts(hosts)
 }
 
 func (c *control) publish() {
@@ -95,32 +138,6 @@
 	c.daemon.view.Store(view)
 }
 
-const (
-	retryLeast  = 200 * time.Millisecond
-	retrySpread = 800 * time.Millisecond
-)
-
-// watch follows one list for as long as the daemon runs. After a failure it
-// waits a random time, so that the end of an outage starts no stampede.
-func (c *control) watch(kind lists.Kind) {
-	var after uint64
-	for c.ctx.Err() == nil {
-		v, err := c.platform.Watch(c.ctx, kind, after, c.daemon.settings.Watch)
-		if err == nil {
-			after = max(after, v.Version)
-			select {
-			case c.offers <- v:
-			case <-c.ctx.Done():
-			}
-			continue
-		}
-		if !errors.Is(err, platform.ErrUnchanged) {
-			c.daemon.log.WithError(err).Debug("platform")
-			sleep(c.ctx, retryLeast+rand.N(retrySpread))
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -27,6 +28,8 @@
 	metrics  *telemetry.Metrics
 
 	view     atomic.Pointer[lists.View]
+	standing atomic.Pointer[standing]
+	members  atomic.Pointer[member.View]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
@@ -53,6 +56,8 @@
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	peer.Handle(d.peers, peer.KindDigest, d.takeDigest)
+	peer.Handle(d.peers, peer.KindFetch, d.takeFetch)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
 	return d
@@ -90,6 +95,7 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	d.log.Info("leaving")
+	d.control.leave()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -57,7 +57,7 @@
 }
 
 func (d *Daemon) attempt(ctx context.Context, a admitted, tried map[string]bool, number int) (call.Answer, bool) {
-	host, ok := d.placer.Pick(d.view.Load().HostsOf(a.request.Service), tried)
+	host, ok := d.placer.Pick(d.usable(d.view.Load().HostsOf(a.request.Service)), tried)
 	if !ok {
 		return call.Answer{}, false
 	}
@@ -70,6 +70,7 @@
 	}
 	begun := time.Now()
 	answer := d.send(ctx, host, &r)
+	d.judge(host.Host, answer)
 	a.account.Return(answer.BudgetLeft)
 	d.log.WithFields(logrus.Fields{
 		"decision": "place", "requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -37,7 +37,7 @@
 
 func (d *Daemon) admitCaller(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	view := d.view.Load()
-	if !view.Complete() {
+	if !d.takes(now) {
 		return refuse(call.NotReady, time.Second)
 	}
 	if d.leaving.Load() {
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
@@ -13,6 +14,10 @@
 	Service     string                `json:"service"`
 	Zone        string                `json:"zone"`
 	Ready       bool                  `json:"ready"`
+	Standing    string                `json:"standing"`
+	Reader      bool                  `json:"reader"`
+	Suspects    int                   `json:"suspects"`
+	SaidLeaving int                   `json:"saidLeaving"`
 	Leaving     bool                  `json:"leaving"`
 	InFlight    int64                 `json:"inFlight"`
 	Lists       map[string]ListStatus `json:"lists"`
@@ -40,8 +45,8 @@
 	switch {
 	case d.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case !d.view.Load().Complete():
-		http.Error(w, "no complete lists yet", http.StatusServiceUnavailable)
+	case !d.takes(time.Now()):
+		http.Error(w, "lists not confirmed as current: "+d.standing.Load().String(), http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
@@ -61,11 +66,13 @@
 	sent, received := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
-		Ready: d.view.Load().Complete(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Ready: d.takes(time.Now()), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
 	}
+	s.SaidLeaving, s.Suspects = d.members.Load().Counts()
 	d.control.ask(func() {
+		s.Reader = d.control.reader != nil
 		for k := range lists.Kinds {
 			s.Lists[lists.Kind(k).String()] = d.control.listStatus(lists.Kind(k))
 		}
--- /dev/null
+++ b/internal/app/daemon/reading.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
+)
+
+const (
+	retryLeast  = 200 * time.Millisecond
+	retrySpread = 800 * time.Millisecond
+	// glance is the wait of a read that only asks whether there is something newer.
+	glance = time.Millisecond
+)
+
+// follow starts or ends the watches as this daemon becomes one of its zone's readers or stops being one.
+func (c *control) follow() {
+	should := c.core.Reads(c.unusable)
+	if should == (c.reader != nil) {
+		return
+	}
+	c.daemon.log.WithField("reader", should).Info("platform")
+	if !should {
+		c.reader()
+		c.reader = nil
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.reader = cancel
+	for k := range lists.Kinds {
+		kind := lists.Kind(k)
+		after := max(c.set.Value(kind).Version, c.set.Rejection(kind).Version)
+		c.done.Go(func() { c.watch(ctx, kind, after) })
+	}
+}
+
+// watch follows one list while this daemon is a reader. After a failure it
+// waits a random time, so that the end of an outage starts no stampede.
+func (c *control) watch(ctx context.Context, kind lists.Kind, after uint64) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		v, err := c.platform.Watch(ctx, kind, after, c.daemon.settings.Watch)
+		answered := err == nil || errors.Is(err, platform.ErrUnchanged)
+		if !answered {
+			c.daemon.log.WithError(err).Debug("platform")
+			sleep(ctx, retryLeast+rand.N(retrySpread))
+			continue
+		}
+		after = max(after, v.Version)
+		c.ask(func() {
+			c.core.PlatformAnswered(begun, time.Now(), false)
+			if err == nil {
+				c.offer(v)
+			}
+		})
+	}
+}
+
+// read asks the platform for every list once. A list that this daemon has no
+// version of is waited for, so that a platform without lists isn't polled.
+func (c *control) read(begun time.Time) {
+	if c.reading {
+		return
+	}
+	c.reading = true
+	c.done.Go(func() {
+		var all sync.WaitGroup
+		var failures sync.Map
+		for k := range lists.Kinds {
+			all.Go(func() {
+				if err := c.readOne(lists.Kind(k)); err != nil {
+					failures.Store(k, err)
+				}
+			})
+		}
+		all.Wait()
+		failed := false
+		failures.Range(func(_, err any) bool {
+			failed = true
+			c.daemon.log.WithError(err.(error)).Debug("platform")
+			return false
+		})
+		c.ask(func() {
+			c.reading = false
+			if !failed {
+				now := time.Now()
+				c.core.PlatformAnswered(begun, now, true)
+				c.show(now)
+			}
+		})
+	})
+}
+
+func (c *control) readOne(kind lists.Kind) error {
+	var after uint64
+	c.ask(func() { after = c.set.Value(kind).Version })
+	wait := glance
+	if after == 0 {
+		wait = c.daemon.settings.Watch
+	}
+	v, err := c.platform.Watch(c.ctx, kind, after, wait)
+	switch {
+	case err == nil:
+		c.ask(func() { c.offer(v) })
+		return nil
+	case errors.Is(err, platform.ErrUnchanged):
+		return nil
+	default:
+		return err
+	}
+}
--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -61,6 +61,23 @@
 	})
 }
 
+func (b *binder) addresses(into *[]netip.AddrPort, name, value, help string) {
+	read(b, into, name, value, help, func(raw string) ([]netip.AddrPort, error) {
+		var all []netip.AddrPort
+		for part := range strings.SplitSeq(raw, ",") {
+			if part == "" {
+				continue
+			}
+			a, err := netip.ParseAddrPort(part)
+			if err != nil {
+				return nil, fmt.Errorf("%q is not an IP number with a port", part)
+			}
+			all = append(all, a)
+		}
+		return all, nil
+	})
+}
+
 func (b *binder) count(into *int, name string, value int, help string, least, most int) {
 	help = fmt.Sprintf("%s (%d to %d)", help, least, most)
 	read(b, into, name, strconv.Itoa(value), help, func(raw string) (int, error) {
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -28,6 +28,7 @@
 	Operators netip.AddrPort
 	Upstream  netip.AddrPort
 	Platform  netip.AddrPort
+	Seeds     []netip.AddrPort
 
 	Slots          int
 	DefaultTimeout time.Duration
@@ -38,6 +39,7 @@
 	LeaveTime      time.Duration
 	DrainTime      time.Duration
 	Watch          time.Duration
+	IsolationTime  time.Duration
 	LogLevel       logrus.Level
 }
 
@@ -101,6 +103,7 @@
 	b.address(&s.Operators, "operators", "127.0.0.1:7002", "IP:port for health, status and metrics (HTTP)")
 	b.address(&s.Upstream, "upstream", "127.0.0.1:8000", "IP:port of the upstream beside this daemon (HTTP)")
 	b.address(&s.Platform, "platform", "127.0.0.1:9000", "IP:port of the configuration service (HTTP, read only)")
+	b.addresses(&s.Seeds, "seeds", "", "IP:port of some peers, separated by commas, that a starting daemon asks before it reads the platform")
 	b.count(&s.Slots, "slots", 64, "requests that the upstream runs at once", 1, 100_000)
 	b.duration(&s.DefaultTimeout, "default-timeout", 5*time.Second, "time for a request whose caller names none", time.Millisecond, time.Hour)
 	b.duration(&s.MaxTimeout, "max-timeout", 2*time.Minute, "longest time that a caller may name", time.Millisecond, time.Hour)
@@ -110,6 +113,7 @@
 	b.duration(&s.LeaveTime, "leave-time", 2*time.Second, "time between refusing new work and closing, so that others notice", 0, time.Minute)
 	b.duration(&s.DrainTime, "drain-time", 2*time.Minute, "longest wait for requests in flight at shutdown", time.Second, time.Hour)
 	b.duration(&s.Watch, "watch", 30*time.Second, "length of one watch at the platform", 100*time.Millisecond, 5*time.Minute)
+	b.duration(&s.IsolationTime, "isolation-time", time.Minute, "time after which a daemon that neither a peer nor the platform answers takes no more callers; 0 is never", 0, 24*time.Hour)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
 }
 
--- /dev/null
+++ b/internal/fleet/member/view.go
@@ -0,0 +1,45 @@
+package member
+
+import "github.com/foxtailhook/foxtailhook/internal/domain/lists"
+
+// View is an immutable account of the hosts that get no new work.
+type View struct {
+	leaving map[string]bool
+	suspect map[string]bool
+}
+
+// Usable returns the hosts that may get new work.
+//
+// Made for a rack or switch that fails: its hosts are on the platform's list
+// for a while longer, and each request placed there would cost the caller a
+// connect timeout. A host that says it is leaving never gets work. Suspects are
+// only passed over while another host is left, so that a fault of this daemon's
+// own network can't empty a service.
+func (v *View) Usable(hosts []lists.Host) []lists.Host {
+	if len(v.leaving) == 0 && len(v.suspect) == 0 {
+		return hosts
+	}
+	var sound, suspects []lists.Host
+	for _, h := range hosts {
+		switch {
+		case h.Leaving || v.leaving[h.Host]:
+		case v.suspect[h.Host]:
+			suspects = append(suspects, h)
+		default:
+			sound = append(sound, h)
+		}
+	}
+	if len(sound) == 0 {
+		return suspects
+	}
+	return sound
+}
+
+// Leaving reports whether the host said that it is leaving.
+func (v *View) Leaving(host string) bool { return v.leaving[host] }
+
+// Suspect reports whether the host could not be reached lately.
+func (v *View) Suspect(host string) bool { return v.suspect[host] }
+
+// Counts returns the number of hosts that said they are leaving, and of suspects.
+func (v *View) Counts() (leaving, suspects int) { return len(v.leaving), len(v.suspect) }
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -30,14 +30,10 @@
 	if headerSize+len(payload) > n.maxFrame {
 		return resp, errors.Wrapf(ErrNotSent, "%s of %d bytes is over the frame bound", kind, len(payload))
 	}
-	l, err := n.dial(to)
+	l, id, answer, err := n.begin(to)
 	if err != nil {
 		return resp, err
 	}
-	id, answer, ok := l.expect()
-	if !ok {
-		return resp, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
-	}
 	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
 	if err := l.write(request.encode()); err != nil {
 		l.forget(id)
@@ -57,6 +53,21 @@
 	}
 }
 
+// begin registers a call on the link to a peer. A link that was closed as idle
+// just now is replaced once, since no byte of the call has left.
+func (n *Node) begin(to netip.AddrPort) (*link, uint64, chan frame, error) {
+	for range 2 {
+		l, err := n.dial(to)
+		if err != nil {
+			return nil, 0, nil, err
+		}
+		if id, answer, ok := l.expect(); ok {
+			return l, id, answer, nil
+		}
+	}
+	return nil, 0, nil, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
+}
+
 // Send sends a message that has no answer; an error means it may not have arrived.
 func Send[Msg any](n *Node, to netip.AddrPort, kind Kind, msg Msg) error {
 	payload, err := msgpack.Marshal(msg)
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -15,6 +15,7 @@
 	remote netip.AddrPort
 	dialed netip.AddrPort
 	reader reader
+	used   stamp
 
 	mu      sync.Mutex
 	nextID  uint64
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -28,6 +28,9 @@
 	maxFrame int
 	dialTime time.Duration
 	logger   Logger
+	maxLinks int
+	idleTime time.Duration
+	stopped  chan struct{}
 	handlers map[Kind]handler
 
 	sent     atomic.Uint64
@@ -63,6 +66,9 @@
 		address:  address,
 		maxFrame: defaultMaxFrame,
 		dialTime: defaultDialTime,
+		maxLinks: defaultMaxLinks,
+		idleTime: defaultIdleTime,
+		stopped:  make(chan struct{}),
 		logger:   func(netip.AddrPort, error) {},
 		handlers: map[Kind]handler{},
 		links:    map[netip.AddrPort]*link{},
@@ -80,14 +86,21 @@
 	n.engine.OnOpen(n.opened)
 	n.engine.OnData(n.data)
 	n.engine.OnClose(n.closed)
-	return errors.Wrapf(n.engine.Start(), "peer: listen on %s", n.address)
+	if err := n.engine.Start(); err != nil {
+		return errors.Wrapf(err, "peer: listen on %s", n.address)
+	}
+	go n.sweep()
+	return nil
 }
 
 // pollers is the number of event loops: frames are small, handlers run elsewhere.
 const pollers = 2
 
 // Stop closes all connections and the listener.
-func (n *Node) Stop() { n.engine.Stop() }
+func (n *Node) Stop() {
+	close(n.stopped)
+	n.engine.Stop()
+}
 
 // Traffic returns the bytes sent and received since the start.
 func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
@@ -144,8 +157,10 @@
 	l, ok := n.links[to]
 	n.mu.Unlock()
 	if ok {
+		l.used.touch()
 		return l, nil
 	}
+	n.makeRoom()
 	c, err := n.connect(to)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, err)
@@ -192,6 +207,7 @@
 		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", to)
 	}
 	l.dialed = to
+	l.used.touch()
 	n.links[to] = l
 	return l, nil
 }
