--- a/internal/fleet/spread/core.go
+++ b/internal/fleet/spread/core.go
@@ -52,8 +52,9 @@
 	askEvery = 200 * time.Millisecond
 	// askWidth is the number of peers that it asks at once.
 	askWidth = 3
-	// fetchTime bounds the wait for a value of a megabyte from a slow peer before another one is asked.
-	fetchTime = 3 * time.Second
+	// fetchTime is the wait for a value before it is asked for once more. A peer that dies
+	// while it answers would else use up the time in which a change is to be in force.
+	fetchTime = 700 * time.Millisecond
 	// hearsayTime is how long a starting daemon holds out for a version that it heard of and can't
 	// get: the only peer that had it may be gone for good.
 	hearsayTime = 10 * time.Second
@@ -83,9 +84,9 @@
 }
 
 type fetching struct {
-	version uint64
-	until   time.Time
-	spare   netip.AddrPort
+	source Source
+	until  time.Time
+	spare  netip.AddrPort
 }
 
 // New returns a core that starts at the given time and knows nothing.
@@ -181,11 +182,26 @@
 	}
 	var work Work
 	for k := range lists.Kinds {
-		work.add(c.want(Source{Kind: lists.Kind(k), Peer: peer, Version: d.Versions[k]}, now))
+		if c.wants(lists.Kind(k), d.Versions[k]) {
+			c.note(lists.Kind(k), d.Versions[k], now)
+			work.add(c.want(Source{Kind: lists.Kind(k), Peer: peer, Version: d.Versions[k]}, now))
+		}
 	}
 	return work
 }
 
+func (c *Core) wants(k lists.Kind, version uint64) bool {
+	return version > c.versions[k] && !c.rejected[k].has(version)
+}
+
+// note remembers a version that a peer has. Only a digest renews it: a fetch
+// that is tried again is no sign that anyone still has the value.
+func (c *Core) note(k lists.Kind, version uint64, now time.Time) {
+	if version >= c.heard[k] {
+		c.heard[k], c.heardAt[k] = version, now
+	}
+}
+
 // Answer takes a peer's answer to a digest that was sent at the given time.
 //
 // An answer to a question from before a pause may have waited in a buffer all
@@ -204,19 +220,16 @@
 }
 
 func (c *Core) want(s Source, now time.Time) Work {
-	if s.Version <= c.versions[s.Kind] || c.rejected[s.Kind].has(s.Version) || !s.Peer.IsValid() {
+	if !c.wants(s.Kind, s.Version) || !s.Peer.IsValid() {
 		return Work{}
 	}
-	if s.Version >= c.heard[s.Kind] {
-		c.heard[s.Kind], c.heardAt[s.Kind] = s.Version, now
-	}
 	f := &c.fetching[s.Kind]
 	if now.Before(f.until) {
 		// One transfer at a time: a value of a megabyte must not come over every link at once.
 		f.spare = s.Peer
 		return Work{}
 	}
-	*f = fetching{version: s.Version, until: now.Add(fetchTime)}
+	*f = fetching{source: s, until: now.Add(fetchTime)}
 	return Work{Fetch: []Source{s}}
 }
 
@@ -238,6 +251,9 @@
 			c.heard[k] = c.versions[k]
 		}
 		if f := &c.fetching[k]; !f.until.IsZero() && !now.Before(f.until) {
+			if !f.spare.IsValid() {
+				f.spare = f.source.Peer
+			}
 			work.add(c.Fetched(lists.Kind(k), now))
 		}
 	}
--- /dev/null
+++ b/internal/fleet/spread/readers_test.go
@@ -0,0 +1,97 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+)
+
+func TestReadersOfAZone(t *testing.T) {
+	n := newNetwork(rand.New(rand.NewPCG(1, 1)), 11, 309)
+	Convey("Each availability zone has three readers, and the next in line take over", t, func() {
+		ranked := Ranked(n.hosts, "z4")
+		So(ranked, ShouldHaveLength, 309)
+		readers := func(skip func(string) bool) []string {
+			var names []string
+			for _, h := range ranked {
+				if reads(ranked, h.Host, skip) && !skip(h.Host) {
+					names = append(names, h.Host)
+				}
+			}
+			return names
+		}
+		all := readers(func(string) bool { return false })
+		So(all, ShouldResemble, []string{ranked[0].Host, ranked[1].Host, ranked[2].Host})
+		left := readers(func(host string) bool { return host == ranked[1].Host })
+		So(left, ShouldResemble, []string{ranked[0].Host, ranked[2].Host, ranked[3].Host})
+	})
+	Convey("A host that leaves moves no other reader", t, func() {
+		before := Ranked(n.hosts, "z4")
+		hosts := append([]lists.Host(nil), n.hosts...)
+		for i := range hosts {
+			hosts[i].Leaving = hosts[i].Host == before[0].Host
+		}
+		So(Ranked(hosts, "z4")[:2], ShouldResemble, before[1:3])
+	})
+}
+
+func TestReadsOfAFleetInAnOutage(t *testing.T) {
+	// The platform is gone for an hour. Were each daemon to try it on its own as
+	// soon as it is silent, the end of the outage would be met by thousands of reads at once.
+	Convey("Daemons that hear nothing of the platform read it now and then, spread over time", t, func() {
+		n := newNetwork(rand.New(rand.NewPCG(13, 13)), 3, 40)
+		n.startAll()
+		n.down["z0"], n.down["z1"], n.down["z2"] = true, true, true
+		n.advance(30 * time.Second)
+		n.reads = 0
+		n.advance(time.Minute)
+		So(n.reads, ShouldBeGreaterThan, 0)
+		So(float64(n.reads)/60, ShouldBeLessThan, 200)
+		So(n.behind(), ShouldBeEmpty)
+	})
+}
+
+// BenchmarkInForce reports how long a change takes to reach every daemon of a
+// fleet of the target size, in virtual time with 1 to 5 ms a message, and what it costs.
+func BenchmarkInForce(b *testing.B) {
+	sizes := []struct {
+		name  string
+		zones int
+		per   int
+		loss  float64
+	}{
+		{"48", 3, 16, 0},
+		{"200", 4, 50, 0},
+		{"3400", 11, 309, 0},
+		{"3400-loss5%", 11, 309, 0.05},
+	}
+	for _, s := range sizes {
+		b.Run(s.name, func(b *testing.B) {
+			n := newNetwork(rand.New(rand.NewPCG(14, 14)), s.zones, s.per)
+			n.startAll()
+			n.advance(20 * time.Second)
+			n.loss = s.loss
+			n.exchanges = 0
+			began := n.now
+			var total, worst time.Duration
+			for b.Loop() {
+				n.publish(lists.KindKeys, "keys of many words that stay")
+				took := time.Duration(0)
+				for len(n.behind()) > 0 && took < time.Minute {
+					n.advance(20 * time.Millisecond)
+					took += 20 * time.Millisecond
+				}
+				total += took
+				worst = max(worst, took)
+				n.advance(5*time.Second - min(took, 5*time.Second))
+			}
+			b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "mean-ms")
+			b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+			b.ReportMetric(float64(n.exchanges)/float64(len(n.hosts))/n.now.Sub(began).Seconds(), "exchanges/s/daemon")
+		})
+	}
+}
