--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -20,6 +21,7 @@
 	SaidLeaving int                   `json:"saidLeaving"`
 	Leaving     bool                  `json:"leaving"`
 	InFlight    int64                 `json:"inFlight"`
+	Gate        call.Load             `json:"gate"`
 	Lists       map[string]ListStatus `json:"lists"`
 	Connections int                   `json:"peerConnections"`
 	SentBytes   uint64                `json:"peerBytesSent"`
@@ -67,6 +69,7 @@
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
 		Ready: d.takes(time.Now()), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Gate:  d.owner.gate.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
 	}
