--- a/internal/fleet/spread/network_test.go
+++ b/internal/fleet/spread/network_test.go
@@ -27,8 +27,10 @@
 	apart  func(a, b string) bool
 	served [lists.Kinds]lists.Value
 	newest [lists.Kinds]lists.Value
-	down   map[string]bool
-	stale  bool
+	// rejoined is when a cut was last made or healed; what was out of reach until then is not yet held against anyone.
+	rejoined time.Time
+	down     map[string]bool
+	stale    bool
 
 	exchanges int
 	reads     int
@@ -218,6 +220,9 @@
 // known returns the least version in force at the other daemons in reach that have long taken callers.
 func (n *network) known(d *node, k lists.Kind) (uint64, bool) {
 	least, ok := uint64(0), false
+	if n.now.Sub(n.rejoined) < lagAllowed {
+		return least, ok
+	}
 	for _, o := range n.nodes {
 		if o == d || !o.alive || o.paused || o.servingAt.IsZero() || n.now.Sub(o.servingAt) < settled || n.apart(d.host.Host, o.host.Host) {
 			continue
--- a/internal/fleet/spread/schedule_test.go
+++ b/internal/fleet/spread/schedule_test.go
@@ -290,8 +290,10 @@
 	case "cut":
 		side := s.host
 		n.apart = func(a, b string) bool { return inPart(a, side) != inPart(b, side) }
+		n.rejoined = n.now
 	case "heal":
 		n.apart = func(string, string) bool { return false }
+		n.rejoined = n.now
 	case "down":
 		n.down[d.host.Zone] = true
 	case "up":
@@ -332,6 +334,7 @@
 		n.publishAll()
 		n.down = map[string]bool{}
 		n.apart = func(string, string) bool { return false }
+		n.rejoined = n.now
 		for _, h := range n.hosts {
 			if d := n.nodes[h.Host]; d.alive {
 				d.resume()
