--- a/internal/fleet/spread/events_test.go
+++ b/internal/fleet/spread/events_test.go
@@ -27,4 +27,3 @@
 	*e = old[:len(old)-1]
 	return last
 }
-
