--- /dev/null
+++ b/internal/proof/scenario/commands_lists_test.go
@@ -0,0 +1,108 @@
+package scenario
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// listCommands are for scripts about lists, keys and members.
+func listCommands() map[string]command {
+	return map[string]command{
+		"begin":       cmdBegin,                          // begin TAG send...: send without waiting for the answer
+		"finish":      cmdFinish,                         // finish TAG: wait for the answer and print it
+		"leave":       signaller(syscall.SIGTERM, false), // leave NAME: shut down without waiting for the end
+		"awaitstatus": cmdAwaitStatus,                    // awaitstatus DURATION PATTERN NAME...: wait until /statusz of each matches
+		"never":       cmdNever,                          // never DURATION TEXT send...: repeat a send, whose output never has TEXT
+		"spread":      cmdSpread,                         // spread COUNT send...: send so often and print every answer
+	}
+}
+
+type begunKey struct{ tag string }
+
+type begun struct {
+	done chan struct{}
+	out  string
+	err  error
+}
+
+func cmdBegin(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 5, "begin TAG send NAME METHOD PATH ...")
+	req, err := request(ts, args[2:])
+	ts.Check(err)
+	b := &begun{done: make(chan struct{})}
+	fleetOf(ts).begun[begunKey{args[0]}] = b
+	go func() {
+		defer close(b.done)
+		b.out, b.err = exchange(req)
+	}()
+}
+
+func cmdFinish(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "finish TAG")
+	b := fleetOf(ts).begun[begunKey{args[0]}]
+	if b == nil {
+		ts.Fatalf("nothing begun as %q", args[0])
+	}
+	<-b.done
+	ts.Check(b.err)
+	_, _ = io.WriteString(ts.Stdout(), b.out)
+}
+
+func cmdAwaitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "awaitstatus DURATION PATTERN NAME...")
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	end := time.Now().Add(limit)
+	for _, name := range args[2:] {
+		last := ""
+		for !pattern.MatchString(last) {
+			if time.Now().After(end) {
+				ts.Fatalf("status of %s has no %q within %s; the last was %s", name, args[1], limit, last)
+			}
+			time.Sleep(awaitLook)
+			last = statusOf(ts, name)
+		}
+	}
+}
+
+func statusOf(ts *testscript.TestScript, name string) string {
+	f := fleetOf(ts)
+	res, err := http.Get("http://" + f.address(f.hosts[name].number, operatorsPort).String() + "/statusz")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, _ := io.ReadAll(res.Body)
+	return string(raw)
+}
+
+func cmdNever(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 5, "never DURATION TEXT send NAME METHOD PATH ...")
+	length, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(awaitLook) {
+		if out, err := send(ts, args[3:]); err == nil && strings.Contains(out, args[1]) {
+			ts.Fatalf("answered %q", out)
+		}
+	}
+}
+
+func cmdSpread(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 5, "spread COUNT send NAME METHOD PATH ...")
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for range count {
+		out, err := send(ts, args[2:])
+		ts.Check(err)
+		_, _ = io.WriteString(ts.Stdout(), out)
+	}
+}
--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -45,7 +45,7 @@
 		"shutdown": signaller(syscall.SIGTERM, true),
 		"pause":    signaller(syscall.SIGSTOP, false),
 		"resume":   signaller(syscall.SIGCONT, false),
-		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed
+		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed, or an empty platform
 		// cut and heal take two hosts, or a host and platform.
 		"cut":     cutter(true),
 		"heal":    cutter(false),
@@ -147,6 +147,15 @@
 const sendSlack = 5 * time.Second
 
 func send(ts *testscript.TestScript, args []string) (string, error) {
+	req, err := request(ts, args)
+	if err != nil {
+		return "", err
+	}
+	return exchange(req)
+}
+
+// request builds what send sends; its context ends on its own.
+func request(ts *testscript.TestScript, args []string) (*http.Request, error) {
 	need(ts, args, 3, "send NAME METHOD PATH [key=K] [body=B] ...")
 	f := fleetOf(ts)
 	h := f.hosts[args[0]]
@@ -165,7 +174,7 @@
 		timeout = parsed
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+sendSlack)
-	defer cancel()
+	time.AfterFunc(timeout+sendSlack, cancel)
 	url := "http://" + f.address(h.number, callersPort).String() + args[2]
 	req, err := http.NewRequestWithContext(ctx, args[1], url, bytes.NewReader([]byte(body)))
 	ts.Check(err)
@@ -178,7 +187,7 @@
 			req.Header.Set(header, value)
 		}
 	}
-	return exchange(req)
+	return req, nil
 }
 
 func exchange(req *http.Request) (string, error) {
@@ -225,6 +234,10 @@
 func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "restart NAME or NAME.upstream")
 	f := fleetOf(ts)
+	if args[0] == "platform" {
+		ts.Check(f.runPlatform())
+		return
+	}
 	if base, ok := strings.CutSuffix(args[0], ".upstream"); ok {
 		ts.Check(f.startUpstream(f.hosts[base]))
 		return
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -40,6 +40,7 @@
 	order    []string
 	platform *process
 	relays   *relays
+	begun    map[begunKey]*begun
 }
 
 // host is one upstream host: a daemon and the stand-in upstream beside it.
@@ -63,7 +64,7 @@
 
 func newFleet(bin, dir string) *fleet {
 	f := &fleet{
-		bin: bin, dir: dir, hosts: map[string]*host{},
+		bin: bin, dir: dir, hosts: map[string]*host{}, begun: map[begunKey]*begun{},
 		net:      byte(1 + os.Getpid()%250),
 		scenario: byte(1 + scenarios.Add(1)%250),
 	}
@@ -111,14 +112,18 @@
 }
 
 func (f *fleet) startPlatform() error {
+	if err := f.relays.open(platformHost+1, platformPort, f.address(platformHost, platformPort), "platform"); err != nil {
+		return err
+	}
+	return f.runPlatform()
+}
+
+func (f *fleet) runPlatform() error {
 	p, err := f.start("platform.log", "standin", "platform", "-listen", f.address(platformHost, platformPort).String())
 	if err != nil {
 		return err
 	}
 	f.platform = p
-	if err := f.relays.open(platformHost+1, platformPort, f.address(platformHost, platformPort), "platform"); err != nil {
-		return err
-	}
 	return f.await("http://" + f.address(platformHost, platformPort).String() + "/v1/reads")
 }
 
@@ -129,7 +134,7 @@
 		if rest, ok := strings.CutPrefix(flag, "up:"); ok {
 			h.upFlags = append(h.upFlags, "-"+rest)
 		} else {
-			h.flags = append(h.flags, "-"+flag)
+			h.flags = append(h.flags, "-"+f.resolve(flag))
 		}
 	}
 	f.hosts[name] = h
@@ -143,6 +148,14 @@
 	return f.startDaemon(h)
 }
 
+// resolve puts the peer address of a host, as the others reach it, for each @NAME.
+func (f *fleet) resolve(flag string) string {
+	for name, h := range f.hosts {
+		flag = strings.ReplaceAll(flag, "@"+name, f.address(relayOffset+h.number, peersPort).String())
+	}
+	return flag
+}
+
 func (f *fleet) startUpstream(h *host) error {
 	args := []string{
 		"upstream", "-listen", f.address(h.number, upstreamPort).String(),
