--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -64,7 +64,10 @@
 	return c
 }
 
-func (c *control) start() { c.done.Go(c.run) }
+func (c *control) start() {
+	c.done.Go(c.run)
+	c.done.Go(func() { c.daemon.repeats.confirm(c.ctx) })
+}
 
 func (c *control) stop() {
 	c.cancel()
@@ -135,6 +138,7 @@
 func (c *control) publish() {
 	view := c.set.View()
 	c.daemon.rates.Configure(view.Organisations(), len(view.Hosts()), time.Now())
+	c.daemon.repeats.observe(view, time.Now())
 	c.daemon.view.Store(view)
 }
 
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -90,10 +90,7 @@
 	now := time.Now()
 	waited, deeper := origin.waited(now)
 	o.gate.Settle(now, t, result(answer, max(now.Sub(begun)-waited, 0)))
-	answer.BudgetLeft = account.Close()
-	if answer.Outcome == call.NotRun {
-		answer.BudgetLeft++
-	}
+	answer = credible(r, answer, account.Close())
 	answer.Load = o.gate.Load()
 	if answer.Status >= statusFault {
 		answer.Load.Pressure = deeper
@@ -113,3 +110,18 @@
 	}
 	return r
 }
+
+// credible checks an upstream's word that it did not run a request against what
+// the request's own calls have spent. An upstream that passes on the refusal of a
+// later call, after an earlier one ran, would have the caller pay twice.
+func credible(r *call.Request, a call.Answer, left int) call.Answer {
+	given := r.Budget - 1
+	if a.Outcome == call.NotRun && left < given {
+		a = call.Lose(call.AnswerLost)
+	}
+	a.BudgetLeft = left
+	if a.Outcome == call.NotRun {
+		a.BudgetLeft++
+	}
+	return a
+}
--- a/internal/wire/peer/bound.go
+++ b/internal/wire/peer/bound.go
@@ -111,15 +111,17 @@
 	return len(l.waiting) == 0
 }
 
-// Drop closes the opened connection to a peer if no call is in flight on it.
+// Drop closes the opened connections to a peer on which no call is in flight.
 //
 // After a network fault TCP waits ever longer before it tries a connection's
 // lost bytes again; a new connection gets through as soon as the network does.
 func (n *Node) Drop(to netip.AddrPort) {
-	n.mu.Lock()
-	l := n.links[to]
-	n.mu.Unlock()
-	if l != nil {
-		n.retire(l)
+	for _, k := range []Kind{KindCall, KindDigest} {
+		n.mu.Lock()
+		l := n.links[laneOf(to, k)]
+		n.mu.Unlock()
+		if l != nil {
+			n.retire(l)
+		}
 	}
 }
