--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -23,9 +23,9 @@
 func main() {
 	root := &ffcli.Command{
 		Name:        "foxtailload",
-		ShortUsage:  "foxtailload run|publish|ready [flags]",
+		ShortUsage:  "foxtailload run|publish|ready|changes [flags]",
 		ShortHelp:   "Drives traffic at a fleet and checks every answer.",
-		Subcommands: []*ffcli.Command{runCommand(), publishCommand(), readyCommand()},
+		Subcommands: []*ffcli.Command{runCommand(), publishCommand(), readyCommand(), changesCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/load/changes/plan.go
@@ -0,0 +1,102 @@
+package changes
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+)
+
+// Daemon is one process of the fleet that is measured.
+type Daemon struct {
+	Host      string         `json:"host"`
+	Zone      string         `json:"zone"`
+	Peer      netip.AddrPort `json:"peer"`
+	Operators netip.AddrPort `json:"operators"`
+	PID       int            `json:"pid"`
+	Log       string         `json:"log"`
+}
+
+// Plan says what is measured.
+type Plan struct {
+	Platform netip.AddrPort
+	Daemons  []Daemon
+	// Listed is the number of hosts on the published list; those beyond the daemons are leaving, so that
+	// they cost memory and bytes as in a large fleet but get no messages.
+	Listed        int
+	Organisations int
+	Changes       int
+	// Idle is the length of the quiet part, Every the time between two changes.
+	Idle  time.Duration
+	Every time.Duration
+}
+
+// ReadFleet reads a JSON array of daemons.
+func ReadFleet(path string) ([]Daemon, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "changes: read fleet")
+	}
+	var all []Daemon
+	return all, errors.Wrap(json.Unmarshal(raw, &all), "changes: fleet")
+}
+
+// services is the number of services over which listed hosts are spread.
+const services = 9
+
+func (p *Plan) hosts() lists.Hosts {
+	var list lists.Hosts
+	for i, d := range p.Daemons {
+		list.Hosts = append(list.Hosts, lists.Host{
+			Host: d.Host, Service: fmt.Sprintf("service-%d", i%services), Region: "default", Zone: d.Zone, Peer: d.Peer,
+		})
+	}
+	for i := len(p.Daemons); i < p.Listed; i++ {
+		at := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		list.Hosts = append(list.Hosts, lists.Host{
+			Host: fmt.Sprintf("listed-%d", i), Service: fmt.Sprintf("service-%d", i%services), Region: "default",
+			Zone: "elsewhere", Peer: netip.AddrPortFrom(at, 7001), Leaving: true,
+		})
+	}
+	return list
+}
+
+func (p *Plan) plans() lists.Plans {
+	var list lists.Plans
+	for i := range p.Organisations {
+		list.Organisations = append(list.Organisations, lists.Organisation{
+			Organisation: fmt.Sprintf("o%d", i), Plan: "plan", Rate: 100, Burst: 100,
+		})
+	}
+	return list
+}
+
+// keys returns the list in which one organisation's key has been changed for the given time.
+func (p *Plan) keys(change int) lists.Keys {
+	var list lists.Keys
+	for i := range p.Organisations {
+		name := fmt.Sprintf("key-%d", i)
+		if i == change%p.Organisations {
+			name = fmt.Sprintf("%s-%d", name, change)
+		}
+		hash := sha256.Sum256([]byte(name))
+		list.Keys = append(list.Keys, lists.Key{
+			ID: fmt.Sprintf("k%d", i), Organisation: fmt.Sprintf("o%d", i), SHA256: hex.EncodeToString(hash[:]),
+		})
+	}
+	return list
+}
+
+func uses() lists.Uses {
+	return lists.Uses{
+		Operations: []lists.Operation{{Operation: "read", Service: "service-0", Method: "GET", Path: "/", Priority: "standard", Idempotent: true}},
+		Plans:      []lists.Grant{{Plan: "plan", Operations: []string{"read"}}},
+	}
+}
--- /dev/null
+++ b/internal/load/changes/usage.go
@@ -0,0 +1,124 @@
+package changes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// usage is what a process has used since its start.
+type usage struct {
+	at       time.Time
+	cpu      time.Duration
+	resident int
+	sent     uint64
+	received uint64
+	links    int
+}
+
+// clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
+const clockTick = 10 * time.Millisecond
+
+// Fields of /proc/PID/stat, counted behind the command's closing parenthesis.
+const (
+	fieldUser   = 11
+	fieldSystem = 12
+	fieldPages  = 21
+)
+
+func measure(ctx context.Context, d Daemon) (usage, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID))
+	if err != nil {
+		return usage{}, errors.Wrap(err, "changes: process")
+	}
+	fields := bytes.Fields(raw[bytes.LastIndexByte(raw, ')')+1:])
+	user, _ := strconv.Atoi(string(fields[fieldUser]))
+	system, _ := strconv.Atoi(string(fields[fieldSystem]))
+	pages, _ := strconv.Atoi(string(fields[fieldPages]))
+	u := usage{at: time.Now(), cpu: time.Duration(user+system) * clockTick, resident: pages * os.Getpagesize()}
+	return u, u.status(ctx, d)
+}
+
+// status adds the bytes that the daemon itself counts.
+func (u *usage) status(ctx context.Context, d Daemon) error {
+	raw, err := get(ctx, "http://"+d.Operators.String()+"/statusz")
+	if err != nil {
+		return err
+	}
+	var status struct {
+		Sent     uint64 `json:"peerBytesSent"`
+		Received uint64 `json:"peerBytesReceived"`
+		Links    int    `json:"peerConnections"`
+	}
+	if err := json.Unmarshal(raw, &status); err != nil {
+		return errors.Wrap(err, "changes: status")
+	}
+	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
+	return nil
+}
+
+func get(ctx context.Context, url string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "changes")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "changes")
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	return raw, errors.Wrap(err, "changes")
+}
+
+// Spent is what daemons spent in one part of the measurement, as median and greatest over the daemons.
+type Spent struct {
+	// CPU is in per cent of a core.
+	CPU Range `json:"cpuPercent"`
+	// Sent and Received are bytes a second between peers, without TCP's own.
+	Sent     Range `json:"sentBytesPerS"`
+	Received Range `json:"receivedBytesPerS"`
+	// Resident is in megabytes at the end of the part.
+	Resident Range `json:"residentMB"`
+	Links    Range `json:"peerConnections"`
+	// PlatformCalls is calls a second of all daemons together, a waiting watch as one.
+	PlatformCalls float64 `json:"platformCallsPerS"`
+}
+
+// Range is the median and the greatest of a set of values.
+type Range struct {
+	Median float64 `json:"median"`
+	Max    float64 `json:"max"`
+}
+
+func rangeOf(values []float64) Range {
+	if len(values) == 0 {
+		return Range{}
+	}
+	slices.Sort(values)
+	return Range{Median: values[len(values)/2], Max: values[len(values)-1]}
+}
+
+func spent(before, after []usage) Spent {
+	var cpu, sent, received, resident, links []float64
+	for i := range before {
+		length := after[i].at.Sub(before[i].at).Seconds()
+		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
+		sent = append(sent, float64(after[i].sent-before[i].sent)/length)
+		received = append(received, float64(after[i].received-before[i].received)/length)
+		resident = append(resident, float64(after[i].resident)/(1<<20))
+		links = append(links, float64(after[i].links))
+	}
+	return Spent{
+		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident), Links: rangeOf(links),
+	}
+}
