--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -18,6 +18,7 @@
 	dialed lane
 	greet  greeting
 	reader reader
+	used   stamp
 
 	sending sync.Mutex
 	queued  uint64
