--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -24,19 +24,24 @@
 func runCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("foxtailload run", flag.ExitOnError)
 	path := fs.String("plan", "", "JSON file with daemons, streams and events")
+	report := fs.String("report", "", "folder for report.md and seconds.csv, with outcomes and latencies second by second")
 	return &ffcli.Command{
-		Name: "run", ShortUsage: "foxtailload run -plan FILE", FlagSet: fs,
+		Name: "run", ShortUsage: "foxtailload run -plan FILE [-report DIR]", FlagSet: fs,
 		ShortHelp: "Sends a plan's traffic; progress on standard error, one JSON line on standard output.",
 		Exec: func(ctx context.Context, _ []string) error {
 			plan, err := traffic.ReadPlan(*path)
 			if err != nil {
 				return err
 			}
-			result, err := traffic.NewRunner(plan, os.Stderr).Run(ctx)
+			runner := traffic.NewRunner(plan, os.Stderr)
+			result, err := runner.Run(ctx)
 			if out := json.NewEncoder(os.Stdout).Encode(result); out != nil {
 				return out
 			}
-			return err
+			if err != nil || *report == "" {
+				return err
+			}
+			return (&traffic.Report{Plan: plan, Result: result, Seconds: runner.Timeline()}).Save(*report)
 		},
 	}
 }
--- a/internal/load/traffic/run.go
+++ b/internal/load/traffic/run.go
@@ -28,6 +28,7 @@
 	tally    *tally
 	progress io.Writer
 	begun    time.Time
+	timeline timeline
 
 	mu        sync.Mutex
 	withdrawn map[string]time.Time
@@ -57,6 +58,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.plan.Length))
 	defer cancel()
 	r.begun = time.Now()
+	r.timeline.begun = r.begun
 	var streams, side sync.WaitGroup
 	for i := range r.plan.Streams {
 		streams.Go(func() { r.stream(ctx, &r.plan.Streams[i]) })
@@ -109,6 +111,7 @@
 	r.tally.do(func(t *Result) { t.Sent++ })
 	sent := time.Now()
 	res, body, err := r.request(ctx, s, nonce, timeout)
+	r.timeline.add(sent, outcomeOf(res, err), time.Since(sent))
 	if err != nil {
 		r.tally.do(func(t *Result) { t.Unknown++ })
 		r.tally.reason(s.Organisation, "transport")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds and starts a small fleet on loopback, drives mixed traffic at it and
 # stops all that it started. The last line on standard output is the result.
+# REPORT names a folder for a report of the run, second by second.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -43,6 +44,6 @@
 done
 "$work/foxtailload" ready -operators "$operators"
 say "traffic: three organisations, maker-wola at five times its rate, lookups call repairs"
-"$work/foxtailload" run -plan scripts/demo/traffic.json >"$work/result"
+"$work/foxtailload" run -plan scripts/demo/traffic.json ${REPORT:+-report "$REPORT"} >"$work/result"
 say "decisions logged: $(cat "$work"/*.log | grep -c '"decision"')"
 cat "$work/result"
