--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # Every check is run the same way here and in CI.
 TOOLS := go tool -modfile=tools/go.mod
 
-.PHONY: all test race lint format generate docs demo fuzz bench
+.PHONY: all build test race lint format generate docs demo fuzz bench
 
 all: lint test
 
+# The programs go to bin/.
+build:
+	go build -o bin/ ./cmd/...
+
 test:
 	go test ./...
 
--- a/internal/app/program/run.go
+++ b/internal/app/program/run.go
@@ -24,7 +24,6 @@
 		Name:        name,
 		ShortUsage:  fmt.Sprintf("%s %s [flags]", name, strings.Join(names, "|")),
 		ShortHelp:   help,
-		LongHelp:    help,
 		Subcommands: commands,
 		Exec:        noCommand,
 	}
--- a/internal/ctl/command/key.go
+++ b/internal/ctl/command/key.go
@@ -15,12 +15,11 @@
 )
 
 func (a *app) keyCommand() *ffcli.Command {
-	const help = "Makes an organisation key, or the list entry of a key that an organisation already has."
 	return &ffcli.Command{
 		Name: "key", FlagSet: a.flags("foxctl key"),
 		ShortUsage:  "foxctl key new|hash [flags]",
 		ShortHelp:   "Makes organisation keys and their list entries.",
-		LongHelp:    help + "\n\n" + exitCodes,
+		LongHelp:    "new makes a key; hash makes the entry of one that an organisation already has.\n\n" + exitCodes,
 		Subcommands: []*ffcli.Command{a.keyNewCommand(), a.keyHashCommand()},
 		Exec:        noCommand("foxctl key"),
 	}
--- a/internal/ctl/command/root.go
+++ b/internal/ctl/command/root.go
@@ -62,7 +62,7 @@
 		Name:       "foxctl",
 		ShortUsage: "foxctl COMMAND [flags]",
 		ShortHelp:  "Checks lists and settings, makes keys, and tells what daemons do and why.",
-		LongHelp:   "Checks lists and settings, makes keys, and tells what daemons do and why.\nfoxctl COMMAND -h describes a command with its flags.\n\n" + exitCodes,
+		LongHelp:   "foxctl COMMAND -h describes a command with its flags.\n\n" + exitCodes,
 		FlagSet:    a.flags("foxctl"),
 		Subcommands: []*ffcli.Command{
 			a.checkCommand(), a.diffCommand(), a.keyCommand(), a.statusCommand(), a.explainCommand(), a.referenceCommand(),
