--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -132,6 +132,7 @@
 			h.flags = append(h.flags, "-"+flag)
 		}
 	}
+	f.relays.know(f.address(h.number, 0).Addr(), name)
 	f.hosts[name] = h
 	f.order = append(f.order, name)
 	if err := f.relays.open(relayOffset+h.number, peersPort, f.address(h.number, peersPort), name); err != nil {
