--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -30,6 +31,8 @@
 	answers  *answerCounts
 
 	view     atomic.Pointer[lists.View]
+	standing atomic.Pointer[standing]
+	members  atomic.Pointer[member.View]
 	leaving  atomic.Bool
 	serving  atomic.Bool
 	inFlight atomic.Int64
@@ -63,6 +66,8 @@
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	peer.Handle(d.peers, peer.KindDigest, d.takeDigest)
+	peer.Handle(d.peers, peer.KindFetch, d.takeFetch)
 	d.repeats = newRepeats(d)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns),
 		httpd.WithHeldBytes(s.HeldBytes), httpd.WithHead(s.HeaderBound, s.HeaderTime), httpd.WithRefuser(refuseFault), httpd.WithClosing(d.leaving.Load))
@@ -119,7 +124,7 @@
 // they don't come, callers are better told so than left without an answer.
 func (d *Daemon) awaitLists(ctx context.Context) {
 	limit := time.Now().Add(listsWait)
-	for !d.view.Load().Complete() && ctx.Err() == nil && time.Now().Before(limit) {
+	for !d.takes(time.Now()) && ctx.Err() == nil && time.Now().Before(limit) {
 		time.Sleep(listsLook)
 	}
 }
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -41,7 +41,7 @@
 
 func (d *Daemon) admitCaller(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	view := d.view.Load()
-	if !view.Complete() {
+	if !d.takes(now) {
 		return refuse(call.NotReady, time.Second)
 	}
 	key, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
@@ -62,6 +62,7 @@
 	}
 	a.request.Deadline = now.Add(timeout)
 	a.request.ID = newID()
+	a.still = d.keyStill(view, key, organisation)
 	a.account = budget.New(a.request.Budget)
 	if wait, ok := d.rates.Spend(organisation, now); !ok {
 		return refuse(call.OverRate, wait)
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -16,6 +16,7 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	d.log.Info("leaving")
+	d.control.leave()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
 	d.repeats.pass()
--- /dev/null
+++ b/internal/fleet/spread/events_test.go
@@ -0,0 +1,29 @@
+package spread
+
+import "time"
+
+type change struct {
+	at      time.Time
+	version uint64
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
