--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -44,6 +44,8 @@
 	fs.StringVar(&c.Service, "service", "service", "name of the service")
 	fs.IntVar(&c.Slots, "slots", 64, "requests run at once; more are shed")
 	fs.DurationVar(&c.Latency, "latency", 2*time.Millisecond, "time for one request")
+	fs.IntVar(&c.Retries, "retries", 0, "how often its own call is repeated when it fails")
+	fs.BoolVar(&c.Lossy, "lossy", false, "close the connection in place of each answer")
 	fs.StringVar(&c.Next, "next", "", "path that each request calls on through the daemon")
 	return &ffcli.Command{
 		Name:       "upstream",
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -26,6 +26,10 @@
 	Daemon netip.AddrPort
 	// Next is the path below the daemon that each request calls on, such as /repairs/notes; empty for none.
 	Next string
+	// Retries is how often it repeats its own call when that fails, as home-made retry loops do.
+	Retries int
+	// Lossy closes the connection in place of each answer.
+	Lossy bool
 }
 
 // Upstream answers requests with who asked and what was asked, and counts its runs.
@@ -105,8 +109,11 @@
 		Organisation: r.Header.Get(wire.HeaderOrganisation), RequestID: r.Header.Get(wire.HeaderRequestID),
 		Echo: string(body), LeakedKey: r.Header.Get("Authorization") != "",
 	}
+	if u.config.Lossy {
+		panic(http.ErrAbortHandler)
+	}
 	if u.config.Next != "" {
-		next, status, err := u.callNext(r.Context(), r.Header, body)
+		next, status, err := u.callOn(r.Context(), r.Header, body)
 		if err != nil || status != http.StatusOK {
 			http.Error(w, fmt.Sprintf("next: status %d: %v", status, err), http.StatusBadGateway)
 			return
@@ -119,6 +126,16 @@
 	_, _ = w.Write(raw)
 }
 
+// callOn makes the upstream's own call, and repeats it at once when it fails.
+func (u *Upstream) callOn(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
+	for try := 0; ; try++ {
+		raw, status, err := u.callNext(ctx, in, body)
+		if (err == nil && status == http.StatusOK) || try == u.config.Retries {
+			return raw, status, err
+		}
+	}
+}
+
 func (u *Upstream) callNext(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
 	url := "http://" + u.config.Daemon.String() + u.config.Next
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
