--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -41,6 +41,7 @@
 	platform *process
 	relays   *relays
 	load     *load
+	keyed    *load
 	begun    map[begunKey]*begun
 }
 
--- /dev/null
+++ b/internal/proof/scenario/soak_test.go
@@ -0,0 +1,189 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
+)
+
+// TestSoak mixes all faults for as long as SOAK says, in the order of SOAK_SEED; without SOAK it does not run.
+func TestSoak(t *testing.T) {
+	if os.Getenv("SOAK") == "" {
+		t.Skip("SOAK names no length")
+	}
+	cmds := commands()
+	cmds["keyed"] = cmdKeyed       // keyed RATE METHOD PATH key=K: send requests up to three times each, with idempotency keys, anywhere
+	cmds["keyedend"] = cmdKeyedEnd // keyedend: stop, and print the most runs for one key
+	cmds["mayhem"] = cmdMayhem     // mayhem: bring about faults for the length of SOAK
+	testscript.Run(t, testscript.Params{Dir: "testdata/soak", Cmds: cmds, Setup: setup})
+}
+
+// mayhem is the faults, each with its end; the probe is a host that is never restarted, so that its memory tells.
+type mayhem struct {
+	ts   *testscript.TestScript
+	cmds map[string]command
+	rand *rand.Rand
+}
+
+const probe = "lookup-1"
+
+func (m *mayhem) do(name string, args ...string) { m.cmds[name](m.ts, false, args) }
+
+func (m *mayhem) pick(names ...string) string { return names[m.rand.IntN(len(names))] }
+
+func (m *mayhem) wait() { time.Sleep(time.Duration(200+m.rand.IntN(1500)) * time.Millisecond) }
+
+func (m *mayhem) fault() string {
+	victim := m.pick("dispatch-1", "dispatch-2", "dispatch-3", "lookup-2")
+	other := m.pick("dispatch-1", "dispatch-2", "dispatch-3", "lookup-1", "lookup-2", "platform")
+	switch m.rand.IntN(7) {
+	case 0:
+		m.do("crash", victim)
+		m.wait()
+		m.do("restart", victim)
+		return "crash " + victim
+	case 1:
+		m.do("pause", victim)
+		m.wait()
+		m.do("resume", victim)
+		return "pause " + victim
+	case 2:
+		m.do("pause", victim+".upstream")
+		m.wait()
+		m.do("resume", victim+".upstream")
+		return "pause " + victim + ".upstream"
+	case 3:
+		if other == victim {
+			other = "platform"
+		}
+		m.do("cut", victim, other)
+		m.wait()
+		m.do("heal", victim, other)
+		return "cut " + victim + " " + other
+	case 4:
+		mode := m.pick("down", "stale")
+		m.do("mode", mode)
+		m.wait()
+		m.do("mode", "up")
+		return "mode " + mode
+	case 5:
+		m.do("hosts", victim+"="+m.pick("leaving", "gone"))
+		m.wait()
+		m.do("hosts")
+		return "hosts " + victim
+	default:
+		m.do("shutdown", victim)
+		m.wait()
+		m.do("restart", victim)
+		return "shutdown " + victim
+	}
+}
+
+func cmdMayhem(ts *testscript.TestScript, _ bool, _ []string) {
+	length, err := time.ParseDuration(os.Getenv("SOAK"))
+	ts.Check(err)
+	seed, _ := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64)
+	m := &mayhem{ts: ts, cmds: commands(), rand: rand.New(rand.NewPCG(seed, seed))}
+	counts := map[string]int{}
+	begun := time.Now()
+	next := length / 10
+	for time.Since(begun) < length {
+		kind, _, _ := strings.Cut(m.fault(), " ")
+		counts[kind]++
+		m.wait()
+		if elapsed := time.Since(begun); elapsed >= next {
+			fmt.Fprintf(os.Stderr, "soak %s: %s resident %d KB, faults %v\n", elapsed.Round(time.Second), probe, resident(ts, probe), counts)
+			next += length / 10
+		}
+	}
+	m.do("ready", "dispatch-1", "dispatch-2", "dispatch-3", "lookup-1", "lookup-2")
+}
+
+// resident returns a daemon's resident memory in KB.
+func resident(ts *testscript.TestScript, name string) int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", fleetOf(ts).hosts[name].daemon.cmd.Process.Pid))
+	ts.Check(err)
+	for _, line := range strings.Split(string(raw), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb
+		}
+	}
+	return 0
+}
+
+// mostRepeats is how often one keyed request is sent at most.
+const mostRepeats = 3
+
+func cmdKeyed(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4, "keyed RATE METHOD PATH key=K")
+	rate, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	l := &load{fleet: fleetOf(ts), stop: make(chan struct{}), counts: map[string]int{}}
+	fleetOf(ts).keyed = l
+	key := pairs(ts, args[3:])["key"]
+	l.done.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(rate))
+		defer tick.Stop()
+		for number := 0; ; number++ {
+			select {
+			case <-l.stop:
+				return
+			case <-tick.C:
+				l.done.Go(func() { l.repeat(number, args[1], args[2], key) })
+			}
+		}
+	})
+}
+
+// repeat sends one request up to three times to any hosts, the next one sometimes before the last was answered.
+func (l *load) repeat(number int, method, path, key string) {
+	name := uuid.Must(uuid.NewV7()).String()
+	for range 1 + rand.IntN(mostRepeats) {
+		l.done.Go(func() { l.once(number, method, path, key, name) })
+		time.Sleep(time.Duration(rand.IntN(3000)) * time.Millisecond)
+	}
+}
+
+func (l *load) once(number int, method, path, key, name string) {
+	h := l.fleet.hosts[l.fleet.order[rand.IntN(len(l.fleet.order))]]
+	url := "http://" + l.fleet.address(h.number, callersPort).String() + path
+	req, _ := http.NewRequest(method, url, &plainBody{strings.NewReader(fmt.Sprintf("load-%d", number))})
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Idempotency-Key", name)
+	req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(loadTimeout.Milliseconds(), 10))
+	out, err := exchange(req)
+	l.note(number, out, err)
+}
+
+func cmdKeyedEnd(ts *testscript.TestScript, _ bool, _ []string) {
+	l := fleetOf(ts).keyed
+	close(l.stop)
+	l.done.Wait()
+	runs := map[string]int{}
+	most := 0
+	for _, name := range l.fleet.order {
+		res, err := http.Get(fmt.Sprintf("http://%s/standin/keys", l.fleet.address(l.fleet.hosts[name].number, upstreamPort)))
+		ts.Check(err)
+		one := map[string]int{}
+		ts.Check(json.NewDecoder(res.Body).Decode(&one))
+		_ = res.Body.Close()
+		for key, n := range one {
+			runs[key] += n
+			most = max(most, runs[key])
+		}
+	}
+	fmt.Fprintf(ts.Stdout(), "keys=%d whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d most=%d\n",
+		len(runs), l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], most)
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -41,6 +41,7 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	keys map[string]int
 }
 
 // Answer is the JSON body of a stand-in's answer.
@@ -66,6 +67,7 @@
 		slots:  make(chan struct{}, c.Slots),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientConns}},
 		runs:   map[string]int{},
+		keys:   map[string]int{},
 	}
 	u.latency.Store(int64(c.Latency))
 	return u
@@ -77,6 +79,7 @@
 	mux.HandleFunc("GET /standin/health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /standin/load", u.serveLoad)
 	mux.HandleFunc("GET /standin/runs", u.serveRuns)
+	mux.HandleFunc("GET /standin/keys", u.serveKeys)
 	mux.HandleFunc("POST /standin/latency/{ms}", u.serveLatency)
 	mux.HandleFunc("/", u.serve)
 	return mux
@@ -156,6 +159,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs[r.Header.Get(wire.HeaderRequestID)]++
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		u.keys[key]++
+	}
 }
 
 func (u *Upstream) serveRuns(w http.ResponseWriter, _ *http.Request) {
@@ -164,6 +170,12 @@
 	_ = json.NewEncoder(w).Encode(u.runs)
 }
 
+func (u *Upstream) serveKeys(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(u.keys)
+}
+
 func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(map[string]int{"inFlight": len(u.slots), "slots": cap(u.slots)})
 }
