--- a/internal/decide/limit/gradient.go
+++ b/internal/decide/limit/gradient.go
@@ -41,7 +41,8 @@
 	// deepestCut bounds the fall in one window, so that one stall can't collapse the limit.
 	deepestCut = 0.7
 	// trialCut is deep enough for its effect to stand out from chance: with
-	// trialSamples, latencies spread exponentially mislead once in 40 trials.
+	// trialSamples, latencies that vary by half of their mean mislead about once
+	// in 40 trials.
 	trialCut     = 0.6
 	trialSamples = 60
 	// smoothing is the weight of one window in the mean that may lower the baselines.
