--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -44,6 +44,10 @@
 	answer := call.Refuse(call.NoUpstream, time.Second)
 	ran := false
 	for len(tried) < attemptsPerHop {
+		if len(tried) > 0 && !a.inForce() {
+			answer = call.Refuse(call.UnknownKey, 0)
+			break
+		}
 		next, host, ok := d.attempt(ctx, a, tried)
 		if !ok {
 			break
@@ -81,13 +85,14 @@
 		return unfunded(ctx), "", true
 	}
 	begun := time.Now()
-	place, ok := d.placer.Pick(begun, r.Service, d.view.Load().HostsOf(r.Service), tried)
+	place, ok := d.placer.Pick(begun, r.Service, d.usable(r.Service), tried)
 	if !ok {
 		a.account.Settle(r.Budget, r.Budget)
 		return call.Answer{}, "", false
 	}
 	host := place.Host
 	answer := d.send(ctx, host, &r, a.still)
+	d.judge(host.Host, answer)
 	now := time.Now()
 	d.placer.Settle(now, place, r.Operation, ending(answer), answer.Load)
 	a.account.Settle(r.Budget, answer.BudgetLeft)
