--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -49,12 +49,14 @@
 	listed map[string]lists.Host
 	byPeer map[netip.AddrPort]string
 	seen   map[string]*sighting
-	fresh  []string
+	// failing are the hosts with failures, which are looked at several times a second.
+	failing map[string]bool
+	fresh   []string
 }
 
 // New returns a table that knows nobody.
 func New() *Table {
-	return &Table{listed: map[string]lists.Host{}, seen: map[string]*sighting{}}
+	return &Table{listed: map[string]lists.Host{}, seen: map[string]*sighting{}, failing: map[string]bool{}}
 }
 
 // SetHosts takes over the platform's list and forgets hosts that are not on it any more.
@@ -68,6 +70,7 @@
 	for host := range t.seen {
 		if _, ok := t.listed[host]; !ok {
 			delete(t.seen, host)
+			delete(t.failing, host)
 		}
 	}
 }
@@ -125,6 +128,7 @@
 	}
 	cleared := s.failures >= suspectAfter
 	s.failures = 0
+	delete(t.failing, host)
 	return cleared
 }
 
@@ -135,6 +139,7 @@
 	}
 	s := t.sighting(host)
 	s.failures++
+	t.failing[host] = true
 	s.probed = now
 	return s.failures == suspectAfter
 }
@@ -156,10 +161,10 @@
 // suspect for good where no call goes to it and it has no reason to call.
 func (t *Table) Doubtful(now time.Time) []lists.Host {
 	var due []lists.Host
-	for host, s := range t.seen {
-		if h, ok := t.listed[host]; ok && s.failures > 0 && now.Sub(s.probed) >= probeEvery {
+	for host := range t.failing {
+		if s := t.seen[host]; now.Sub(s.probed) >= probeEvery {
 			s.probed = now
-			due = append(due, h)
+			due = append(due, t.listed[host])
 		}
 	}
 	return due
--- a/internal/fleet/spread/readers.go
+++ b/internal/fleet/spread/readers.go
@@ -46,11 +46,14 @@
 	before := 0
 	for _, h := range ranked {
 		if h.Host == host {
-			return before < readersPerZone
+			return true
 		}
 		if !skip(h.Host) {
 			before++
 		}
+		if before == readersPerZone {
+			return false
+		}
 	}
 	return false
 }
