Fetch no whole value where a peer has nothing newer, and count no answer of an ending one

A fetch that crossed another one of the same value got an empty packet, took it for a splice that didn't fit, and asked for the whole value: up to a megabyte for nothing. A daemon whose control thread has ended answers with an empty digest, which was counted as a peer's word at start.

--- a/internal/app/daemon/spreading.go
+++ b/internal/app/daemon/spreading.go
@@ -20,6 +20,9 @@
 	fetchTime = 3 * time.Second
 )
 
+// errEnding means that the peer's control thread has ended, so that its answer says nothing.
+var errEnding = errors.New("daemon: the peer is ending")
+
 // tick looks at the clock: what is due is begun, and the daemon's standing follows.
 func (c *control) tick(now time.Time) {
 	c.carryOut(c.core.Tick(now, c.unusable), now)
@@ -71,6 +74,9 @@
 		ctx, cancel := context.WithTimeout(c.ctx, exchangeTime)
 		defer cancel()
 		theirs, err := peer.Call[spread.Digest, spread.Digest](ctx, c.daemon.peers, to, peer.KindDigest, own)
+		if err == nil && theirs.Host == "" {
+			err = errEnding
+		}
 		if err != nil {
 			c.daemon.peers.Drop(to)
 		}
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -96,7 +96,7 @@
 		Operator: "Expected during a restart; the host should leave the hosts list.",
 	},
 	call.NotReady: {
-		Meaning:  "The daemon has just started and holds no complete lists yet.",
+		Meaning:  "The daemon has started, was paused or is cut off, and nobody has confirmed its lists as current.",
 		Caller:   "Come back after Retry-After, at any daemon.",
 		Operator: "If it lasts, look at -platform and `foxctl status`.",
 	},
--- a/internal/fleet/spread/archive.go
+++ b/internal/fleet/spread/archive.go
@@ -34,6 +34,9 @@
 // ErrSplice means that a packet doesn't fit the value it was applied to; the whole value is needed.
 var ErrSplice = errors.New("spread: splices don't fit the value at hand")
 
+// ErrNothingNewer means that the peer had no version above the one at hand.
+var ErrNothingNewer = errors.New("spread: nothing newer")
+
 const (
 	// splicesKept covers a burst of changes between two exchanges of a peer.
 	splicesKept = 8
@@ -118,8 +121,15 @@
 	return nil
 }
 
-// Open returns the value that the packet carries for one who has the given value.
+// Open returns the value that the packet carries for one who has the given
+// value; the error is ErrSplice or ErrNothingNewer.
+//
+// A peer answers with nothing where it has been told of the value's version by
+// the one who asks; the whole value would be the same megabyte again.
 func (p *Packet) Open(have lists.Value) (lists.Value, error) {
+	if p.Version <= have.Version {
+		return lists.Value{}, errors.Wrapf(ErrNothingNewer, "version %d at version %d", p.Version, have.Version)
+	}
 	v := lists.Value{Kind: have.Kind, Version: p.Version, Raw: p.Whole}
 	if p.Splices != nil {
 		v.Raw = have.Raw
--- a/internal/fleet/spread/archive_test.go
+++ b/internal/fleet/spread/archive_test.go
@@ -56,6 +56,15 @@
 		_, err := packet.Open(lists.Value{Kind: lists.KindKeys, Version: 0})
 		So(err, ShouldWrap, ErrSplice)
 	})
+	Convey("An answer of a peer that has nothing newer asks for no whole value", t, func() {
+		var a Archive
+		a.Store(lists.Value{Kind: lists.KindKeys, Version: 2, Raw: []byte("two")})
+		for _, have := range []uint64{2, 3} {
+			packet := a.Packet(Fetch{Kind: lists.KindKeys, Have: have})
+			_, err := packet.Open(lists.Value{Kind: lists.KindKeys, Version: have, Raw: []byte("at hand")})
+			So(err, ShouldWrap, ErrNothingNewer)
+		}
+	})
 }
 
 func TestSmallOnTheWire(t *testing.T) {
