--- a/internal/app/daemon/doubts.go
+++ b/internal/app/daemon/doubts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
-	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
 // doubt is what a traffic thread saw of a host that it handed a request to.
@@ -16,11 +15,6 @@
 // doubtsWaiting bounds what traffic has to tell; under a flood of failures a part of them tells as much.
 const doubtsWaiting = 64
 
-// usable returns the hosts that may get new work.
-func (d *Daemon) usable(hosts []lists.Host) []lists.Host {
-	return d.members.Load().Usable(hosts)
-}
-
 // judge lets the control thread know of an answer that speaks against a host.
 func (d *Daemon) judge(host string, a call.Answer) {
 	if host == d.settings.Host {
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -44,20 +44,20 @@
 // candidates returns the hosts on which a request of the service can be placed.
 // A leaving daemon places on its own upstream only if there is no other host.
 func (d *Daemon) candidates(service string) []lists.Host {
-	hosts := d.view.Load().HostsOf(service)
+	hosts := d.usable(service)
 	if !d.leaving.Load() || service != d.settings.Service {
 		return hosts
 	}
 	others := make([]lists.Host, 0, len(hosts))
-	staying := false
 	for _, h := range hosts {
-		if h.Host != d.settings.Host {
+		if h.Host != d.settings.Host && !h.Leaving {
 			others = append(others, h)
-			staying = staying || !h.Leaving
 		}
 	}
-	if !staying {
-		return hosts
+	own, ok := d.view.Load().Host(d.settings.Host)
+	if len(others) > 0 || !ok {
+		return others
 	}
-	return others
+	own.Leaving = false
+	return []lists.Host{own}
 }
--- a/internal/decide/queue/fair_test.go
+++ b/internal/decide/queue/fair_test.go
@@ -69,9 +69,9 @@
 			newest = item("large", 1, call.Background)
 			q.Push(newest)
 		}
-		So(q.Victim(item("c", 1, call.Interactive)), ShouldEqual, newest)
+		So(q.Victim(item("c", 1, call.Interactive)), ShouldPointTo, newest)
 		So(q.Victim(item("large", 1, call.Background)), ShouldBeNil)
-		So(q.Victim(item("small", 1, call.Background)), ShouldEqual, newest)
+		So(q.Victim(item("small", 1, call.Background)), ShouldPointTo, newest)
 		for range 3 {
 			q.Remove(q.Victim(item("c", 1, call.Interactive)))
 		}
