Count bodies that other daemons hand on among those held

Cause: bodies were bounded where callers come in only; handed on to one daemon by many they waited for its slots without a bound in sum.

--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -82,5 +82,18 @@
 		refusal.BudgetLeft = r.Budget
 		return newHandback(refusal)
 	}
+	release, ok := d.callers.Hold(len(r.Body))
+	if !ok {
+		return newHandback(full(r))
+	}
+	defer release()
 	return newHandback(d.owner.run(ctx, r, nil))
 }
+
+// full refuses a request whose body has no room beside those held. Bodies that
+// other daemons hand on wait for slots here, and would add up without bound.
+func full(r *call.Request) call.Answer {
+	refusal := call.Refuse(call.Overloaded, time.Second)
+	refusal.BudgetLeft = r.Budget
+	return refusal
+}
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -121,6 +121,11 @@
 	r.daemon.inFlight.Add(1)
 	defer r.daemon.inFlight.Add(-1)
 	a := admitted{request: *h.request(time.Now()), account: budget.New(h.Budget)}
+	release, ok := r.daemon.callers.Hold(len(h.Body))
+	if !ok {
+		return newHandback(full(&a.request))
+	}
+	defer release()
 	answer := r.hold(ctx, a)
 	answer.BudgetLeft = a.account.Left()
 	return newHandback(answer)
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -170,6 +170,14 @@
 	return s.engine.Shutdown(last)
 }
 
+// Hold counts bytes that came in another way among the bodies held; release gives them back, false means that there is no room.
+func (s *Server) Hold(bytes int) (release func(), ok bool) {
+	if !s.held.take(int64(bytes)) {
+		return nil, false
+	}
+	return func() { s.held.give(int64(bytes)) }, true
+}
+
 const (
 	stopLook = 20 * time.Millisecond
 	lastWait = time.Second
