--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -19,7 +19,7 @@
 
 func main() {
 	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.",
-		runCommand(), publishCommand(), readyCommand(), changesCommand()))
+		runCommand(), publishCommand(), readyCommand(), changesCommand(), latencyCommand()))
 }
 
 func runCommand() *ffcli.Command {
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -35,6 +35,7 @@
 	members  atomic.Pointer[member.View]
 	hosts    usableHosts
 	leaving  atomic.Bool
+	serving  atomic.Bool
 	inFlight atomic.Int64
 
 	control  *control
@@ -69,7 +70,8 @@
 	peer.Handle(d.peers, peer.KindDigest, d.takeDigest)
 	peer.Handle(d.peers, peer.KindFetch, d.takeFetch)
 	d.repeats = newRepeats(d)
-	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
+	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns),
+		httpd.WithHeldBytes(s.HeldBytes), httpd.WithHead(s.HeaderBound, s.HeaderTime), httpd.WithRefuser(refuseFault), httpd.WithClosing(d.leaving.Load))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
 	return d
 }
@@ -79,7 +81,7 @@
 
 // Run serves until ctx ends, then leaves without cutting a request.
 func (d *Daemon) Run(ctx context.Context) error {
-	if err := d.start(); err != nil {
+	if err := d.start(ctx); err != nil {
 		return err
 	}
 	d.log.WithFields(logrus.Fields{
@@ -90,42 +92,40 @@
 	return nil
 }
 
-func (d *Daemon) start() error {
-	starts := []func() error{d.peers.Start, d.operator.Start, d.callers.Start}
-	for _, start := range starts {
-		if err := start(); err != nil {
-			return errors.Wrap(err, "daemon")
-		}
+func (d *Daemon) start(ctx context.Context) error {
+	if err := startAll(d.peers.Start, d.operator.Start); err != nil {
+		return err
 	}
 	d.control.start()
 	d.control.done.Go(d.observe)
+	d.awaitLists(ctx)
+	if err := startAll(d.callers.Start); err != nil {
+		return err
+	}
+	d.serving.Store(true)
 	return nil
 }
 
-// stop leaves: new work is refused truthfully at once, others are given time
-// to notice, and what was taken is finished before any connection closes.
-func (d *Daemon) stop() {
-	d.leaving.Store(true)
-	d.log.Info("leaving")
-	d.control.leave()
-	time.Sleep(d.settings.LeaveTime)
-	d.drain()
-	d.repeats.pass()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = d.callers.Stop(ctx)
-	d.control.stop()
-	d.peers.Stop()
-	_ = d.operator.Stop(ctx)
-	d.metrics.Close()
-	d.log.WithField("inFlight", d.inFlight.Load()).Info("stopped")
+func startAll(starts ...func() error) error {
+	for _, start := range starts {
+		if err := start(); err != nil {
+			return errors.Wrap(err, "daemon")
+		}
+	}
+	return nil
 }
 
-const drainLook = 10 * time.Millisecond
+const (
+	listsWait = 3 * time.Second
+	listsLook = 10 * time.Millisecond
+)
 
-func (d *Daemon) drain() {
-	limit := time.Now().Add(d.settings.DrainTime)
-	for d.inFlight.Load() > 0 && time.Now().Before(limit) {
-		time.Sleep(drainLook)
+// awaitLists keeps the callers' port closed until the lists are there, so that a
+// restart refuses nobody: a caller that can't connect goes to another host. When
+// they don't come, callers are better told so than left without an answer.
+func (d *Daemon) awaitLists(ctx context.Context) {
+	limit := time.Now().Add(listsWait)
+	for !d.takes(time.Now()) && ctx.Err() == nil && time.Now().Before(limit) {
+		time.Sleep(listsLook)
 	}
 }
--- /dev/null
+++ b/internal/app/daemon/leaving.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+)
+
+// stop leaves: callers are served on and told to connect elsewhere, other
+// daemons are given time to notice, what was taken is finished, idempotency keys
+// are passed on, and only then connections close.
+//
+// Refusing callers at once would lose requests that came in before the platform
+// told anyone of the leave: they are placed on other hosts instead.
+func (d *Daemon) stop() {
+	d.leaving.Store(true)
+	d.log.Info("leaving")
+	d.control.leave()
+	time.Sleep(d.settings.LeaveTime)
+	d.drain()
+	d.repeats.pass()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTime)
+	defer cancel()
+	_ = d.callers.Stop(ctx)
+	d.drain()
+	d.control.stop()
+	d.peers.Stop()
+	_ = d.operator.Stop(ctx)
+	d.metrics.Close()
+	d.log.WithField("inFlight", d.inFlight.Load()).Info("stopped")
+}
+
+const drainLook = 10 * time.Millisecond
+
+// drain waits until no request is at work here, at most for the drain time.
+func (d *Daemon) drain() {
+	limit := time.Now().Add(d.settings.DrainTime)
+	for d.inFlight.Load() > 0 && time.Now().Before(limit) {
+		time.Sleep(drainLook)
+	}
+}
+
+// candidates returns the hosts on which a request of the service can be placed.
+// A leaving daemon places on its own upstream only if there is no other host.
+func (d *Daemon) candidates(service string) []lists.Host {
+	hosts := d.usable(service)
+	if !d.leaving.Load() || service != d.settings.Service {
+		return hosts
+	}
+	others := make([]lists.Host, 0, len(hosts))
+	staying := false
+	for _, h := range hosts {
+		if h.Host != d.settings.Host {
+			others = append(others, h)
+			staying = staying || !h.Leaving
+		}
+	}
+	if !staying {
+		return hosts
+	}
+	return others
+}
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -49,6 +49,8 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !d.takes(time.Now()):
 		http.Error(w, "lists not confirmed as current: "+d.standing.Load().String(), http.StatusServiceUnavailable)
+	case !d.serving.Load():
+		http.Error(w, "starting", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
