--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -44,12 +44,22 @@
 func newHandoff(r *call.Request, now time.Time) handoff {
 	return handoff{
 		ID: r.ID, Organisation: r.Organisation, Operation: r.Operation, Service: r.Service,
-		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, Remaining: r.Remaining(now),
+		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, Remaining: forAnswer(r.Remaining(now)),
 		Priority: r.Priority, Weight: r.Weight, Idempotent: r.Idempotent, IdempotencyKey: r.IdempotencyKey,
 		Budget: r.Budget, Depth: r.Depth,
 	}
 }
 
+const (
+	answerShare = 10
+	answerTime  = 5 * time.Millisecond
+)
+
+// forAnswer takes the time that an answer needs on its way back from the time
+// left. A booking whose time runs out in the other host's queue is refused there
+// in time; told a moment too late, it would be called unknown though nothing ran.
+func forAnswer(left time.Duration) time.Duration { return left - min(left/answerShare, answerTime) }
+
 func (h *handoff) request(now time.Time) *call.Request {
 	return &call.Request{
 		ID: h.ID, Organisation: h.Organisation, Operation: h.Operation, Service: h.Service,
