Read enums by name in one place, and say what errors mean

Cause: the same loop stood in six packages, and a dozen sentences left out what their error tells.

Conclusion: enum.Parse, a generic over types with generated names; sentences completed.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -71,7 +71,7 @@
 // frameSlack is room for a request's head beside its body.
 const frameSlack = 1 << 20
 
-// Run serves until ctx ends, then leaves without cutting a request.
+// Run serves until ctx ends, then leaves without cutting a request; the error tells which listener failed to start.
 func (d *Daemon) Run(ctx context.Context) error {
 	if err := d.start(); err != nil {
 		return err
--- a/internal/app/telemetry/buffered.go
+++ b/internal/app/telemetry/buffered.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Write takes over the bytes; once closed it writes them through.
+// Write takes over the bytes, and writes them through once closed; the error is the underlying writer's.
 func (b *Buffered) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,7 +63,7 @@
 	return b.out.Flush()
 }
 
-// Close writes what is left; later lines are written at once.
+// Close writes what is left, and later lines are written at once; the error is the underlying writer's.
 func (b *Buffered) Close() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/app/telemetry/formatter.go
+++ b/internal/app/telemetry/formatter.go
@@ -25,7 +25,7 @@
 	fieldTime    = "time"
 )
 
-// Format returns the entry's line.
+// Format returns the entry's line; the error is always nil, since what can't be encoded is written as text.
 func (formatter) Format(e *logrus.Entry) ([]byte, error) {
 	keys := make([]string, 0, len(e.Data))
 	for k := range e.Data {
--- a/internal/ctl/draft/read.go
+++ b/internal/ctl/draft/read.go
@@ -42,7 +42,7 @@
 	return files, nil
 }
 
-// Fetch reads the lists that the platform at the address serves now; one that was never published is left out.
+// Fetch reads the lists that the platform at the address serves now; one that was never published is left out; the error tells that it does not answer.
 func Fetch(ctx context.Context, address netip.AddrPort) ([lists.Kinds]File, error) {
 	var files [lists.Kinds]File
 	client := platform.New(address, netip.Addr{})
--- a/internal/ctl/key/key.go
+++ b/internal/ctl/key/key.go
@@ -24,7 +24,7 @@
 	Entry lists.Key `json:"entry"`
 }
 
-// New returns a key of 130 random bits for the organisation under the id.
+// New returns a key of 130 random bits for the organisation under the id; the error names what the list would reject.
 func New(organisation, id string) (Pair, error) {
 	return Of(prefix+rand.Text(), organisation, id)
 }
--- a/internal/decide/limit/kind.go
+++ b/internal/decide/limit/kind.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/enum"
+)
 
 //go:generate stringer -type=Kind -linecomment
 
@@ -17,14 +21,7 @@
 )
 
 // ParseKind returns the kind with the given name, or false.
-func ParseKind(name string) (Kind, bool) {
-	for k := Gradient; k <= Fixed; k++ {
-		if k.String() == name {
-			return k, true
-		}
-	}
-	return Gradient, false
-}
+func ParseKind(name string) (Kind, bool) { return enum.Parse(name, Fixed) }
 
 // Sample is what one finished run tells of the upstream.
 type Sample struct {
--- a/internal/decide/placing/kind.go
+++ b/internal/decide/placing/kind.go
@@ -1,5 +1,7 @@
 package placing
 
+import "github.com/foxtailhook/foxtailhook/internal/domain/enum"
+
 //go:generate stringer -type=Kind -linecomment
 //go:generate stringer -type=Ending -linecomment
 
@@ -16,14 +18,7 @@
 )
 
 // ParseKind returns the kind with the given name, or false.
-func ParseKind(name string) (Kind, bool) {
-	for k := TwoChoices; k <= LeastLatency; k++ {
-		if k.String() == name {
-			return k, true
-		}
-	}
-	return TwoChoices, false
-}
+func ParseKind(name string) (Kind, bool) { return enum.Parse(name, LeastLatency) }
 
 // Ending is how a placed request ended, as far as it tells of the host.
 type Ending uint8
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -1,6 +1,9 @@
 package queue
 
-import "github.com/foxtailhook/foxtailhook/internal/domain/call"
+import (
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/enum"
+)
 
 //go:generate stringer -type=Kind -linecomment
 
@@ -17,14 +20,7 @@
 )
 
 // ParseKind returns the kind with the given name, or false.
-func ParseKind(name string) (Kind, bool) {
-	for k := Fair; k <= LIFO; k++ {
-		if k.String() == name {
-			return k, true
-		}
-	}
-	return Fair, false
-}
+func ParseKind(name string) (Kind, bool) { return enum.Parse(name, LIFO) }
 
 // Item is one waiting request; it holds its own links, so that queueing allocates nothing.
 type Item[T any] struct {
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -1,5 +1,7 @@
 package call
 
+import "github.com/foxtailhook/foxtailhook/internal/domain/enum"
+
 //go:generate stringer -type=Outcome -linecomment
 //go:generate stringer -type=Reason -linecomment
 //go:generate stringer -type=Priority -linecomment
@@ -72,14 +74,7 @@
 const Priorities = int(Interactive) + 1
 
 // ParsePriority returns the priority with the given name, or false.
-func ParsePriority(name string) (Priority, bool) {
-	for p := Background; p <= Interactive; p++ {
-		if p.String() == name {
-			return p, true
-		}
-	}
-	return Background, false
-}
+func ParsePriority(name string) (Priority, bool) { return enum.Parse(name, Interactive) }
 
 // Status returns the HTTP status code of a refusal or failure for this reason.
 func (r Reason) Status() int {
--- a/internal/domain/lists/kind.go
+++ b/internal/domain/lists/kind.go
@@ -1,5 +1,7 @@
 package lists
 
+import "github.com/foxtailhook/foxtailhook/internal/domain/enum"
+
 //go:generate stringer -type=Kind -linecomment
 
 // Kind names one published list.
@@ -23,11 +25,4 @@
 const MaxBytes = 1 << 20
 
 // ParseKind returns the list with the given name, or false.
-func ParseKind(name string) (Kind, bool) {
-	for k := KindPlans; k <= KindHosts; k++ {
-		if k.String() == name {
-			return k, true
-		}
-	}
-	return KindPlans, false
-}
+func ParseKind(name string) (Kind, bool) { return enum.Parse(name, KindHosts) }
--- a/internal/load/traffic/plan.go
+++ b/internal/load/traffic/plan.go
@@ -13,7 +13,7 @@
 // Duration is a time.Duration that is written as text in a plan, such as "1.5s".
 type Duration time.Duration
 
-// UnmarshalText reads the duration.
+// UnmarshalText reads the duration; the error is that of time.ParseDuration.
 func (d *Duration) UnmarshalText(raw []byte) error {
 	parsed, err := time.ParseDuration(string(raw))
 	*d = Duration(parsed)
--- a/internal/load/traffic/report.go
+++ b/internal/load/traffic/report.go
@@ -26,7 +26,7 @@
 	secondsFile = "seconds.csv"
 )
 
-// Save writes report.md and seconds.csv into the folder, which it makes if need be.
+// Save writes report.md and seconds.csv into the folder, which it makes if need be; the error names what could not be written.
 func (r *Report) Save(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errors.Wrap(err, "traffic: report")
--- a/internal/load/traffic/run.go
+++ b/internal/load/traffic/run.go
@@ -232,7 +232,7 @@
 	}
 }
 
-// Act sends one request of an operator, with a file as its body if one is named, and expects status 200.
+// Act sends one request of an operator, with a file as its body if one is named; any status but 200 is an error.
 func Act(ctx context.Context, method, url, file string) error {
 	var raw []byte
 	if file != "" {
@@ -257,7 +257,7 @@
 	return nil
 }
 
-// AwaitReady waits until every address answers /healthz with 200, or ctx ends.
+// AwaitReady waits until every address answers /healthz with 200; the error names one that did not before ctx ended.
 func AwaitReady(ctx context.Context, operators []netip.AddrPort) error {
 	for _, o := range operators {
 		for Act(ctx, http.MethodGet, "http://"+o.String()+"/healthz", "") != nil {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/enum"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -21,14 +22,7 @@
 )
 
 // ParseMode returns the mode with the given name, or false.
-func ParseMode(name string) (Mode, bool) {
-	for m := Up; m <= Stale; m++ {
-		if m.String() == name {
-			return m, true
-		}
-	}
-	return Up, false
-}
+func ParseMode(name string) (Mode, bool) { return enum.Parse(name, Stale) }
 
 // Store holds the published values and wakes waiting watches.
 type Store struct {
--- a/internal/wire/loops/engine.go
+++ b/internal/wire/loops/engine.go
@@ -71,7 +71,7 @@
 	once      sync.Once
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection; the error is the listener's.
 func (l *listener) Accept() (net.Conn, error) {
 	l.once.Do(func() { close(l.accepting) })
 	return l.Listener.Accept()
