--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -30,6 +31,8 @@
 	answers  *answerCounts
 
 	view     atomic.Pointer[lists.View]
+	standing atomic.Pointer[standing]
+	members  atomic.Pointer[member.View]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
@@ -62,6 +65,8 @@
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	peer.Handle(d.peers, peer.KindDigest, d.takeDigest)
+	peer.Handle(d.peers, peer.KindFetch, d.takeFetch)
 	d.repeats = newRepeats(d)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
@@ -101,6 +106,7 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	d.log.Info("leaving")
+	d.control.leave()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
 	d.repeats.pass()
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -30,6 +30,9 @@
 	maxFrame int
 	dialTime time.Duration
 	logger   Logger
+	maxLinks int
+	idleTime time.Duration
+	stopped  chan struct{}
 	secrets  []string
 	maxConns int
 	handlers map[Kind]handler
@@ -93,6 +96,9 @@
 		address:  address,
 		maxFrame: defaultMaxFrame,
 		dialTime: defaultDialTime,
+		maxLinks: defaultMaxLinks,
+		idleTime: defaultIdleTime,
+		stopped:  make(chan struct{}),
 		logger:   func(netip.AddrPort, error) {},
 		secrets:  []string{noSecret},
 		maxConns: defaultMaxConns,
@@ -111,14 +117,21 @@
 	config := nbio.Config{Name: "peer", Network: "tcp", Addrs: []string{n.address.String()}, NPoller: pollers}
 	n.engine = loops.New(config, loops.Handlers{Open: n.opened, Data: n.data, Close: n.closed})
 	n.engine.OnWrittenSize(written)
-	return errors.Wrapf(n.engine.Start(), "peer: listen on %s", n.address)
+	if err := n.engine.Start(); err != nil {
+		return errors.Wrapf(err, "peer: listen on %s", n.address)
+	}
+	go n.sweep()
+	return nil
 }
 
 // pollers is the number of event loops: frames are small, handlers run elsewhere.
 const pollers = 2
 
 // Stop closes all connections and the listener.
-func (n *Node) Stop() { n.engine.Stop() }
+func (n *Node) Stop() {
+	close(n.stopped)
+	n.engine.Stop()
+}
 
 // Traffic returns the bytes sent and received since the start.
 func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
@@ -195,8 +208,10 @@
 	l, ok := n.links[at]
 	n.mu.Unlock()
 	if ok {
+		l.used.touch()
 		return l, nil
 	}
+	n.makeRoom()
 	c, err := n.connect(to)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, err)
@@ -244,6 +259,7 @@
 		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", at.to)
 	}
 	l.dialed = at
+	l.used.touch()
 	n.links[at] = l
 	return l, nil
 }
