--- a/internal/ctl/command/status.go
+++ b/internal/ctl/command/status.go
@@ -87,7 +87,7 @@
 	case h.Status.Leaving:
 		return "leaving"
 	case !h.Status.Ready:
-		return "not ready"
+		return "not ready: " + h.Status.Standing
 	default:
 		return "ready"
 	}
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -96,9 +96,9 @@
 		Operator: "Expected during a restart; the host should leave the hosts list.",
 	},
 	call.NotReady: {
-		Meaning:  "The daemon has just started and holds no complete lists yet.",
+		Meaning:  "The daemon has no reason yet to believe that its lists are current: it has just started, was paused, or nobody has answered it for long.",
 		Caller:   "Come back after Retry-After, at any daemon.",
-		Operator: "If it lasts, look at -platform and `foxctl status`.",
+		Operator: "If it lasts, look at the standing that `foxctl status` shows, and at what the daemon can reach.",
 	},
 	call.BudgetSpent: {
 		Meaning:  "The call chain has used up the upstream runs that the operation allows.",
--- a/internal/ctl/status/fleet.go
+++ b/internal/ctl/status/fleet.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if !h.Status.Ready {
-		f.concern("%s (%s): not ready, it lacks a list", h.Status.Host, h.Operators)
+		f.concern("%s (%s): not ready, its lists are not known to be current (%s)", h.Status.Host, h.Operators, h.Status.Standing)
 	}
 	for _, name := range slices.Sorted(maps.Keys(h.Status.Lists)) {
 		if r := h.Status.Lists[name].Rejected; r != nil {
--- a/internal/proof/architecture/embedding_test.go
+++ b/internal/proof/architecture/embedding_test.go
@@ -15,12 +15,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"time"
 
 	"github.com/foxtailhook/foxtailhook"
 	"github.com/foxtailhook/foxtailhook/parts/admission"
 	"github.com/foxtailhook/foxtailhook/parts/budget"
 	"github.com/foxtailhook/foxtailhook/parts/limit"
 	"github.com/foxtailhook/foxtailhook/parts/queue"
+	"github.com/foxtailhook/foxtailhook/parts/spread"
 )
 
 func main() {
@@ -30,6 +33,8 @@
 	gate := admission.New(limit.NewFixed(settings.Slots), admission.WithLength(8))
 	items := queue.New[string]()
 	items.Push(&queue.Item[string]{Value: "x", Weight: 1, Cost: 1, Priority: queue.Interactive})
+	core := spread.New(spread.Config{Host: "h"}, rand.New(rand.NewPCG(1, 1)), time.Now())
+	core.SetHosts([]spread.Host{{Host: "h", Zone: "a"}})
 	fmt.Println(budget.New(3).Left(), gate.Counts().Ran, items.Len())
 }
 `
