--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -18,7 +18,8 @@
 )
 
 func main() {
-	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.", runCommand(), publishCommand(), readyCommand()))
+	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.",
+		runCommand(), publishCommand(), readyCommand(), changesCommand()))
 }
 
 func runCommand() *ffcli.Command {
