Load the lists after asking whether they are current

The door took the view first and the standing second. A thread that loses its core between the two for the few milliseconds in which the control thread asks its peers and takes over their lists sees the old view and the new standing.

Ruled out by reading: an answer to a question from before the pause (it does not count), a request that had arrived before it (sent after it), a fetch that was skipped (the peer's digest names the newer version).

--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -40,10 +40,13 @@
 }
 
 func (d *Daemon) admitCaller(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
-	view := d.view.Load()
 	if !d.takes(now) {
 		return refuse(call.NotReady, time.Second)
 	}
+	// Loaded after the question whether the lists are current: a thread that was
+	// held up between the two would otherwise hold the lists from before a pause
+	// against the answer from after it, and let a withdrawn key in.
+	view := d.view.Load()
 	if d.leaving.Load() {
 		return refuse(call.Draining, time.Second)
 	}
