--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -33,6 +33,7 @@
 	view     atomic.Pointer[lists.View]
 	standing atomic.Pointer[standing]
 	members  atomic.Pointer[member.View]
+	hosts    usableHosts
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -96,7 +96,7 @@
 		Operator: "Expected during a restart; the host should leave the hosts list.",
 	},
 	call.NotReady: {
-		Meaning:  "The daemon has no reason yet to believe that its lists are current: it has just started, was paused, or nobody has answered it for long.",
+		Meaning:  "The daemon has started, was paused or is cut off, and nobody has confirmed its lists as current.",
 		Caller:   "Come back after Retry-After, at any daemon.",
 		Operator: "If it lasts, look at the standing that `foxctl status` shows, and at what the daemon can reach.",
 	},
