--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -34,7 +34,7 @@
 // spent on a request that an earlier check refuses.
 func (d *Daemon) admit(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	if token := r.Header.Get(upstream.HeaderToken); token != "" {
-		return d.admitChained(r, token, body, now)
+		return d.admitChained(r, token, body)
 	}
 	return d.admitCaller(r, body, now)
 }
@@ -58,7 +58,7 @@
 	if !ok {
 		return refuse(call.UnknownKey, 0)
 	}
-	a, refusal, ok := d.prepare(view, organisation, r, body, now)
+	a, refusal, ok := d.prepare(view, organisation, r, body)
 	if !ok {
 		return a, refusal, false
 	}
@@ -83,12 +83,12 @@
 // request it is running. Organisation, deadline, priority and budget come from
 // what this daemon remembers, never from what the upstream says; the rate was
 // spent when the request came in.
-func (d *Daemon) admitChained(r *http.Request, token string, body []byte, now time.Time) (admitted, call.Answer, bool) {
+func (d *Daemon) admitChained(r *http.Request, token string, body []byte) (admitted, call.Answer, bool) {
 	origin, ok := d.owner.chains.find(token)
 	if !ok {
 		return refuse(call.UnknownKey, 0)
 	}
-	a, refusal, ok := d.prepare(d.view.Load(), origin.request.Organisation, r, body, now)
+	a, refusal, ok := d.prepare(d.view.Load(), origin.request.Organisation, r, body)
 	if !ok {
 		return a, refusal, false
 	}
@@ -101,7 +101,7 @@
 	return a, call.Answer{}, true
 }
 
-func (d *Daemon) prepare(view *lists.View, organisation string, r *http.Request, body []byte, _ time.Time) (admitted, call.Answer, bool) {
+func (d *Daemon) prepare(view *lists.View, organisation string, r *http.Request, body []byte) (admitted, call.Answer, bool) {
 	service, path := splitPath(r.URL.Path)
 	op, ok := view.Operation(service, r.Method, path)
 	if !ok {
