--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -47,9 +47,6 @@
 	// held up between the two would otherwise hold the lists from before a pause
 	// against the answer from after it, and let a withdrawn key in.
 	view := d.view.Load()
-	if d.leaving.Load() {
-		return refuse(call.Draining, time.Second)
-	}
 	key, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
 	if !ok {
 		return refuse(call.UnknownKey, 0)
@@ -169,5 +166,10 @@
 	for _, name := range kept {
 		out.Del(name)
 	}
+	for name := range out {
+		if forged(name) {
+			delete(out, name)
+		}
+	}
 	return out
 }
--- a/internal/proof/scenario/truth_test.go
+++ b/internal/proof/scenario/truth_test.go
@@ -2,22 +2,33 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
 // truthCommands are the commands of the scenarios on the truth of answers.
 func truthCommands() map[string]command {
 	return map[string]command{
-		"newkey": cmdNewKey, // newkey NAME: set $NAME to an idempotency key that tells its time
-		"hangup": cmdHangup, // hangup DURATION NAME METHOD PATH [options as for send]: send and close the connection after a while
+		"newkey":  cmdNewKey,  // newkey NAME: set $NAME to an idempotency key that tells its time
+		"digest":  cmdDigest,  // digest NAME METHOD PATH [options as for send]: as send, but print whether the body came back whole
+		"load":    cmdLoad,    // load RATE METHOD PATH key=K: send requests at a steady rate to all hosts in turn, over kept connections
+		"loadend": cmdLoadEnd, // loadend: stop the load and print what became of it
+		"hangup":  cmdHangup,  // hangup DURATION NAME METHOD PATH [options as for send]: send and close the connection after a while
 	}
 }
 
@@ -26,6 +37,19 @@
 	ts.Setenv(args[0], uuid.Must(uuid.NewV7()).String())
 }
 
+func cmdDigest(ts *testscript.TestScript, _ bool, args []string) {
+	out, err := send(ts, args)
+	ts.Check(err)
+	if !strings.Contains(out, `"echo":"`) {
+		_, _ = io.WriteString(ts.Stdout(), out)
+		return
+	}
+	size, err := strconv.Atoi(pairs(ts, args[3:])["bytes"])
+	ts.Check(err)
+	whole := strings.Contains(out, `"echo":"`+strings.Repeat("x", size)+`"`)
+	fmt.Fprintf(ts.Stdout(), "%s %v\n", strings.Join(strings.Fields(out)[:2], " "), whole)
+}
+
 func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 4, "hangup DURATION NAME METHOD PATH ...")
 	after, err := time.ParseDuration(args[0])
@@ -48,3 +72,121 @@
 		ts.Fatalf("an answer came before the caller hung up: %s", out)
 	}
 }
+
+// load is requests at a steady rate, each sent once; a host that can't be connected to is passed over.
+type load struct {
+	fleet *fleet
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	mu     sync.Mutex
+	counts map[string]int
+	faults []string
+	notRun []string
+}
+
+const loadTimeout = 5 * time.Second
+
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 4, "load RATE METHOD PATH key=K")
+	rate, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	l := &load{
+		fleet: fleetOf(ts), stop: make(chan struct{}), counts: map[string]int{},
+	}
+	fleetOf(ts).load = l
+	key := pairs(ts, args[3:])["key"]
+	l.done.Go(func() { l.run(time.Second/time.Duration(rate), args[1], args[2], key) })
+}
+
+func (l *load) run(every time.Duration, method, path, key string) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for number := 0; ; number++ {
+		select {
+		case <-l.stop:
+			return
+		case <-tick.C:
+			l.done.Go(func() { l.send(number, method, path, key) })
+		}
+	}
+}
+
+// send tries the hosts in turn until one can be connected to; nothing was sent to the others.
+func (l *load) send(number int, method, path, key string) {
+	for i := range l.fleet.order {
+		h := l.fleet.hosts[l.fleet.order[(number+i)%len(l.fleet.order)]]
+		url := "http://" + l.fleet.address(h.number, callersPort).String() + path
+		req, _ := http.NewRequest(method, url, &plainBody{strings.NewReader(fmt.Sprintf("load-%d", number))})
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(loadTimeout.Milliseconds(), 10))
+		out, err := exchange(req)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			continue
+		}
+		l.note(number, out, err)
+		return
+	}
+	l.note(number, "", errors.New("no host can be connected to"))
+}
+
+// plainBody keeps the client from sending a request again by itself.
+type plainBody struct{ io.Reader }
+
+func (l *load) note(number int, out string, err error) {
+	what := "broken"
+	if err == nil {
+		what = strings.Fields(out)[1]
+		if what == call.Whole.String() && !strings.Contains(out, fmt.Sprintf(`"echo":"load-%d"`, number)) {
+			what = "crossed"
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[what]++
+	if id := requestID.FindStringSubmatch(out); what == call.NotRun.String() && id != nil {
+		l.notRun = append(l.notRun, id[1])
+	}
+	if what != call.Whole.String() {
+		l.faults = append(l.faults, fmt.Sprintf("%d: %s%v", number, out, err))
+	}
+}
+
+var requestID = regexp.MustCompile(`"requestId":"([^"]+)"`)
+
+// untrue returns how many of the requests that were called not run did run.
+func (l *load) untrue(ts *testscript.TestScript) int {
+	ran := map[string]bool{}
+	for _, name := range l.fleet.order {
+		for id := range runsOf(ts, name) {
+			ran[id] = true
+		}
+	}
+	count := 0
+	for _, id := range l.notRun {
+		if ran[id] {
+			count++
+		}
+	}
+	return count
+}
+
+func runsOf(ts *testscript.TestScript, name string) map[string]int {
+	f := fleetOf(ts)
+	res, err := http.Get(fmt.Sprintf("http://%s/standin/runs", f.address(f.hosts[name].number, upstreamPort)))
+	ts.Check(err)
+	defer func() { _ = res.Body.Close() }()
+	runs := map[string]int{}
+	ts.Check(json.NewDecoder(res.Body).Decode(&runs))
+	return runs
+}
+
+func cmdLoadEnd(ts *testscript.TestScript, _ bool, _ []string) {
+	l := fleetOf(ts).load
+	close(l.stop)
+	l.done.Wait()
+	fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d untrue=%d\n%s\n",
+		l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], l.untrue(ts),
+		strings.Join(l.faults, "\n"))
+}
--- /dev/null
+++ b/internal/wire/httpd/guard.go
@@ -0,0 +1,269 @@
+package httpd
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// guard stands between a connection and its parser. nbhttp hands a request over
+// only when all of it is there, so what has to be refused early is refused here:
+// by the announced length before the body is taken in, by the bytes of a chunked
+// body as they come, by the size of a head and the time it takes to arrive.
+type guard struct {
+	nbhttp.Processor
+	server *Server
+	parser *nbhttp.Parser
+	conn   *nbio.Conn
+
+	// What follows belongs to whoever parses.
+	parsing  sync.Mutex
+	over     bool
+	begun    bool
+	inBody   bool
+	chunked  bool
+	expects  bool
+	dropping bool
+	headRead int
+	headSize int
+	arriving int64
+	timer    *time.Timer
+
+	mu     sync.Mutex
+	taken  []int64
+	active int
+	quiet  time.Time
+}
+
+const (
+	// leastRate is the slowest body that is waited for, in bytes a second.
+	leastRate = 64 << 10
+	// linger is how long a refused caller may go on sending, so that the refusal is not lost to a reset.
+	linger = 500 * time.Millisecond
+	// lineSize is what a header line has beside its name and value.
+	lineSize = len(": \r\n")
+)
+
+func newGuard(s *Server, c *nbio.Conn, p *nbhttp.Parser) *guard {
+	g := &guard{Processor: p.Processor, server: s, parser: p, conn: c, quiet: time.Now()}
+	p.Processor = g
+	return g
+}
+
+// parse takes the next bytes; a fault is answered, and what follows it is dropped.
+func (g *guard) parse(data []byte) {
+	g.parsing.Lock()
+	defer g.parsing.Unlock()
+	if g.dropping || g.over {
+		return
+	}
+	g.begin()
+	if !g.inBody {
+		g.headRead += len(data)
+	} else if g.chunked && !g.grow(int64(len(data))) {
+		return
+	}
+	err := g.parser.Parse(data)
+	switch {
+	case g.dropping, errors.Is(err, net.ErrClosed):
+	case errors.Is(err, nbhttp.ErrTooLong):
+		g.refuse(BodyTooLarge)
+	case err != nil:
+		g.refuse(Malformed)
+	case g.begun && !g.inBody && g.headRead > g.server.headBound:
+		g.refuse(HeadTooLarge)
+	}
+}
+
+// begin starts the clock of a head. Callers that send one byte now and then
+// would otherwise hold their connections, and others find none free.
+func (g *guard) begin() {
+	if g.begun {
+		return
+	}
+	g.begun = true
+	if g.running() == 0 {
+		g.closeIn(g.server.headTime)
+	}
+}
+
+// closeIn closes the connection after a time unless it is told another. The
+// connection's own read deadline won't do: nbhttp sets it right after a new
+// connection was added, which can be after its first bytes were handled.
+func (g *guard) closeIn(d time.Duration) {
+	if g.timer == nil {
+		g.timer = time.AfterFunc(d, func() { _ = g.conn.Close() })
+		return
+	}
+	g.timer.Reset(d)
+}
+
+func (g *guard) stopClock() {
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
+
+// OnHeader counts the head and notes what tells of the body.
+func (g *guard) OnHeader(p *nbhttp.Parser, key, value string) {
+	g.headSize += len(key) + len(value) + lineSize
+	switch key {
+	case "Transfer-Encoding":
+		g.chunked = true
+	case "Expect":
+		g.expects = strings.EqualFold(value, "100-continue")
+	}
+	g.Processor.OnHeader(p, key, value)
+}
+
+// OnContentLength comes at the end of the head: the body is admitted or refused before it is taken in.
+func (g *guard) OnContentLength(p *nbhttp.Parser, length int) {
+	g.Processor.OnContentLength(p, length)
+	g.inBody = true
+	switch {
+	case g.headSize > g.server.headBound:
+		g.refuse(HeadTooLarge)
+	case length > g.server.bodyBound:
+		g.refuse(BodyTooLarge)
+	case length > 0 && !g.server.held.take(int64(length)):
+		g.refuse(Full)
+	default:
+		g.arriving = int64(max(length, 0))
+		g.await(length)
+	}
+}
+
+// await sets the time for a body and tells a caller that asked to go on.
+func (g *guard) await(length int) {
+	if g.running() > 0 || (length <= 0 && !g.chunked) {
+		return
+	}
+	most := length
+	if g.chunked {
+		most = g.server.bodyBound
+	}
+	g.closeIn(g.server.headTime + time.Duration(most/leastRate)*time.Second)
+	if g.expects {
+		_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// grow admits more bytes of a body that announced no length.
+func (g *guard) grow(n int64) bool {
+	switch {
+	case g.arriving+n > int64(g.server.bodyBound):
+		g.refuse(BodyTooLarge)
+	case !g.server.held.take(n):
+		g.refuse(Full)
+	default:
+		g.arriving += n
+		return true
+	}
+	return false
+}
+
+// OnBody drops the body of a refused request.
+func (g *guard) OnBody(p *nbhttp.Parser, data []byte) error {
+	if g.dropping {
+		return nil
+	}
+	return g.Processor.OnBody(p, data)
+}
+
+// OnComplete hands a whole request over with the bytes that are held for it.
+func (g *guard) OnComplete(p *nbhttp.Parser) {
+	if g.dropping {
+		return
+	}
+	g.mu.Lock()
+	g.taken = append(g.taken, g.arriving)
+	g.active++
+	g.mu.Unlock()
+	g.arriving, g.headRead, g.headSize = 0, 0, 0
+	g.begun, g.inBody, g.chunked, g.expects = false, false, false, false
+	g.stopClock()
+	g.Processor.OnComplete(p)
+}
+
+// serve marks the next whole request as begun; the function that it returns ends it and gives its bytes back.
+func (g *guard) serve() (done func()) {
+	// A request at work has a deadline of its own; the connection's would cut it.
+	_ = g.conn.SetReadDeadline(time.Time{})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bytes := int64(0)
+	if len(g.taken) > 0 {
+		bytes = g.taken[0]
+		g.taken = g.taken[1:]
+	}
+	return func() {
+		g.server.held.give(bytes)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.active--
+		g.quiet = time.Now()
+	}
+}
+
+func (g *guard) running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.active
+}
+
+// idleSince returns since when the connection has had no request, or false while it has one.
+func (g *guard) idleSince() (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quiet, g.active == 0
+}
+
+// refuse answers behind the requests that came before on the connection, and closes it a little later.
+func (g *guard) refuse(f Fault) {
+	g.dropping = true
+	g.server.held.give(g.arriving)
+	g.arriving = 0
+	raw := g.server.refusal(f)
+	g.stopClock()
+	g.conn.Execute(func() {
+		_, _ = g.conn.Write(raw)
+		time.AfterFunc(linger, func() { _ = g.conn.Close() })
+	})
+}
+
+// close gives back the bytes of requests that no handler has seen.
+func (g *guard) close() {
+	g.parsing.Lock()
+	defer g.parsing.Unlock()
+	g.over = true
+	g.stopClock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.server.held.give(g.arriving)
+	g.arriving = 0
+	for _, bytes := range g.taken {
+		g.server.held.give(bytes)
+	}
+	g.taken = nil
+}
+
+// refusal is the whole answer for a fault.
+func (s *Server) refusal(f Fault) []byte {
+	status, header, body := s.refuser(f)
+	header.Set("Connection", "close")
+	header.Set("Content-Length", fmt.Sprint(len(body)))
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&out)
+	out.WriteString("\r\n")
+	out.Write(body)
+	return out.Bytes()
+}
--- a/internal/wire/httpd/hangup.go
+++ b/internal/wire/httpd/hangup.go
@@ -84,6 +84,9 @@
 }
 
 func connOf(w http.ResponseWriter) *nbio.Conn {
+	if outer, ok := w.(*closer); ok {
+		w = outer.ResponseWriter
+	}
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil {
 		return nil
