--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -98,7 +98,7 @@
 	call.NotReady: {
 		Meaning:  "The daemon has started, was paused or is cut off, and nobody has confirmed its lists as current.",
 		Caller:   "Come back after Retry-After, at any daemon.",
-		Operator: "If it lasts, look at -platform and `foxctl status`.",
+		Operator: "If it lasts, look at the standing that `foxctl status` shows, and at what the daemon can reach.",
 	},
 	call.BudgetSpent: {
 		Meaning:  "The call chain has used up the upstream runs that the operation allows.",
