Show standing and members in the metrics; keep silent daemons' reads at 200 a second

The wait was uniform up to 20 ms a host, so its mean was 10 ms, and 3,400 daemons would have made 349 calls/s (worked out), not 200.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -30,6 +30,7 @@
 	exchanging map[netip.AddrPort]bool
 	reader     context.CancelFunc
 	reading    bool
+	releasing  bool
 	viewed     time.Time
 
 	asks   chan func()
@@ -116,6 +117,7 @@
 	case lists.Accepted:
 		entry.Info("list")
 		c.archive.Store(v)
+		c.release(len(v.Raw))
 		if v.Kind == lists.KindHosts {
 			c.takeHosts()
 		}
--- a/internal/app/daemon/gauges.go
+++ b/internal/app/daemon/gauges.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
 const observeEvery = time.Second
@@ -22,10 +23,30 @@
 		case <-tick.C:
 			last = d.observeGate(last)
 			d.metrics.Scope.Gauge("doors_closing").Update(float64(d.doors.Len()))
+			d.observeFleet()
 		}
 	}
 }
 
+// observeFleet shows whether the lists are current, and who gets no new work.
+func (d *Daemon) observeFleet() {
+	scope := d.metrics.Scope
+	leaving, suspects := d.members.Load().Counts()
+	scope.Gauge("members_leaving").Update(float64(leaving))
+	scope.Gauge("members_suspect").Update(float64(suspects))
+	scope.Gauge("peer_connections").Update(float64(d.peers.Connections()))
+	serving := 0.0
+	if d.takes(time.Now()) {
+		serving = 1
+	}
+	scope.Gauge("serving").Update(serving)
+	view := d.view.Load()
+	for k := range lists.Kinds {
+		kind := lists.Kind(k)
+		scope.Tagged(map[string]string{"list": kind.String()}).Gauge("list_version").Update(float64(view.Version(kind)))
+	}
+}
+
 // observeGate returns the counts that it has shown.
 func (d *Daemon) observeGate(last admission.Counts) admission.Counts {
 	scope := d.metrics.Scope.SubScope("gate")
--- a/internal/fleet/spread/reading.go
+++ b/internal/fleet/spread/reading.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	if p.next.IsZero() {
-		p.next = now.Add(c.rand(readSpacing * time.Duration(len(c.others)+1)))
+		p.next = now.Add(c.spread())
 	}
 	if now.Before(p.next) {
 		return false
@@ -78,11 +78,16 @@
 // wait returns the time to the next read: while starting by growing backoff, later by the size of the fleet.
 func (p *readPlan) wait(c *Core) time.Duration {
 	if c.standing == Serving {
-		return silenceSlack + c.rand(readSpacing*time.Duration(len(c.others)+1))
+		return silenceSlack + c.spread()
 	}
 	return p.backoff/2 + c.rand(p.backoff)
 }
 
+// spread returns a random time whose mean is readSpacing for each daemon of the fleet.
+func (c *Core) spread() time.Duration {
+	return c.rand(2 * readSpacing * time.Duration(len(c.others)+1))
+}
+
 func (c *Core) rand(most time.Duration) time.Duration {
 	return time.Duration(c.rng.Int64N(int64(most)))
 }
