--- a/internal/app/daemon/chain_test.go
+++ b/internal/app/daemon/chain_test.go
@@ -45,7 +45,7 @@
 		So(a.request.Organisation, ShouldEqual, "dealer")
 		So(a.request.ID, ShouldEqual, "r1")
 		So(a.request.Depth, ShouldEqual, 4)
-		So(a.account, ShouldEqual, account)
+		So(a.account, ShouldPointTo, account)
 	})
 	Convey("A token ends with its request", t, func() {
 		d := chainDaemon()
