--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -20,6 +20,7 @@
 	at       time.Time
 	cpu      time.Duration
 	resident int
+	peak     int
 	sent     uint64
 	received uint64
 	links    int
@@ -45,9 +46,27 @@
 	system, _ := strconv.Atoi(string(fields[fieldSystem]))
 	pages, _ := strconv.Atoi(string(fields[fieldPages]))
 	u := usage{at: time.Now(), cpu: time.Duration(user+system) * clockTick, resident: pages * os.Getpagesize()}
+	if u.peak, err = peak(d); err != nil {
+		return usage{}, err
+	}
 	return u, u.status(ctx, d)
 }
 
+// peak returns the greatest resident memory since the process began, in bytes.
+func peak(d Daemon) (int, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.PID))
+	if err != nil {
+		return 0, errors.Wrap(err, "changes: process")
+	}
+	for line := range bytes.Lines(raw) {
+		if fields := bytes.Fields(line); len(fields) > 1 && string(fields[0]) == "VmHWM:" {
+			kilobytes, err := strconv.Atoi(string(fields[1]))
+			return kilobytes << 10, errors.Wrap(err, "changes: VmHWM")
+		}
+	}
+	return 0, errors.New("changes: no VmHWM")
+}
+
 // status adds the bytes that the daemon itself counts.
 func (u *usage) status(ctx context.Context, d Daemon) error {
 	raw, err := get(ctx, "http://"+d.Operators.String()+"/statusz")
@@ -89,7 +108,9 @@
 	Received Range `json:"receivedBytesPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
-	Links    Range `json:"peerConnections"`
+	// Peak is the most since the process began, in megabytes.
+	Peak  Range `json:"peakMB"`
+	Links Range `json:"peerConnections"`
 	// PlatformCalls is calls a second of all daemons together, a waiting watch as one.
 	PlatformCalls float64 `json:"platformCallsPerS"`
 }
@@ -109,16 +130,18 @@
 }
 
 func spent(before, after []usage) Spent {
-	var cpu, sent, received, resident, links []float64
+	var cpu, sent, received, resident, peaks, links []float64
 	for i := range before {
 		length := after[i].at.Sub(before[i].at).Seconds()
 		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
 		sent = append(sent, float64(after[i].sent-before[i].sent)/length)
 		received = append(received, float64(after[i].received-before[i].received)/length)
 		resident = append(resident, float64(after[i].resident)/(1<<20))
+		peaks = append(peaks, float64(after[i].peak)/(1<<20))
 		links = append(links, float64(after[i].links))
 	}
 	return Spent{
-		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident), Links: rangeOf(links),
+		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
+		Peak: rangeOf(peaks), Links: rangeOf(links),
 	}
 }
