Look for queueing inside when an upstream turns out faster than its baseline

A cold upstream under full load taught a baseline ten times too high, and what was latency of queueing inside looked healthy: the limit stayed at 64 of 20 slots for good. A latency below the baselines now starts a trial like one above does. The limit also no longer grows while a cut that didn't help rests, and stays at its ceiling within a window.

--- a/internal/decide/limit/gradient.go
+++ b/internal/decide/limit/gradient.go
@@ -98,31 +98,50 @@
 	w := &g.window
 	ratio := w.ratio()
 	if g.trial.running && w.samples > 0 {
-		if !g.helped(ratio) {
+		switch {
+		case !g.helped(ratio):
 			g.takeBack(now, ratio)
 			return
+		case ratio < fastest:
+			g.faster(ratio)
+			return
 		}
 	}
 	switch {
 	case w.sheds > 0:
 		g.hit(now, w.shedFrom)
-	case ratio > tolerance && !now.Before(g.trial.notBefore):
-		g.cut(ratio)
+	case ratio > tolerance:
+		// After a cut that didn't help, the limit rests: it neither falls nor grows.
+		if !now.Before(g.trial.notBefore) {
+			g.cut(ratio)
+		}
 	case float64(w.peak) >= g.limit*busyShare:
 		g.grow(now)
 	}
 	g.smooth += (ratio - g.smooth) * smoothing
 	if g.smooth < fastest {
-		g.bases.scale(g.smooth)
-		g.smooth = 1
+		g.faster(g.smooth)
+	}
+	g.limit = max(g.limit, g.floor)
+}
+
+// faster takes over a latency below the baselines.
+//
+// Baselines of a cold upstream, or of a slow time, are too high. While all slots
+// are taken, the lower latency may still be one of queueing inside, which
+// the old baselines hid: lowering the limit shows whether it goes lower yet.
+func (g *GradientLearner) faster(ratio float64) {
+	g.bases.scale(ratio)
+	g.smooth = 1
+	if float64(g.window.peak) >= g.limit*busyShare {
+		g.cut(1)
 	}
-	g.limit = min(max(g.limit, g.floor), g.ceiling)
 }
 
 func (g *GradientLearner) cut(ratio float64) {
 	g.ramping = false
 	g.trial = trial{running: true, limit: g.limit, ratio: ratio}
-	g.limit *= trialCut
+	g.limit = max(g.limit*trialCut, g.floor)
 }
 
 // helped reports whether the watched cut brought latency down.
@@ -163,5 +182,5 @@
 	if now.Before(g.wallUntil) {
 		next = max(g.limit, min(next, float64(g.wall)))
 	}
-	g.limit = next
+	g.limit = min(next, g.ceiling)
 }
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -61,6 +61,7 @@
 		{"queueing inside is found", model{slots: 20, own: steady(5 * time.Millisecond)}, 14, 40},
 		{"shedding is found", model{slots: 20, sheds: true, own: steady(5 * time.Millisecond)}, 14, 22},
 		{"long and short work don't collapse it", model{slots: 64, own: mixed}, 55, 64},
+		{"queueing inside is found in widely spread latencies", model{slots: 20, own: spread}, 10, 50},
 		{"widely spread latencies don't collapse it", model{slots: 64, own: spread}, 40, 64},
 	}
 	for _, c := range cases {
@@ -81,6 +82,19 @@
 	})
 }
 
+// An upstream starts cold, and its first runs take ten times as long. Were they
+// to stay the baseline, requests would queue inside it before anyone noticed.
+func TestColdStartIsNotTheBaseline(t *testing.T) {
+	Convey("The limit comes down to the slots although the first runs were slow", t, func() {
+		l := NewGradient(64)
+		m := model{slots: 64, own: steady(50 * time.Millisecond)}
+		_, _, now := m.drive(l, time.Unix(0, 0), 500*time.Millisecond)
+		m = model{slots: 20, own: steady(5 * time.Millisecond)}
+		_, last, _ := m.drive(l, now, 20*time.Second)
+		So(last, ShouldBeBetweenOrEqual, 10, 40)
+	})
+}
+
 // A release makes every run of an upstream five times as slow, at any load.
 // Callers would see a service that never again runs more than a few requests
 // at once although it could.
