--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -85,7 +85,7 @@
 		return unfunded(ctx), "", true
 	}
 	begun := time.Now()
-	place, ok := d.placer.Pick(begun, r.Service, d.usable(r.Service), tried)
+	place, ok := d.placer.Pick(begun, r.Service, d.candidates(r.Service), tried)
 	if !ok {
 		a.account.Settle(r.Budget, r.Budget)
 		return call.Answer{}, "", false
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -40,6 +40,7 @@
 	order    []string
 	platform *process
 	relays   *relays
+	load     *load
 	begun    map[begunKey]*begun
 }
 
