--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -49,15 +49,15 @@
 		return hosts
 	}
 	others := make([]lists.Host, 0, len(hosts))
-	staying := false
 	for _, h := range hosts {
-		if h.Host != d.settings.Host {
+		if h.Host != d.settings.Host && !h.Leaving {
 			others = append(others, h)
-			staying = staying || !h.Leaving
 		}
 	}
-	if !staying {
-		return hosts
+	own, ok := d.view.Load().Host(d.settings.Host)
+	if len(others) > 0 || !ok {
+		return others
 	}
-	return others
+	own.Leaving = false
+	return []lists.Host{own}
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -26,6 +26,10 @@
 	Daemon netip.AddrPort
 	// Next is the path below the daemon that each request calls on, such as /repairs/notes; empty for none.
 	Next string
+	// Retries is how often it repeats its own call when that fails, as home-made retry loops do.
+	Retries int
+	// Lossy closes the connection in place of each answer.
+	Lossy bool
 }
 
 // Upstream answers requests with who asked and what was asked, and counts its runs.
@@ -37,6 +41,7 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	keys map[string]int
 }
 
 // Answer is the JSON body of a stand-in's answer.
@@ -62,6 +67,7 @@
 		slots:  make(chan struct{}, c.Slots),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientConns}},
 		runs:   map[string]int{},
+		keys:   map[string]int{},
 	}
 	u.latency.Store(int64(c.Latency))
 	return u
@@ -73,6 +79,7 @@
 	mux.HandleFunc("GET /standin/health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /standin/load", u.serveLoad)
 	mux.HandleFunc("GET /standin/runs", u.serveRuns)
+	mux.HandleFunc("GET /standin/keys", u.serveKeys)
 	mux.HandleFunc("POST /standin/latency/{ms}", u.serveLatency)
 	mux.HandleFunc("/", u.serve)
 	return mux
@@ -105,8 +112,11 @@
 		Organisation: r.Header.Get(wire.HeaderOrganisation), RequestID: r.Header.Get(wire.HeaderRequestID),
 		Echo: string(body), LeakedKey: r.Header.Get("Authorization") != "",
 	}
+	if u.config.Lossy {
+		panic(http.ErrAbortHandler)
+	}
 	if u.config.Next != "" {
-		next, status, err := u.callNext(r.Context(), r.Header, body)
+		next, status, err := u.callOn(r.Context(), r.Header, body)
 		if err != nil || status != http.StatusOK {
 			http.Error(w, fmt.Sprintf("next: status %d: %v", status, err), http.StatusBadGateway)
 			return
@@ -119,6 +129,16 @@
 	_, _ = w.Write(raw)
 }
 
+// callOn makes the upstream's own call, and repeats it at once when it fails.
+func (u *Upstream) callOn(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
+	for try := 0; ; try++ {
+		raw, status, err := u.callNext(ctx, in, body)
+		if (err == nil && status == http.StatusOK) || try == u.config.Retries {
+			return raw, status, err
+		}
+	}
+}
+
 func (u *Upstream) callNext(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
 	url := "http://" + u.config.Daemon.String() + u.config.Next
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -139,6 +159,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs[r.Header.Get(wire.HeaderRequestID)]++
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		u.keys[key]++
+	}
 }
 
 func (u *Upstream) serveRuns(w http.ResponseWriter, _ *http.Request) {
@@ -147,6 +170,12 @@
 	_ = json.NewEncoder(w).Encode(u.runs)
 }
 
+func (u *Upstream) serveKeys(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(u.keys)
+}
+
 func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(map[string]int{"inFlight": len(u.slots), "slots": cap(u.slots)})
 }
