--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,6 +32,29 @@
 
 var scenarios atomic.Int32
 
+const (
+	reserveAddress = 254
+	reservePort    = 9
+)
+
+// reserved stays open: a listener that nobody refers to is closed by the collector.
+var reserved net.Listener
+
+// network returns the second byte of the addresses of this run. It is kept by a
+// listener for as long as the run lasts: by the process id alone, two runs on one
+// machine would now and then start their daemons on the same addresses.
+var network = sync.OnceValue(func() byte {
+	for try := range 250 {
+		n := byte(1 + (os.Getpid()+try)%250)
+		kept := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n, 255, reserveAddress}), reservePort)
+		if l, err := net.Listen("tcp", kept.String()); err == nil {
+			reserved = l
+			return n
+		}
+	}
+	panic("scenario: no loopback network is free")
+})
+
 // fleet is the processes and the network of one scenario.
 type fleet struct {
 	bin      string
@@ -67,7 +92,7 @@
 func newFleet(bin, dir string) *fleet {
 	f := &fleet{
 		bin: bin, dir: dir, hosts: map[string]*host{}, begun: map[begunKey]*begun{},
-		net:      byte(1 + os.Getpid()%250),
+		net:      network(),
 		scenario: byte(1 + scenarios.Add(1)%250),
 	}
 	f.relays = newRelays(f)
--- a/internal/wire/loops/engine.go
+++ b/internal/wire/loops/engine.go
@@ -109,10 +109,11 @@
 		if err != nil {
 			return err
 		}
-		// Open until the end, so that each pair has other descriptors.
+		// Open until the end, so that the next pair has other descriptors.
 		defer func() { _ = far.Close() }()
 		if reached[near.Hash()%e.loops] {
-			defer func() { _ = near.Close() }()
+			// Closed at once: with both ends kept, every next pair would be two descriptors on and reach this loop again.
+			_ = near.Close()
 			continue
 		}
 		reached[near.Hash()%e.loops] = true
