Lend the fleet's rates from homes instead of splitting them equally

A home acts only on fresh word of a quorum of its list; what a vanished home held is taken over after a fence, what others let go of at once.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -91,7 +91,7 @@
 
 func (c *control) publish() {
 	view := c.set.View()
-	c.daemon.rates.Configure(view.Organisations(), len(view.Hosts()), time.Now())
+	c.daemon.rates.configure(view)
 	c.daemon.view.Store(view)
 }
 
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
@@ -31,7 +30,7 @@
 	inFlight atomic.Int64
 
 	control  *control
-	rates    *rate.Split
+	rates    *rates
 	placer   *placing.Placer
 	owner    *owner
 	peers    *peer.Node
@@ -45,14 +44,15 @@
 		settings: s,
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
-		rates:    rate.NewSplit(),
 		placer:   placing.New(s.Zone),
 	}
 	d.view.Store(lists.NewSet().View())
 	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.rates = newRates(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	d.rates.handle(d.peers)
 	d.callers = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns))
 	d.operator = httpd.New(s.Operators, d.operatorRoutes())
 	return d
@@ -82,6 +82,7 @@
 		}
 	}
 	d.control.start()
+	d.rates.start()
 	return nil
 }
 
@@ -90,11 +91,13 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	d.log.Info("leaving")
+	d.rates.cease()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = d.callers.Stop(ctx)
+	d.rates.stop()
 	d.control.stop()
 	d.peers.Stop()
 	_ = d.operator.Stop(ctx)
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -62,7 +62,7 @@
 	a.request.Deadline = now.Add(timeout)
 	a.request.ID = newID()
 	a.account = budget.New(a.request.Budget)
-	if wait, ok := d.rates.Spend(organisation, now); !ok {
+	if wait, ok := d.rates.Spend(r.Context(), organisation); !ok {
 		return refuse(call.OverRate, wait)
 	}
 	return a, call.Answer{}, true
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
@@ -20,6 +21,7 @@
 	SentBytes   uint64                `json:"peerBytesSent"`
 	GotBytes    uint64                `json:"peerBytesReceived"`
 	Reads       uint64                `json:"platformReads"`
+	Rates       RateStatus            `json:"rates"`
 }
 
 // ListStatus tells which version of a list is in force and which was rejected.
@@ -42,6 +44,8 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !d.view.Load().Complete():
 		http.Error(w, "no complete lists yet", http.StatusServiceUnavailable)
+	case !d.rates.ready.Load():
+		http.Error(w, "no rates yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
@@ -61,11 +65,12 @@
 	sent, received := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
-		Ready: d.view.Load().Complete(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Ready: d.view.Load().Complete() && d.rates.ready.Load(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
 	}
 	d.control.ask(func() {
+		s.Rates = d.rates.status(time.Now())
 		for k := range lists.Kinds {
 			s.Lists[lists.Kind(k).String()] = d.control.listStatus(lists.Kind(k))
 		}
--- /dev/null
+++ b/internal/app/daemon/rates.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+// rates joins the fleet's rates to the sockets. The home belongs to the
+// control thread; traffic spends from the borrower.
+type rates struct {
+	daemon   *Daemon
+	home     *rate.Home
+	borrower *rate.Borrower
+	self     rate.Member
+	seeks    seeks
+	asked    atomic.Uint64
+	mayLend  atomic.Bool
+	complete time.Time
+	ready    atomic.Bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func newRates(d *Daemon) *rates {
+	now := time.Now()
+	incarnation := uint64(now.UnixNano())
+	limits := d.settings.Limits()
+	self := rate.Member{Host: d.settings.Host, Peer: d.settings.Advertise}
+	return &rates{
+		daemon: d, self: self,
+		home:     rate.NewHome(self, incarnation, limits, now),
+		borrower: rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits),
+		seeks:    newSeeks(),
+		done:     make(chan struct{}),
+	}
+}
+
+func (r *rates) handle(n *peer.Node) {
+	peer.Handle(n, peer.KindLease, r.takeLease)
+	peer.Handle(n, peer.KindConfirm, r.takeConfirm)
+	peer.Handle(n, peer.KindHandover, r.takeConfirm)
+}
+
+// configure takes over a new view; it runs on the control thread.
+func (r *rates) configure(view *lists.View) {
+	now := time.Now()
+	members := rate.Members(view.Hosts())
+	r.home.SetList(view.Version(lists.KindHosts), members, now)
+	r.home.SetPlans(view.Organisations(), now)
+	r.borrower.SetList(view.Version(lists.KindHosts), members)
+	r.borrower.SetPlans(view.Organisations())
+	if view.Complete() && r.complete.IsZero() {
+		r.complete = now
+	}
+}
+
+// Times of the questions between daemons.
+const (
+	// confirmEvery is how often a daemon looks whether to ask a member.
+	confirmEvery = 20 * time.Millisecond
+	// confirmBound is how long an answer about membership is waited for; it counts from when it was asked.
+	confirmBound = 2 * time.Second
+	// askBound is how long one home may take while a request waits: a round trip to
+	// another region, but not a home that hangs, while others have tokens.
+	askBound = 50 * time.Millisecond
+)
+
+func (r *rates) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go r.run(ctx)
+}
+
+func (r *rates) stop() {
+	r.cancel()
+	<-r.done
+}
+
+func (r *rates) run(ctx context.Context) {
+	defer close(r.done)
+	ticker := time.NewTicker(confirmEvery)
+	defer ticker.Stop()
+	var prefetched time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.confirmNext(ctx)
+		if now := time.Now(); now.Sub(prefetched) >= rate.TickEvery {
+			prefetched = now
+			r.tick(ctx)
+		}
+	}
+}
+
+func (r *rates) tick(ctx context.Context) {
+	for _, ask := range r.borrower.Tick(time.Now()) {
+		go r.lease(ctx, ask)
+	}
+	r.daemon.control.ask(func() {
+		now := time.Now()
+		r.home.Tick(now)
+		r.look(now)
+	})
+}
+
+// readyBound is how long a daemon waits for its own part of the rates before it
+// takes callers all the same: other homes may have tokens for it.
+const readyBound = 3 * time.Second
+
+func (r *rates) look(now time.Time) {
+	status := r.home.Status(now)
+	if was := r.mayLend.Swap(status.MayLend); was != status.MayLend {
+		r.daemon.log.WithFields(logrus.Fields{"mayLend": status.MayLend, "hostsVersion": status.Version, "members": status.Members}).Info("rates")
+	}
+	if !r.complete.IsZero() && (status.MayLend || now.Sub(r.complete) >= readyBound) {
+		r.ready.Store(true)
+	}
+	scope := r.daemon.metrics.Scope
+	scope.Gauge("rate_shards").Update(float64(status.Shards))
+	scope.Gauge("rate_tokens_out").Update(float64(status.Lent))
+	scope.Gauge("rate_tokens_lent").Update(float64(status.Tokens))
+	scope.Gauge("rate_asks").Update(float64(r.asked.Load()))
+}
+
+// confirmNext asks the next member what it knows of membership.
+func (r *rates) confirmNext(ctx context.Context) {
+	var to rate.Member
+	var ask rate.Statement
+	due := false
+	asked := time.Now()
+	r.daemon.control.ask(func() {
+		if to, due = r.home.NextAsk(asked); due {
+			ask = r.home.Statement(asked)
+		}
+	})
+	if due {
+		go r.confirm(ctx, to, ask, asked)
+	}
+}
+
+func (r *rates) confirm(ctx context.Context, to rate.Member, ask rate.Statement, asked time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, confirmBound)
+	defer cancel()
+	answer, err := peer.Call[rate.Statement, rate.Statement](ctx, r.daemon.peers, to.Peer, peer.KindConfirm, ask)
+	if err != nil || answer.From != to {
+		return
+	}
+	r.daemon.control.ask(func() { r.home.Hear(answer, asked, time.Now()) })
+}
+
+func (r *rates) takeConfirm(_ context.Context, _ netip.AddrPort, ask rate.Statement) rate.Statement {
+	var answer rate.Statement
+	r.daemon.control.ask(func() { answer = r.home.AnswerStatement(ask, time.Now()) })
+	return answer
+}
+
+func (r *rates) takeLease(_ context.Context, _ netip.AddrPort, ask rate.LeaseAsk) rate.LeaseReply {
+	var reply rate.LeaseReply
+	r.daemon.control.ask(func() { reply = r.home.AnswerLease(ask, time.Now()) })
+	return reply
+}
+
+// lease asks a home, takes its answer over and returns the time until it has a token.
+func (r *rates) lease(ctx context.Context, ask rate.Ask) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+	asked := time.Now()
+	if ask.Home == r.self {
+		return r.borrower.Hear(ask.Home, r.takeLease(ctx, netip.AddrPort{}, ask.Message), asked, time.Now())
+	}
+	r.asked.Add(1)
+	reply, err := peer.Call[rate.LeaseAsk, rate.LeaseReply](ctx, r.daemon.peers, ask.Home.Peer, peer.KindLease, ask.Message)
+	if err != nil {
+		r.borrower.Lost(ask, time.Now())
+		return time.Second
+	}
+	return r.borrower.Hear(ask.Home, reply, asked, time.Now())
+}
+
+// ceaseBound is how long a leaving daemon tries to tell the others.
+const ceaseBound = 500 * time.Millisecond
+
+// cease gives this daemon's shards up and says so to the others, so that they
+// need not wait for the fence. A message that is lost costs time, no safety.
+func (r *rates) cease() {
+	var others []rate.Member
+	var last rate.Statement
+	r.daemon.control.ask(func() {
+		now := time.Now()
+		others = r.home.Cease(now)
+		last = r.home.Statement(now)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), ceaseBound)
+	defer cancel()
+	told := make(chan bool, len(others))
+	slots := make(chan struct{}, ceaseAtOnce)
+	for _, to := range others {
+		go func() {
+			slots <- struct{}{}
+			_, err := peer.Call[rate.Statement, rate.Statement](ctx, r.daemon.peers, to.Peer, peer.KindHandover, last)
+			<-slots
+			told <- err == nil
+		}()
+	}
+	count := 0
+	for range others {
+		if <-told {
+			count++
+		}
+	}
+	r.daemon.log.WithFields(logrus.Fields{"told": count, "of": len(others)}).Info("shards handed over")
+}
+
+// ceaseAtOnce bounds the calls in flight of a leaving daemon.
+const ceaseAtOnce = 16
+
+// RateStatus is what /statusz tells of the rates; times are RFC 3339, empty where there is none.
+type RateStatus struct {
+	MayLend       bool   `json:"mayLend"`
+	HostsVersion  uint64 `json:"hostsVersion"`
+	Members       int    `json:"members"`
+	Organisations int    `json:"organisations"`
+	Shards        int    `json:"shards"`
+	TokensOut     int    `json:"tokensOut"`
+	TokensLent    uint64 `json:"tokensLent"`
+	TokensHere    int    `json:"tokensHere"`
+	Asks          uint64 `json:"asks"`
+	LendsUntil    string `json:"lendsUntil"`
+	FencedUntil   string `json:"fencedUntil"`
+}
+
+// status runs on the control thread.
+func (r *rates) status(now time.Time) RateStatus {
+	s := r.home.Status(now)
+	_, here := r.borrower.Purses(now)
+	return RateStatus{
+		MayLend: s.MayLend, HostsVersion: s.Version, Members: s.Members, Organisations: s.Organisations, Shards: s.Shards,
+		TokensOut: s.Lent, TokensLent: s.Tokens, TokensHere: here, Asks: r.asked.Load(),
+		LendsUntil: timeText(s.LendsUntil), FencedUntil: timeText(s.FencedUntil),
+	}
+}
+
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/app/daemon/seek.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+)
+
+// seekBound is how long a request waits for tokens of its organisation before it is refused.
+const seekBound = 200 * time.Millisecond
+
+// seeks are the searches for tokens that requests wait for, one for each organisation.
+type seeks struct {
+	mu    *sync.Mutex
+	going map[string]*seek
+}
+
+func newSeeks() seeks { return seeks{mu: &sync.Mutex{}, going: map[string]*seek{}} }
+
+// seek asks home after home. A burst of requests at a dry daemon must not
+// become as many questions, so those that come meanwhile wait for the same ones.
+type seek struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	waiters int
+	ended   bool
+	wait    time.Duration
+}
+
+// Spend takes a token of the organisation. If none is here it waits, bounded, for
+// homes to lend one; false comes with the time after which to come back.
+func (r *rates) Spend(ctx context.Context, organisation string) (time.Duration, bool) {
+	switch outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
+	case rate.Spent:
+		return 0, true
+	case rate.Refused:
+		return wait, false
+	case rate.Dry:
+	}
+	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	s := r.join(organisation)
+	defer s.leave()
+	for {
+		changed, ended, wait := s.look()
+		if r.borrower.Take(organisation, time.Now()) {
+			return 0, true
+		}
+		if ended {
+			return wait, false
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return time.Second, false
+		}
+	}
+}
+
+// join returns the search that is going on for the organisation, starting one if there is none.
+func (r *rates) join(organisation string) *seek {
+	r.seeks.mu.Lock()
+	defer r.seeks.mu.Unlock()
+	s, ok := r.seeks.going[organisation]
+	if !ok {
+		s = &seek{changed: make(chan struct{}), wait: time.Second}
+		r.seeks.going[organisation] = s
+		go r.seek(organisation, s)
+	}
+	s.mu.Lock()
+	s.waiters++
+	s.mu.Unlock()
+	return s
+}
+
+func (r *rates) seek(organisation string, s *seek) {
+	ends := time.Now().Add(seekBound)
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	wait := time.Hour
+	homes := r.borrower.Homes(organisation, time.Now())
+	for tried := 0; s.wanted() && tried < homes && time.Now().Before(ends); tried++ {
+		ask, ok := r.borrower.Urgent(organisation, tried, time.Now())
+		if !ok {
+			break
+		}
+		wait = min(wait, r.lease(ctx, ask))
+		s.tell()
+	}
+	r.seeks.mu.Lock()
+	delete(r.seeks.going, organisation)
+	r.seeks.mu.Unlock()
+	if s.wanted() {
+		r.borrower.RanDry(organisation, wait, time.Now())
+	}
+	s.end(wait)
+}
+
+func (s *seek) look() (changed chan struct{}, ended bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed, s.ended, s.wait
+}
+
+func (s *seek) leave() {
+	s.mu.Lock()
+	s.waiters--
+	s.mu.Unlock()
+}
+
+func (s *seek) wanted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiters > 0
+}
+
+func (s *seek) tell() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *seek) end(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended, s.wait = true, wait
+	close(s.changed)
+}
--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -61,6 +61,22 @@
 	})
 }
 
+// advertised binds the address as others know it; empty means the same as the listener's.
+func (b *binder) advertised(into, listener *netip.AddrPort) {
+	raw := b.fs.String("advertise", "", "IP:port of -peers as the hosts list has it (default the same)")
+	b.reads = append(b.reads, func() {
+		if *raw == "" {
+			*into = *listener
+			return
+		}
+		a, err := netip.ParseAddrPort(*raw)
+		if err != nil {
+			b.fault("-advertise: %q is not an IP number with a port", *raw)
+		}
+		*into = a
+	})
+}
+
 func (b *binder) count(into *int, name string, value int, help string, least, most int) {
 	help = fmt.Sprintf("%s (%d to %d)", help, least, most)
 	read(b, into, name, strconv.Itoa(value), help, func(raw string) (int, error) {
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -11,6 +11,8 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
 // EnvPrefix stands before a flag's name in its environment variable, as in FOXTAILHOOK_HOST.
@@ -39,6 +41,11 @@
 	DrainTime      time.Duration
 	Watch          time.Duration
 	LogLevel       logrus.Level
+
+	// Advertise is the address of Peers as the hosts list has it.
+	Advertise netip.AddrPort
+	Fence     time.Duration
+	Loan      time.Duration
 }
 
 // Problems lists every fault of the settings; as an error it has one line for each.
@@ -110,6 +117,9 @@
 	b.duration(&s.LeaveTime, "leave-time", 2*time.Second, "time between refusing new work and closing, so that others notice", 0, time.Minute)
 	b.duration(&s.DrainTime, "drain-time", 2*time.Minute, "longest wait for requests in flight at shutdown", time.Second, time.Hour)
 	b.duration(&s.Watch, "watch", 30*time.Second, "length of one watch at the platform", 100*time.Millisecond, 5*time.Minute)
+	b.advertised(&s.Advertise, &s.Peers)
+	b.duration(&s.Fence, "fence", rate.DefaultFence, "time until the rate shards of a host that vanished are taken over; the same on all hosts", time.Second, 24*time.Hour)
+	b.duration(&s.Loan, "loan", rate.DefaultLoan, "time that lent tokens may be spent; the same on all hosts", 10*time.Millisecond, time.Minute)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
 }
 
@@ -120,6 +130,9 @@
 	if s.MaxTimeout < s.DefaultTimeout {
 		b.fault("-max-timeout (%s) is below -default-timeout (%s)", s.MaxTimeout, s.DefaultTimeout)
 	}
+	if err := s.Limits().Check(); err != nil {
+		b.fault("%v", err)
+	}
 	seen := map[netip.AddrPort]string{}
 	own := []struct {
 		flag    string
@@ -133,6 +146,13 @@
 	}
 }
 
+// Limits returns the times that the fleet's rates rest on.
+func (s *Settings) Limits() rate.Limits {
+	l := rate.DefaultLimits()
+	l.Fence, l.Loan = s.Fence, s.Loan
+	return l
+}
+
 func usage(fs *flag.FlagSet, out io.Writer) {
 	fmt.Fprintf(out, "foxtailhook: the daemon beside one upstream.\n\n")
 	fmt.Fprintf(out, "Each flag can be given as an environment variable: -log-level as %s_LOG_LEVEL.\n\n", EnvPrefix)
--- /dev/null
+++ b/internal/bench/rates/arrive.go
@@ -0,0 +1,98 @@
+package rates
+
+import (
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+)
+
+// seekBound is how long a request waits for tokens before it is refused.
+const seekBound = 100 * time.Millisecond
+
+// Arrive lets a request of an organisation come in at a host.
+func (w *World) Arrive(h *Host, organisation string) {
+	if !h.Alive() {
+		return
+	}
+	w.Counts.Arrivals++
+	if w.ideal.Inside(organisation, w.Now) {
+		w.Counts.Inside++
+	}
+	if w.way != Lending {
+		w.settle(organisation, h.equal.spend(organisation, w.Now))
+		return
+	}
+	if s, ok := h.seeks[organisation]; ok {
+		w.join(h, organisation, s)
+		return
+	}
+	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
+	case rate.Spent:
+		w.settle(organisation, true)
+	case rate.Refused:
+		w.settle(organisation, false)
+	case rate.Dry:
+		w.Counts.Asked++
+		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound)}
+		h.seeks[organisation] = s
+		w.seek(h, organisation, s)
+	}
+}
+
+func (w *World) join(h *Host, organisation string, s *seek) {
+	w.Counts.Asked++
+	h.borrower.Arrived(organisation, w.Now)
+	s.waiters++
+}
+
+func (w *World) settle(organisation string, admitted bool) {
+	if admitted {
+		w.Counts.Admitted++
+		w.Checker.Admit(organisation, w.Now)
+		return
+	}
+	w.Counts.Refused++
+}
+
+func (w *World) seek(h *Host, organisation string, s *seek) {
+	ask, ok := h.borrower.Urgent(organisation, s.tried, w.Now)
+	if !ok || !w.Now.Before(s.ends) {
+		h.borrower.RanDry(organisation, s.wait, w.Now)
+		w.end(h, organisation, s)
+		return
+	}
+	s.tried++
+	next := func() {
+		w.serve(h, organisation, s)
+		if s.waiters > 0 {
+			w.seek(h, organisation, s)
+			return
+		}
+		delete(h.seeks, organisation)
+	}
+	w.lease(h, ask, func(r rate.LeaseReply, _ time.Time) {
+		for _, g := range r.Items {
+			s.wait = min(s.wait, g.Wait)
+		}
+		next()
+	}, next)
+}
+
+// serve lets waiting requests spend what has come.
+func (w *World) serve(h *Host, organisation string, s *seek) {
+	for s.waiters > 0 {
+		if !h.borrower.Take(organisation, w.Now) {
+			return
+		}
+		s.waiters--
+		w.settle(organisation, true)
+	}
+}
+
+func (w *World) end(h *Host, organisation string, s *seek) {
+	for range s.waiters {
+		w.settle(organisation, false)
+	}
+	s.waiters = 0
+	delete(h.seeks, organisation)
+}
--- /dev/null
+++ b/internal/bench/rates/world_test.go
@@ -0,0 +1,152 @@
+package rates
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+)
+
+var testPlans = []lists.Organisation{
+	{Organisation: "large", Plan: "full", Rate: 100, Burst: 40},
+	{Organisation: "middle", Plan: "full", Rate: 20, Burst: 10},
+	{Organisation: "tiny", Plan: "full", Rate: 0.5, Burst: 1},
+}
+
+var testLimits = rate.Limits{Fence: 20 * time.Second, Loan: 500 * time.Millisecond, Shards: 4}
+
+func steady(w *World, h *Host, organisation string, perSecond float64) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	var next func()
+	next = func() {
+		w.Arrive(h, organisation)
+		w.After(w.rngTime(2*gap)+1, next)
+	}
+	w.After(w.rngTime(gap)+1, next)
+}
+
+func newTestWorld(seed uint64, hosts int, opts ...rate.MembershipOption) *World {
+	w := NewWorld(seed, Lending, testLimits, testPlans, opts...)
+	for range hosts {
+		w.AddHost()
+	}
+	w.Publish(w.Hosts())
+	return w
+}
+
+// cutOffHome cuts one home off with callers of its own, and the list drops it.
+func cutOffHome(w *World) {
+	w.Run(5 * time.Second)
+	for _, e := range w.hosts {
+		steady(w, e, "large", 100)
+	}
+	w.Run(2 * time.Second)
+	h := busiest(w)
+	w.Cut(func(a, b *Host) bool { return (a == h) != (b == h) })
+	w.SetStale(h, true)
+	var rest []*Host
+	for _, e := range w.hosts {
+		if e != h {
+			rest = append(rest, e)
+		}
+	}
+	w.Publish(rest)
+	w.Run(3 * testLimits.Fence)
+}
+
+// busiest returns the home of the most shards.
+func busiest(w *World) *Host {
+	best := w.hosts[0]
+	for _, h := range w.hosts {
+		if h.home.Status(w.Now).Shards > best.home.Status(w.Now).Shards {
+			best = h
+		}
+	}
+	return best
+}
+
+// A home is cut off, reads a stale list and keeps its callers, while the
+// platform drops it and others take its shards over.
+func TestCheckerCatches(t *testing.T) {
+	one := rate.WithQuorum(func(int) int { return 1 })
+	short := testLimits
+	short.Fence = testLimits.Fence / 10
+	cases := []struct {
+		name   string
+		run    func() *World
+		unsafe bool
+	}{
+		{"the way in use", func() *World {
+			w := newTestWorld(1, 5)
+			cutOffHome(w)
+			return w
+		}, false},
+		{"full rate on each host", func() *World {
+			w := NewWorld(1, Full, testLimits, testPlans)
+			for range 5 {
+				w.AddHost()
+			}
+			w.Publish(w.Hosts())
+			cutOffHome(w)
+			return w
+		}, true},
+		{"equal split over lists of different length", func() *World {
+			w := NewWorld(1, Equal, testLimits, testPlans)
+			for range 5 {
+				w.AddHost()
+			}
+			w.Publish(w.Hosts())
+			cutOffHome(w)
+			return w
+		}, true},
+		{"confirmation by the platform alone, with a stale replica", func() *World {
+			w := newTestWorld(1, 5, one)
+			cutOffHome(w)
+			return w
+		}, true},
+		{"fence shorter than the cut-off home's tenure", func() *World {
+			w := newTestWorld(1, 5)
+			w.Run(5 * time.Second)
+			steady(w, w.hosts[0], "large", 100)
+			w.Run(time.Second)
+			home := busiest(w)
+			w.limits = short
+			for _, h := range w.hosts {
+				if h != home {
+					w.Restart(h)
+				}
+			}
+			cutOffHome(w)
+			return w
+		}, true},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			w := c.run()
+			t.Logf("%s: %.1f tokens over; %+v", c.name, w.Checker.Excess, w.Counts)
+			So(w.Counts.Admitted, ShouldBeGreaterThan, 1000)
+			So(w.Checker.Excess > 0, ShouldEqual, c.unsafe)
+		})
+	}
+}
+
+// Callers of one organisation come in at one host only, at four fifths of its
+// rate. With an equal split four in five of them would be refused; a user notices nothing here.
+func TestSkew(t *testing.T) {
+	Convey("nearly all of the rate is had at one host", t, func() {
+		w := newTestWorld(1, 5)
+		w.Run(5 * time.Second)
+		steady(w, w.hosts[0], "large", 80)
+		steady(w, w.hosts[1], "middle", 16)
+		steady(w, w.hosts[2], "tiny", 0.3)
+		w.Run(5 * time.Second)
+		w.Counts = Counts{}
+		w.Run(60 * time.Second)
+		t.Logf("%+v", w.Counts)
+		So(w.Checker.Excess, ShouldEqual, 0)
+		So(w.Counts.Wrongful(), ShouldBeLessThan, w.Counts.Arrivals/50)
+	})
+}
--- /dev/null
+++ b/internal/fleet/rate/asking.go
@@ -0,0 +1,87 @@
+package rate
+
+import "time"
+
+// asking is the order in which members are asked.
+type asking struct {
+	last   map[Member]time.Time
+	latest time.Time
+}
+
+// Paces of the questions. A steady round takes a quarter of a tenure, so that
+// three in a row may be lost; after a change of the list the members that are
+// not known to have it are asked fast at first, so that a shard stands idle
+// for seconds, then slowly, so that a dead rack costs little.
+const (
+	fastPace   = 20 * time.Millisecond
+	slowPace   = 250 * time.Millisecond
+	fastRounds = 4
+	perTenure  = 4
+)
+
+// NextAsk returns the member to ask now, or false while it is too early.
+func (m *Membership) NextAsk(now time.Time) (Member, bool) {
+	if now.Sub(m.asking.latest) < fastPace {
+		return Member{}, false
+	}
+	e, ok := m.unsure(now)
+	if !ok {
+		e, ok = m.longest(now)
+	}
+	if ok {
+		m.asking.last[e], m.asking.latest = now, now
+	}
+	return e, ok
+}
+
+// unsure returns the member asked longest ago of those not known to vouch for this list.
+func (m *Membership) unsure(now time.Time) (Member, bool) {
+	pace := slowPace
+	if now.Sub(m.changed) < fastRounds*fastPace*time.Duration(len(m.roster.members)+1) {
+		pace = fastPace
+	}
+	if now.Sub(m.asking.latest) < pace {
+		return Member{}, false
+	}
+	var best Member
+	found := false
+	consider := func(e Member) {
+		s := m.said[e]
+		settled := s.Version == m.version && s.Vouching
+		if e != m.self && !settled && (!found || m.asking.last[e].Before(m.asking.last[best])) {
+			best, found = e, true
+		}
+	}
+	for _, e := range m.roster.members {
+		consider(e)
+	}
+	for e, f := range m.flips {
+		if !f.in && !m.old(f, now) && m.said[e].Version < f.version {
+			consider(e)
+		}
+	}
+	return best, found
+}
+
+// longest returns the member asked longest ago if the steady round has come to it.
+func (m *Membership) longest(now time.Time) (Member, bool) {
+	var best Member
+	found := false
+	for _, e := range m.roster.members {
+		if e != m.self && (!found || m.asking.last[e].Before(m.asking.last[best])) {
+			best, found = e, true
+		}
+	}
+	return best, found && now.Sub(m.asking.last[best]) >= m.limits.Tenure()/perTenure
+}
+
+// Others returns the other members of the list, those who are told when this process lets go.
+func (m *Membership) Others() []Member {
+	var others []Member
+	for _, e := range m.roster.members {
+		if e != m.self {
+			others = append(others, e)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/internal/fleet/rate/membership.go
@@ -0,0 +1,399 @@
+package rate
+
+import (
+	"slices"
+	"time"
+)
+
+// Membership decides whether this process may act as a home, and for which shards.
+//
+// What goes wrong without it: a home that is cut off, paused or reads a stale
+// replica of the hosts list goes on spending a shard that another host has
+// taken over, and the organisation gets more than its rate; neither side sees
+// it. So a home acts only while a quorum of its list has told it lately that
+// it knows no newer list, and a successor begins only when a quorum has known
+// the newer list for the whole fence, or when each host that may still hold
+// the shard has itself said that it let go. Two quorums share a member, and a
+// member's version never falls, so the two can't both be true at once. All
+// answers count from when they were asked for, on this process's own clock.
+type Membership struct {
+	self        Member
+	incarnation uint64
+	limits      Limits
+	started     time.Time
+	quorum      func(members int) int
+
+	version  uint64
+	roster   roster
+	listed   map[Member]bool
+	vouching bool
+	ceased   bool
+
+	flips  map[Member]flip
+	said   map[Member]saying
+	ahead  map[Member]saying
+	newest map[Member]uint64
+	handed map[Member]handedAt
+
+	// until ends the right to act that the confirmations so far give.
+	until time.Time
+	// regained is when that right last began.
+	regained time.Time
+	// changed and generation tell when and that something was learnt that can move shards.
+	changed    time.Time
+	generation uint64
+	// lapses counts how often the right to act was lost.
+	lapses uint64
+	// foreign holds the generation at which a member's flip was learnt from others: this process skipped that version.
+	foreign map[Member]uint64
+	// gapless is the version since which this process has seen every one.
+	gapless uint64
+	asking  asking
+}
+
+type flip struct {
+	in      bool
+	version uint64
+	reached time.Time
+}
+
+// saying is the newest statement of a member that is not newer than the own list.
+type saying struct {
+	Statement
+	asked time.Time
+	heard time.Time
+}
+
+type handedAt struct {
+	incarnation uint64
+	heard       time.Time
+}
+
+// MembershipOption sets one property of a membership.
+type MembershipOption func(*Membership)
+
+// WithQuorum replaces how many members count as the fleet's word; a smaller number is unsafe.
+func WithQuorum(quorum func(members int) int) MembershipOption {
+	return func(m *Membership) { m.quorum = quorum }
+}
+
+// NewMembership returns a membership that knows nothing; incarnations of one member must grow.
+func NewMembership(self Member, incarnation uint64, l Limits, now time.Time, opts ...MembershipOption) *Membership {
+	m := &Membership{
+		self: self, incarnation: incarnation, limits: l, started: now, quorum: Quorum,
+		listed: map[Member]bool{}, flips: map[Member]flip{}, said: map[Member]saying{}, ahead: map[Member]saying{},
+		newest: map[Member]uint64{}, handed: map[Member]handedAt{},
+		foreign: map[Member]uint64{}, asking: asking{last: map[Member]time.Time{}},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// SetList takes over a newer version of the hosts list.
+func (m *Membership) SetList(version uint64, members []Member, now time.Time) {
+	if version <= m.version {
+		return
+	}
+	m.checkLapse(now)
+	listed := make(map[Member]bool, len(members))
+	for _, e := range members {
+		listed[e] = true
+	}
+	if m.vouching {
+		m.recordFlips(version, listed)
+	}
+	if version != m.version+1 {
+		m.gapless = version
+	}
+	m.version, m.listed, m.roster = version, listed, newRoster(slices.Clone(members))
+	for from, s := range m.ahead {
+		if s.Version <= version {
+			delete(m.ahead, from)
+			m.adopt(s)
+		}
+	}
+	m.touch(now)
+	m.review(now)
+}
+
+func (m *Membership) recordFlips(version uint64, listed map[Member]bool) {
+	for e := range listed {
+		if !m.listed[e] {
+			m.flips[e] = flip{in: true, version: version}
+		}
+	}
+	for e := range m.listed {
+		if !listed[e] {
+			m.flips[e] = flip{version: version}
+		}
+	}
+}
+
+// Cease gives up all shards for good; the next statements say so.
+func (m *Membership) Cease(now time.Time) {
+	m.ceased = true
+	m.touch(now)
+}
+
+// Statement returns what this process says of itself now.
+func (m *Membership) Statement(now time.Time) Statement {
+	s := Statement{From: m.self, Incarnation: m.incarnation, Version: m.version, Vouching: m.vouching, Ceased: m.ceased}
+	for e, f := range m.flips {
+		out := Flip{Member: e, In: f.in, Version: f.version, Reached: !f.reached.IsZero()}
+		if out.Reached {
+			out.Age = now.Sub(f.reached)
+		}
+		s.Flips = append(s.Flips, out)
+	}
+	for e, h := range m.handed {
+		s.Handed = append(s.Handed, Handed{Member: e, Ceased: h.incarnation, Newest: m.newest[e]})
+	}
+	return s
+}
+
+// Answer notes who asked and returns this process's own statement.
+//
+// The asker's incarnation must be noted before the answer leaves: an answer
+// that helps a restarted process to begin has to void, at the same host, the
+// word of the process before it that it let go.
+func (m *Membership) Answer(ask Statement, now time.Time) Statement {
+	m.noteDirect(ask, now)
+	return m.Statement(now)
+}
+
+// Hear takes the answer to a question that was asked at the given time.
+func (m *Membership) Hear(s Statement, asked, now time.Time) {
+	m.checkLapse(now)
+	m.noteDirect(s, now)
+	next := saying{Statement: s, asked: asked, heard: now}
+	if s.Version > m.version {
+		m.ahead[s.From] = next
+		return
+	}
+	m.adopt(next)
+	m.review(now)
+}
+
+func (m *Membership) adopt(s saying) {
+	old, known := m.said[s.From]
+	if known && s.asked.Before(old.asked) {
+		return
+	}
+	for _, f := range s.Flips {
+		m.merge(f, s.heard)
+	}
+	for _, h := range s.Handed {
+		m.note(h.Member, h.Ceased, true, s.heard)
+		m.note(h.Member, h.Newest, false, s.heard)
+	}
+	s.Flips, s.Handed = nil, nil
+	if known && old.Version == s.Version && old.Incarnation == s.Incarnation {
+		s.heard = old.heard
+	}
+	m.said[s.From] = s
+	if !known || old.Version != s.Version || old.Vouching != s.Vouching || old.Incarnation != s.Incarnation {
+		m.touch(s.heard)
+	}
+}
+
+// merge takes over a flip that another member saw.
+func (m *Membership) merge(f Flip, now time.Time) {
+	own, known := m.flips[f.Member]
+	var reached time.Time
+	if f.Reached {
+		reached = now.Add(-f.Age)
+	}
+	switch {
+	case known && f.Version < own.version:
+		return
+	case known && f.Version == own.version:
+		if f.Reached && (own.reached.IsZero() || reached.Before(own.reached)) {
+			own.reached = reached
+			m.flips[f.Member] = own
+			m.touch(now)
+		}
+	case f.Reached && f.Age > m.limits.Fence:
+		return
+	case known && f.In == own.in && own.version >= m.gapless:
+		// The other skipped versions and dates the same flip too late.
+		return
+	default:
+		m.flips[f.Member] = flip{in: f.In, version: f.Version, reached: reached}
+		m.touch(now)
+		m.foreign[f.Member] = m.generation
+		if f.Member == m.self {
+			m.lapses++
+		}
+	}
+}
+
+// noteDirect takes what a member says of itself. If it speaks with an older
+// incarnation than the one that let go, its clock stepped back at a restart:
+// that word is void, since it would free what the process after it holds.
+func (m *Membership) noteDirect(s Statement, now time.Time) {
+	if s.Incarnation < m.newest[s.From] && m.handed[s.From].incarnation == m.newest[s.From] {
+		m.newest[s.From]++
+	}
+	m.note(s.From, s.Incarnation, s.Ceased, now)
+}
+
+// note remembers the newest incarnation of a member, and the newest that let go of its shards.
+func (m *Membership) note(e Member, incarnation uint64, ceased bool, now time.Time) {
+	m.newest[e] = max(m.newest[e], incarnation)
+	if ceased && incarnation > m.handed[e].incarnation {
+		m.handed[e] = handedAt{incarnation: incarnation, heard: now}
+		m.touch(now)
+	}
+}
+
+// hasCeased reports whether the newest known process of a member gave up its shards, and when that was heard.
+func (m *Membership) hasCeased(e Member) (time.Time, bool) {
+	h, ok := m.handed[e]
+	return h.heard, ok && h.incarnation == m.newest[e]
+}
+
+// review works out what the statements heard so far allow.
+func (m *Membership) review(now time.Time) {
+	m.reviewVouching(now)
+	m.reviewTenure(now)
+	m.reviewFlips(now)
+}
+
+// reviewVouching lets a process that lost its memory speak for membership
+// again. Until then it would confirm, from a stale list, what it had
+// denied before its restart. It has to have heard from a quorum of others
+// that did not forget, or from every other member when all have just started.
+func (m *Membership) reviewVouching(now time.Time) {
+	if m.vouching || m.version == 0 {
+		return
+	}
+	vouchers, answers := 0, 0
+	for _, e := range m.roster.members {
+		s, ok := m.said[e]
+		if e == m.self || !ok {
+			continue
+		}
+		answers++
+		if s.Vouching {
+			vouchers++
+		}
+	}
+	others := len(m.roster.members)
+	if m.listed[m.self] {
+		others--
+	}
+	if vouchers >= m.quorum(len(m.roster.members)) || answers == others {
+		m.vouching = true
+		m.touch(now)
+	}
+}
+
+// reviewTenure finds how long the quorum's newest confirmations last.
+func (m *Membership) reviewTenure(now time.Time) {
+	members := len(m.roster.members)
+	need := m.quorum(members) - 1
+	if members == 0 {
+		return
+	}
+	if need == 0 {
+		m.confirm(forever, now)
+		return
+	}
+	if m.until.Equal(forever) {
+		m.until = now.Add(m.limits.Tenure())
+	}
+	var times []time.Time
+	for _, e := range m.roster.members {
+		if s, ok := m.said[e]; ok && s.Vouching && e != m.self {
+			times = append(times, s.asked)
+		}
+	}
+	if len(times) < need {
+		return
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	m.confirm(times[need-1].Add(m.limits.Tenure()), now)
+}
+
+// confirm extends the right to act.
+func (m *Membership) confirm(until, now time.Time) {
+	if !until.After(m.until) || !until.After(now) {
+		return
+	}
+	if m.until.IsZero() {
+		m.regained = now
+	}
+	m.until = until
+}
+
+// forever is the end of the tenure of a member that needs nobody's word but its own.
+var forever = time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// reviewFlips notes when a quorum was first known to hold each flip's version, and forgets flips older than any fence.
+func (m *Membership) reviewFlips(now time.Time) {
+	need := m.quorum(len(m.roster.members))
+	for e, f := range m.flips {
+		if f.reached.IsZero() && m.holding(f.version) >= need {
+			f.reached = now
+			m.flips[e] = f
+			m.touch(now)
+		}
+		if m.old(f, now) && now.Sub(f.reached) > 2*m.limits.Fence {
+			delete(m.flips, e)
+			delete(m.foreign, e)
+			m.forget(e)
+		}
+	}
+}
+
+// forget drops what was heard from a member that left the list long ago.
+func (m *Membership) forget(e Member) {
+	if m.listed[e] {
+		return
+	}
+	delete(m.said, e)
+	delete(m.newest, e)
+	delete(m.handed, e)
+	delete(m.asking.last, e)
+}
+
+// holding counts the members known to hold a version or a newer one.
+func (m *Membership) holding(version uint64) int {
+	count := 0
+	for _, e := range m.roster.members {
+		if e == m.self || m.said[e].Version >= version || m.ahead[e].Version >= version {
+			count++
+		}
+	}
+	return count
+}
+
+// old reports whether a quorum has known the flip for the whole fence, so that no home acts on a list before it.
+func (m *Membership) old(f flip, now time.Time) bool {
+	return !f.reached.IsZero() && now.Sub(f.reached) >= m.limits.Fence
+}
+
+func (m *Membership) touch(now time.Time) {
+	m.generation++
+	if now.After(m.changed) {
+		m.changed = now
+	}
+}
+
+// checkLapse notes that the tenure ran out: what was held until then may belong to others now.
+func (m *Membership) checkLapse(now time.Time) {
+	if !m.until.IsZero() && !now.Before(m.until) {
+		m.until = time.Time{}
+		m.lapses++
+		m.touch(now)
+	}
+}
+
+// MayLend reports whether this process may act as a home now.
+func (m *Membership) MayLend(now time.Time) bool {
+	m.checkLapse(now)
+	return m.vouching && !m.ceased && m.listed[m.self] && now.Before(m.until) &&
+		now.Sub(m.started) >= m.limits.lent()
+}
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -158,6 +158,7 @@
 		"-host", h.name, "-service", h.service, "-zone", h.zone,
 		"-callers", f.address(h.number, callersPort).String(),
 		"-peers", f.address(h.number, peersPort).String(),
+		"-advertise", f.address(relayOffset+h.number, peersPort).String(),
 		"-operators", f.address(h.number, operatorsPort).String(),
 		"-upstream", f.address(h.number, upstreamPort).String(),
 		"-platform", f.address(platformHost+1, platformPort).String(),
--- a/option.go
+++ b/option.go
@@ -29,6 +29,7 @@
 func WithListeners(callers, peers, operators netip.AddrPort) Option {
 	return func(d *Daemon) {
 		d.settings.Callers, d.settings.Peers, d.settings.Operators = callers, peers, operators
+		d.settings.Advertise = peers
 	}
 }
 
