--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -11,7 +11,9 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
+	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -32,6 +34,8 @@
 	control  *control
 	rates    *rates
 	placer   *placing.Placer
+	needs    *budget.Needs
+	doors    *pressure.Doors
 	owner    *owner
 	peers    *peer.Node
 	callers  *httpd.Server
@@ -44,10 +48,12 @@
 		settings: s,
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
-		placer:   placing.New(s.Zone),
+		placer:   placing.New(s.Zone, placing.WithKind(s.Placing)),
+		needs:    budget.NewNeeds(),
+		doors:    pressure.New(),
 	}
 	d.view.Store(lists.NewSet().View())
-	d.owner = newOwner(s.Slots, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
+	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound))))
 	d.rates = newRates(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault))
@@ -83,6 +89,7 @@
 	}
 	d.control.start()
 	d.rates.start()
+	d.control.done.Go(d.observe)
 	return nil
 }
 
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -24,9 +24,13 @@
 type admitted struct {
 	request call.Request
 	account *budget.Account
+	// origin is the request that an upstream's call belongs to; nil for a caller's.
+	origin *origin
+	// still reports, after a wait, whether the caller's key is still in force; nil means that it need not be asked.
+	still func() bool
 }
 
-// admit decides in the order key, plan, rate, deadline, so that nothing is
+// admit decides in the order key, plan, rate, overload, so that nothing is
 // spent on a request that an earlier check refuses.
 func (d *Daemon) admit(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	if token := r.Header.Get(upstream.HeaderToken); token != "" {
@@ -65,6 +69,9 @@
 	if wait, ok := d.rates.Spend(r.Context(), organisation); !ok {
 		return refuse(call.OverRate, wait)
 	}
+	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
+		return refuse(call.Overloaded, back)
+	}
 	return a, call.Answer{}, true
 }
 
@@ -86,6 +93,7 @@
 	a.request.Depth = origin.request.Depth + 1
 	a.request.Priority = origin.request.Priority
 	a.account = origin.account
+	a.origin = origin
 	return a, call.Answer{}, true
 }
 
