--- a/internal/proof/scenario/flood_test.go
+++ b/internal/proof/scenario/flood_test.go
@@ -17,12 +17,15 @@
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
-func init() {
-	moreCommands["flood"] = cmdFlood       // flood NAME,NAME KEY DURATION CALLS/S: send at each of the hosts in the background
-	moreCommands["floodEnd"] = cmdFloodEnd // floodEnd: wait for the floods and print what was admitted at each host
-	moreCommands["within"] = cmdWithin     // within RATE BURST: every interval of the floods has at most burst + rate × length
-	moreCommands["atLeast"] = cmdAtLeast   // atLeast COUNT: so many were admitted over all hosts
-	moreCommands["rates"] = cmdRates       // rates DURATION NAME TEXT: wait until /statusz of the host has the text
+// floodCommands send for a while at several hosts and check what was admitted over all of them.
+func floodCommands() map[string]command {
+	return map[string]command{
+		"flood":    cmdFlood,    // flood NAME,NAME KEY DURATION CALLS/S: send at each of the hosts in the background
+		"floodEnd": cmdFloodEnd, // floodEnd: wait for the floods and print what was admitted at each host
+		"within":   cmdWithin,   // within RATE BURST: every interval of the floods has at most burst + rate × length
+		"atLeast":  cmdAtLeast,  // atLeast COUNT: so many were admitted over all hosts
+		"rates":    cmdRates,    // rates DURATION NAME TEXT: wait until /statusz of the host has the text
+	}
 }
 
 // floods are the senders of one scenario and what they saw.
--- a/internal/proof/scenario/scenario_test.go
+++ b/internal/proof/scenario/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"testing"
@@ -30,9 +31,11 @@
 }
 
 func TestScenarios(t *testing.T) {
+	all := commands()
+	maps.Copy(all, floodCommands())
 	testscript.Run(t, testscript.Params{
 		Dir:             "testdata",
-		Cmds:            commands(),
+		Cmds:            all,
 		TestWork:        os.Getenv("SCENARIO_KEEP") != "",
 		Setup:           setup,
 		ContinueOnError: false,
