--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -24,6 +24,8 @@
 
 // Settings is everything a daemon is told at its start.
 type Settings struct {
+	Guards
+
 	Host    string
 	Service string
 	Region  string
@@ -138,6 +140,7 @@
 	b.advertised(&s.Advertise, &s.Peers)
 	b.duration(&s.Fence, "fence", rate.DefaultFence, "time until the rate shards of a host that vanished are taken over; the same on all hosts", time.Second, 24*time.Hour)
 	b.duration(&s.Loan, "loan", rate.DefaultLoan, "time that lent tokens may be spent; the same on all hosts", 10*time.Millisecond, time.Minute)
+	s.Guards.bind(b)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
 }
 
@@ -151,6 +154,7 @@
 	if err := s.Limits().Check(); err != nil {
 		b.fault("%v", err)
 	}
+	s.checkGuards(b)
 	seen := map[netip.AddrPort]string{}
 	own := []struct {
 		flag    string
