--- a/internal/wire/loops/engine_test.go
+++ b/internal/wire/loops/engine_test.go
@@ -46,13 +46,20 @@
 	// closed, so that its descriptors go up in steps of two. Every probe reached
 	// the same loop, and the daemon ended with "1 of 2 reached".
 	Convey("Each loop is reached from any descriptor on", t, func() {
-		for held := range 12 {
+		for pattern := range 64 {
 			var files []*os.File
-			for range held {
+			for i := range 24 {
 				f, err := os.Open(os.DevNull)
 				So(err, ShouldBeNil)
+				if pattern>>(i%6)&1 == 0 {
+					defer func() { _ = f.Close() }()
+					continue
+				}
 				files = append(files, f)
 			}
+			for _, f := range files {
+				_ = f.Close()
+			}
 			engine := New(nbio.Config{Network: "tcp", Addrs: []string{"127.0.0.1:0"}, NPoller: 2}, Handlers{
 				Open:  func(*nbio.Conn) {},
 				Data:  func(*nbio.Conn, []byte) {},
@@ -60,9 +67,6 @@
 			})
 			So(engine.Start(), ShouldBeNil)
 			engine.Stop()
-			for _, f := range files {
-				_ = f.Close()
-			}
 		}
 	})
 }
