--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -78,9 +78,30 @@
 	ends := time.Now().Add(seekBound)
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
+	wait := r.round(ctx, organisation, s)
+	if wait <= againWithin && s.wanted() {
+		time.Sleep(wait)
+		wait = r.round(ctx, organisation, s)
+	}
+	r.seeks.mu.Lock()
+	delete(r.seeks.going, organisation)
+	r.seeks.mu.Unlock()
+	if s.wanted() {
+		r.borrower.RanDry(organisation, wait, time.Now())
+	}
+	s.end(wait)
+}
+
+// againWithin is how soon a home must expect a token for the homes to be asked
+// once more: a caller inside its rate should not be refused for a few milliseconds,
+// and one far over it should hear so at once.
+const againWithin = 20 * time.Millisecond
+
+// round asks each home once, as long as requests wait, and returns the shortest time until one has a token.
+func (r *rates) round(ctx context.Context, organisation string, s *seek) time.Duration {
 	wait := time.Hour
 	homes := r.borrower.Homes(organisation, time.Now())
-	for tried := 0; s.wanted() && tried < homes && time.Now().Before(ends); tried++ {
+	for tried := 0; s.wanted() && tried < homes && ctx.Err() == nil; tried++ {
 		ask, ok := r.borrower.Urgent(organisation, tried, time.Now())
 		if !ok {
 			break
@@ -88,13 +109,7 @@
 		wait = min(wait, r.lease(ctx, ask))
 		s.tell()
 	}
-	r.seeks.mu.Lock()
-	delete(r.seeks.going, organisation)
-	r.seeks.mu.Unlock()
-	if s.wanted() {
-		r.borrower.RanDry(organisation, wait, time.Now())
-	}
-	s.end(wait)
+	return wait
 }
 
 func (s *seek) look() (changed chan struct{}, ended bool, wait time.Duration) {
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -98,6 +98,7 @@
 type seek struct {
 	waiters int
 	tried   int
+	again   bool
 	wait    time.Duration
 	ends    time.Time
 }
--- a/internal/fleet/rate/holding.go
+++ b/internal/fleet/rate/holding.go
@@ -9,10 +9,10 @@
 // gives it, and from when on. False means that another may still hold it, or
 // that too few members are known to have this list.
 func (m *Membership) mayTake(key uint64, now time.Time) (time.Time, bool) {
-	if !m.agreed() {
+	own := rank(key, m.self.hash())
+	if m.settled != m.version && !m.kept(key, own) {
 		return time.Time{}, false
 	}
-	own := rank(key, m.self.hash())
 	from := m.started
 	for e, f := range m.flips {
 		if f.in || rank(key, e.hash()) < own {
@@ -35,6 +35,23 @@
 	return from.Add(m.limits.lent()), true
 }
 
+// kept reports whether the shard was this process's in the last list that was
+// agreed on, and stayed so in every list since. Otherwise an organisation that
+// was not seen lately would be refused after each change of the list until a quorum
+// is known to have it, and in a large fleet the list changes every few minutes.
+func (m *Membership) kept(key, own uint64) bool {
+	home, ok := m.settledRoster.home(key)
+	if !ok || home != m.self || m.settledLapses != m.lapses {
+		return false
+	}
+	for e, f := range m.flips {
+		if f.version > m.settled && (e == m.self || rank(key, e.hash()) > own) {
+			return false
+		}
+	}
+	return true
+}
+
 // agreed reports whether a quorum, this process included, vouches for exactly this version of the list.
 //
 // Their statements carry every flip that any home still acts on: a home began
--- a/internal/fleet/rate/membership.go
+++ b/internal/fleet/rate/membership.go
@@ -39,6 +39,10 @@
 	until time.Time
 	// regained is when that right last began.
 	regained time.Time
+	// settled is the last version that a quorum agreed on, with its roster and the lapses until then.
+	settled       uint64
+	settledRoster roster
+	settledLapses uint64
 	// changed and generation tell when and that something was learnt that can move shards.
 	changed    time.Time
 	generation uint64
@@ -257,6 +261,7 @@
 // review works out what the statements heard so far allow.
 func (m *Membership) review(now time.Time) {
 	m.reviewVouching(now)
+	m.reviewAgreement(now)
 	m.reviewTenure(now)
 	m.reviewFlips(now)
 }
@@ -290,6 +295,14 @@
 	}
 }
 
+// reviewAgreement notes that a quorum vouches for this version of the list.
+func (m *Membership) reviewAgreement(now time.Time) {
+	if m.settled < m.version && m.agreed() {
+		m.settled, m.settledRoster, m.settledLapses = m.version, m.roster, m.lapses
+		m.touch(now)
+	}
+}
+
 // reviewTenure finds how long the quorum's newest confirmations last.
 func (m *Membership) reviewTenure(now time.Time) {
 	members := len(m.roster.members)
