--- /dev/null
+++ b/cmd/foxtailrate/main.go
@@ -0,0 +1,48 @@
+// Command foxtailrate weighs the ways to divide an organisation's rate over a fleet, in virtual time.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/foxtailhook/foxtailhook/internal/bench/rates"
+)
+
+func main() {
+	fs := flag.NewFlagSet("foxtailrate", flag.ExitOnError)
+	hosts := fs.Int("hosts", 15, "hosts of the fleet, in three availability zones")
+	seed := fs.Uint64("seed", 1, "seed of the run")
+	only := fs.String("case", "", "run only cases whose name has this text")
+	way := fs.String("way", "", "run only ways whose name has this text")
+	asJSON := fs.Bool("json", false, "print one JSON line for each run in place of a table")
+	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FOXTAILRATE")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	show := func(r rates.Result) {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t\n", r.Case, r.Arrival, r.Variant, r.Hosts, r.Percent, r.Asking, r.Messages, r.Excess)
+	}
+	if *asJSON {
+		out := json.NewEncoder(os.Stdout)
+		show = func(r rates.Result) { _ = out.Encode(r) }
+	} else {
+		fmt.Fprintln(table, "case\tarrival\tway\thosts\twrongful %\tasked %\tmessages/host/s\ttokens over\t")
+	}
+	for _, c := range rates.Cases() {
+		for _, a := range []rates.Arrival{rates.Uniform, rates.Skewed} {
+			for _, v := range rates.Variants() {
+				if strings.Contains(c.Name, *only) && strings.Contains(v.Name, *way) {
+					show(rates.Run(v, c, a, *hosts, *seed))
+				}
+			}
+		}
+	}
+	_ = table.Flush()
+}
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -26,6 +26,7 @@
 	changed chan struct{}
 	waiters int
 	ended   bool
+	dry     bool
 	wait    time.Duration
 }
 
@@ -41,15 +42,20 @@
 	}
 	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
 	s := r.join(organisation)
-	defer s.leave()
+	defer func() { s.leave() }()
 	for {
-		changed, ended, wait := s.look()
+		changed, ended, dry, wait := s.look()
 		if r.borrower.Take(organisation, time.Now()) {
 			return 0, true
 		}
-		if ended {
+		if ended && dry {
 			return wait, false
 		}
+		if ended {
+			s.leave()
+			s = r.join(organisation)
+			continue
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -78,18 +84,32 @@
 	ends := time.Now().Add(seekBound)
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
-	wait := r.round(ctx, organisation, s)
-	if wait <= againWithin && s.wanted() {
-		time.Sleep(wait)
-		wait = r.round(ctx, organisation, s)
-	}
+	wait, dry := r.rounds(ctx, organisation, s)
 	r.seeks.mu.Lock()
 	delete(r.seeks.going, organisation)
 	r.seeks.mu.Unlock()
-	if s.wanted() {
+	if dry {
 		r.borrower.RanDry(organisation, wait, time.Now())
 	}
-	s.end(wait)
+	s.end(wait, dry)
+}
+
+// rounds asks all homes again while some have more than was asked for, since
+// requests join meanwhile, and once more when a token is about to come.
+func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
+	again := false
+	for s.wanted() && ctx.Err() == nil {
+		wait = r.round(ctx, organisation, s)
+		if wait == 0 {
+			continue
+		}
+		if again || wait > againWithin {
+			return wait, true
+		}
+		again = true
+		time.Sleep(wait)
+	}
+	return wait, ctx.Err() != nil
 }
 
 // againWithin is how soon a home must expect a token for the homes to be asked
@@ -102,7 +122,7 @@
 	wait := time.Hour
 	homes := r.borrower.Homes(organisation, time.Now())
 	for tried := 0; s.wanted() && tried < homes && ctx.Err() == nil; tried++ {
-		ask, ok := r.borrower.Urgent(organisation, tried, time.Now())
+		ask, ok := r.borrower.Urgent(organisation, tried, s.waiting(), time.Now())
 		if !ok {
 			break
 		}
@@ -112,10 +132,10 @@
 	return wait
 }
 
-func (s *seek) look() (changed chan struct{}, ended bool, wait time.Duration) {
+func (s *seek) look() (changed chan struct{}, ended, dry bool, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changed, s.ended, s.wait
+	return s.changed, s.ended, s.dry, s.wait
 }
 
 func (s *seek) leave() {
@@ -124,12 +144,14 @@
 	s.mu.Unlock()
 }
 
-func (s *seek) wanted() bool {
+func (s *seek) waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waiters > 0
+	return s.waiters
 }
 
+func (s *seek) wanted() bool { return s.waiting() > 0 }
+
 func (s *seek) tell() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,9 +159,9 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *seek) end(wait time.Duration) {
+func (s *seek) end(wait time.Duration, dry bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ended, s.wait = true, wait
+	s.ended, s.dry, s.wait = true, dry, wait
 	close(s.changed)
 }
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -58,10 +58,10 @@
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
-	ask, ok := h.borrower.Urgent(organisation, s.tried, w.Now)
-	if !ok && s.wait <= againWithin && !s.again {
+	ask, ok := h.borrower.Urgent(organisation, s.tried, s.waiters, w.Now)
+	if !ok && s.wait <= againWithin && !s.again && w.Now.Before(s.ends) {
 		wait := s.wait
-		s.again, s.tried, s.wait = true, 0, time.Hour
+		s.again, s.tried, s.wait = wait > 0, 0, time.Hour
 		w.process(h, h.incarnation, wait, func() { w.seek(h, organisation, s) })
 		return
 	}
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -122,8 +122,10 @@
 	return p, true
 }
 
-// Urgent returns the question that a waiting request asks after as many others as tried; false means that all homes were asked.
-func (b *Borrower) Urgent(organisation string, tried int, now time.Time) (Ask, bool) {
+// Urgent returns the question that waiting requests ask after as many homes as
+// tried; false means that all were asked. It asks for a token for each that
+// waits: a burst at one daemon would else be refused while its home is full.
+func (b *Borrower) Urgent(organisation string, tried, waiting int, now time.Time) (Ask, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
@@ -133,7 +135,7 @@
 	for ; tried < len(p.homes); tried++ {
 		home := p.homes[(p.cursor+tried)%len(p.homes)]
 		if a := b.account(p, home, now); !now.Before(a.slow) {
-			return b.ask(home, b.item(p, a, max(1, p.target()), true)), true
+			return b.ask(home, b.item(p, a, max(1, waiting, p.target()), true)), true
 		}
 	}
 	return Ask{}, false
