--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -36,6 +36,7 @@
 	Operators netip.AddrPort
 	Upstream  netip.AddrPort
 	Platform  netip.AddrPort
+	Seeds     []netip.AddrPort
 
 	Slots          int
 	Limit          limit.Kind
@@ -51,6 +52,7 @@
 	LeaveTime      time.Duration
 	DrainTime      time.Duration
 	Watch          time.Duration
+	IsolationTime  time.Duration
 	LogLevel       logrus.Level
 
 	// Advertise is the address of Peers as the hosts list has it.
@@ -123,6 +125,7 @@
 	b.address(&s.Operators, "operators", "127.0.0.1:7002", "IP:port for health, status and metrics (HTTP)")
 	b.address(&s.Upstream, "upstream", "127.0.0.1:8000", "IP:port of the upstream beside this daemon (HTTP)")
 	b.address(&s.Platform, "platform", "127.0.0.1:9000", "IP:port of the configuration service (HTTP, read only)")
+	b.addresses(&s.Seeds, "seeds", "", "IP:port of some peers, separated by commas, that a starting daemon asks before it reads the platform")
 	b.count(&s.Slots, "slots", 64, "most requests that the upstream runs at once; the learned limit stays at or below it", 1, 100_000)
 	choice(b, &s.Limit, "limit", limit.Gradient, "how the limit is found: gradient, aimd or fixed (at -slots)", limit.ParseKind)
 	choice(b, &s.Queue, "queue", queue.Fair, "order of waiting requests: fair, fifo or lifo", queue.ParseKind)
@@ -140,6 +143,7 @@
 	b.advertised(&s.Advertise, &s.Peers)
 	b.duration(&s.Fence, "fence", rate.DefaultFence, "time until the rate shards of a host that vanished are taken over; the same on all hosts", time.Second, 24*time.Hour)
 	b.duration(&s.Loan, "loan", rate.DefaultLoan, "time that lent tokens may be spent; the same on all hosts", 10*time.Millisecond, time.Minute)
+	b.duration(&s.IsolationTime, "isolation-time", time.Minute, "time after which a daemon that neither a peer nor the platform answers takes no more callers; 0 is never", 0, 24*time.Hour)
 	s.Guards.bind(b)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
 }
--- a/internal/proof/scenario/scenario_test.go
+++ b/internal/proof/scenario/scenario_test.go
@@ -33,6 +33,7 @@
 func TestScenarios(t *testing.T) {
 	all := commands()
 	maps.Copy(all, streamCommands())
+	maps.Copy(all, listCommands())
 	testscript.Run(t, testscript.Params{
 		Dir:             "testdata",
 		Cmds:            all,
