--- a/internal/fleet/rate/lender.go
+++ b/internal/fleet/rate/lender.go
@@ -70,7 +70,8 @@
 	}
 	account, ok := b.settle(key, item, l.birth)
 	if !ok {
-		grant.Closed = true
+		// The borrower was slow to ask and opens another account at once; the bucket may well be full.
+		grant.Closed, grant.Wait = true, b.wait()
 		return grant
 	}
 	lent := 0
