--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -120,14 +120,14 @@
 // round asks each home once, as long as requests wait, and returns the shortest time until one has a token.
 func (r *rates) round(ctx context.Context, organisation string, s *seek) time.Duration {
 	wait := time.Hour
-	homes := r.borrower.Homes(organisation, time.Now())
-	for tried := 0; s.wanted() && tried < homes && ctx.Err() == nil; tried++ {
-		ask, ok := r.borrower.Urgent(organisation, tried, s.waiting(), time.Now())
-		if !ok {
+	for _, home := range r.borrower.Homes(organisation, time.Now()) {
+		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
-		wait = min(wait, r.lease(ctx, ask))
-		s.tell()
+		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
+			wait = min(wait, r.lease(ctx, ask))
+			s.tell()
+		}
 	}
 	return wait
 }
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -36,7 +36,7 @@
 		w.settle(organisation, false)
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound)}
+		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
@@ -58,10 +58,11 @@
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
-	ask, ok := h.borrower.Urgent(organisation, s.tried, s.waiters, w.Now)
+	ask, ok := w.nextAsk(h, organisation, s)
 	if !ok && s.wait <= againWithin && !s.again && w.Now.Before(s.ends) {
 		wait := s.wait
-		s.again, s.tried, s.wait = wait > 0, 0, time.Hour
+		s.again, s.wait = wait > 0, time.Hour
+		s.homes = h.borrower.Homes(organisation, w.Now)
 		w.process(h, h.incarnation, wait, func() { w.seek(h, organisation, s) })
 		return
 	}
@@ -70,7 +71,6 @@
 		w.end(h, organisation, s)
 		return
 	}
-	s.tried++
 	next := func() {
 		w.serve(h, organisation, s)
 		if s.waiters > 0 {
@@ -87,6 +87,17 @@
 	}, next)
 }
 
+func (w *World) nextAsk(h *Host, organisation string, s *seek) (rate.Ask, bool) {
+	for len(s.homes) > 0 {
+		home := s.homes[0]
+		s.homes = s.homes[1:]
+		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, w.Now); ok {
+			return ask, true
+		}
+	}
+	return rate.Ask{}, false
+}
+
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
 	for s.waiters > 0 {
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -97,7 +97,7 @@
 // seek is a chain of urgent questions with the requests that wait for it.
 type seek struct {
 	waiters int
-	tried   int
+	homes   []rate.Member
 	again   bool
 	wait    time.Duration
 	ends    time.Time
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -122,34 +123,33 @@
 	return p, true
 }
 
-// Urgent returns the question that waiting requests ask after as many homes as
-// tried; false means that all were asked. It asks for a token for each that
+// Urgent returns the question that waiting requests ask of a home; false means
+// that the home did not answer lately. It asks for a token for each that
 // waits: a burst at one daemon would else be refused while its home is full.
-func (b *Borrower) Urgent(organisation string, tried, waiting int, now time.Time) (Ask, bool) {
+func (b *Borrower) Urgent(organisation string, home Member, waiting int, now time.Time) (Ask, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
 	if !ok {
 		return Ask{}, false
 	}
-	for ; tried < len(p.homes); tried++ {
-		home := p.homes[(p.cursor+tried)%len(p.homes)]
-		if a := b.account(p, home, now); !now.Before(a.slow) {
-			return b.ask(home, b.item(p, a, max(1, waiting, p.target()), true)), true
-		}
+	a := b.account(p, home, now)
+	if now.Before(a.slow) {
+		return Ask{}, false
 	}
-	return Ask{}, false
+	return b.ask(home, b.item(p, a, max(1, waiting, p.target()), true)), true
 }
 
-// Homes returns how many homes the organisation's shards have.
-func (b *Borrower) Homes(organisation string, now time.Time) int {
+// Homes returns the homes of the organisation's shards, the one to ask first in front.
+func (b *Borrower) Homes(organisation string, now time.Time) []Member {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
-	if !ok {
-		return 0
+	if !ok || len(p.homes) == 0 {
+		return nil
 	}
-	return len(p.homes)
+	first := p.cursor % len(p.homes)
+	return append(slices.Clone(p.homes[first:]), p.homes[:first]...)
 }
 
 // RanDry notes that no home had a token; until the time that they told, capped, requests are refused without asking.
