--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -44,9 +44,6 @@
 	if !d.takes(now) {
 		return refuse(call.NotReady, time.Second)
 	}
-	if d.leaving.Load() {
-		return refuse(call.Draining, time.Second)
-	}
 	key, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer)
 	if !ok {
 		return refuse(call.UnknownKey, 0)
@@ -166,5 +163,10 @@
 	for _, name := range kept {
 		out.Del(name)
 	}
+	for name := range out {
+		if forged(name) {
+			delete(out, name)
+		}
+	}
 	return out
 }
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -52,6 +52,8 @@
 		http.Error(w, "lists not confirmed as current: "+d.standing.Load().String(), http.StatusServiceUnavailable)
 	case !d.rates.ready.Load():
 		http.Error(w, "no rates yet", http.StatusServiceUnavailable)
+	case !d.serving.Load():
+		http.Error(w, "starting", http.StatusServiceUnavailable)
 	default:
 		_, _ = w.Write([]byte("ok\n"))
 	}
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -16,7 +16,7 @@
 // only passed over while another host is left, so that a fault of this daemon's
 // own network can't empty a service.
 func (v *View) Usable(hosts []lists.Host) []lists.Host {
-	if len(v.leaving) == 0 && len(v.suspect) == 0 {
+	if v.Sound() {
 		return hosts
 	}
 	var sound, suspects []lists.Host
@@ -35,6 +35,9 @@
 	return sound
 }
 
+// Sound reports whether no host is in doubt.
+func (v *View) Sound() bool { return len(v.leaving) == 0 && len(v.suspect) == 0 }
+
 // Leaving reports whether the host said that it is leaving.
 func (v *View) Leaving(host string) bool { return v.leaving[host] }
 
--- a/internal/proof/scenario/commands_lists_test.go
+++ b/internal/proof/scenario/commands_lists_test.go
@@ -52,9 +52,12 @@
 	}
 	<-b.done
 	ts.Check(b.err)
-	_, _ = io.WriteString(ts.Stdout(), b.out)
+	_, _ = io.WriteString(ts.Stdout(), b.out[:min(len(b.out), shown)])
 }
 
+// shown is how much of an answer goes to the log.
+const shown = 1000
+
 func cmdAwaitStatus(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 3, "awaitstatus DURATION PATTERN NAME...")
 	limit, err := time.ParseDuration(args[0])
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
@@ -17,7 +20,14 @@
 	address   netip.AddrPort
 	bodyBound int
 	maxConns  int
+	headBound int
+	headTime  time.Duration
+	held      held
+	refuser   Refuser
+	closing   func() bool
 	watch     *hangups
+	guards    sync.Map
+	listener  *listener
 }
 
 // Option sets one property of a server.
@@ -26,6 +36,9 @@
 const (
 	defaultBodyBound = 64 << 20
 	defaultMaxConns  = 10_000
+	defaultHeld      = 256 << 20
+	defaultHeadBound = 32 << 10
+	defaultHeadTime  = 5 * time.Second
 	keepalive        = 2 * time.Minute
 	pollers          = 2
 )
@@ -36,14 +49,33 @@
 // WithMaxConns bounds the open connections.
 func WithMaxConns(count int) Option { return func(s *Server) { s.maxConns = count } }
 
+// WithHeldBytes bounds the bytes of all bodies that are arriving or being worked on.
+func WithHeldBytes(bytes int) Option { return func(s *Server) { s.held.limit = int64(bytes) } }
+
+// WithHead bounds a request's head in bytes and in the time it takes to arrive.
+func WithHead(bytes int, limit time.Duration) Option {
+	return func(s *Server) { s.headBound, s.headTime = bytes, limit }
+}
+
+// WithRefuser sets who answers requests that no handler sees.
+func WithRefuser(r Refuser) Option { return func(s *Server) { s.refuser = r } }
+
+// WithClosing sets what tells whether callers should connect elsewhere from now on.
+func WithClosing(closing func() bool) Option { return func(s *Server) { s.closing = closing } }
+
 // New returns a server for the address; each request's context ends when its caller hangs up.
 func New(address netip.AddrPort, handler http.Handler, opts ...Option) *Server {
 	s := &Server{
 		address:   address,
 		bodyBound: defaultBodyBound,
 		maxConns:  defaultMaxConns,
+		headBound: defaultHeadBound,
+		headTime:  defaultHeadTime,
+		refuser:   plainRefusal,
+		closing:   func() bool { return false },
 		watch:     newHangups(),
 	}
+	s.held.limit = defaultHeld
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -52,19 +84,61 @@
 		Name:            "httpd",
 		Network:         "tcp",
 		Addrs:           []string{address.String()},
+		Listen:          s.listen,
 		MaxLoad:         s.maxConns,
 		MaxHTTPBodySize: s.bodyBound,
 		ReadLimit:       s.bodyBound + readSlack,
 		KeepaliveTime:   keepalive,
 		NPoller:         pollers,
-		Handler:         s.watch.wrap(handler),
+		Handler:         s.wrap(s.watch.wrap(handler)),
 		// A handler waits for its upstream, so each runs on a goroutine of
 		// its own; the admission bounds how many there are.
 		ServerExecutor: func(f func()) { go f() },
 	})
+	s.engine.Engine.OnOpen(s.opened)
+	s.engine.OnClose(s.closed)
 	return s
 }
 
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	l, err := listen(network, address)
+	s.listener = l
+	return l, err
+}
+
+// opened puts a guard between a new connection and its parser.
+func (s *Server) opened(c *nbio.Conn) {
+	if p, ok := c.Session().(*nbhttp.Parser); ok {
+		s.guards.Store(c, newGuard(s, c, p))
+		c.OnData(s.data)
+	}
+}
+
+func (s *Server) guardOf(c *nbio.Conn) (*guard, bool) {
+	g, ok := s.guards.Load(c)
+	if !ok {
+		return nil, false
+	}
+	return g.(*guard), true
+}
+
+func (s *Server) data(c *nbio.Conn, data []byte) {
+	if g, ok := s.guardOf(c); ok {
+		g.parse(data)
+	}
+}
+
+func (s *Server) closed(c net.Conn, _ error) {
+	conn, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if g, ok := s.guardOf(conn); ok {
+		s.guards.Delete(conn)
+		g.close()
+	}
+}
+
 // readSlack is room for a request's head beside its body.
 const readSlack = 1 << 20
 
@@ -74,8 +148,48 @@
 	return errors.Wrapf(s.engine.Start(), "http: listen on %s", s.address)
 }
 
-// Stop closes the listener and, when all answers are written or ctx ends, the connections.
+// Stop closes the listener, waits until no connection has a request, closing those
+// that have had none for a while, and then closes what is left; ctx bounds the wait.
+//
+// Closing at once would cut answers still on their way out, and requests that a
+// caller sends on a connection that it believes to be open.
 func (s *Server) Stop(ctx context.Context) error {
 	defer s.watch.stop()
-	return s.engine.Shutdown(ctx)
+	s.listener.end()
+	tick := time.NewTicker(stopLook)
+	defer tick.Stop()
+	for ctx.Err() == nil && !s.closeIdle(time.Now()) {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	close(s.listener.ended)
+	last, cancel := context.WithTimeout(context.Background(), lastWait)
+	defer cancel()
+	return s.engine.Shutdown(last)
+}
+
+const (
+	stopLook = 20 * time.Millisecond
+	lastWait = time.Second
+	// idleEnough is longer than an answer takes to leave and its caller to see that it should connect elsewhere.
+	idleEnough = 500 * time.Millisecond
+)
+
+// closeIdle closes connections without a request and reports whether none is left.
+func (s *Server) closeIdle(now time.Time) bool {
+	none := true
+	s.guards.Range(func(_, value any) bool {
+		g := value.(*guard)
+		since, idle := g.idleSince()
+		switch {
+		case idle && now.Sub(since) >= idleEnough:
+			_ = g.conn.Close()
+		default:
+			none = false
+		}
+		return true
+	})
+	return none
 }
