--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -16,7 +16,6 @@
 func (d *Daemon) stop() {
 	d.leaving.Store(true)
 	d.log.Info("leaving")
-	d.rates.cease()
 	d.control.leave()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
@@ -25,6 +24,7 @@
 	defer cancel()
 	_ = d.callers.Stop(ctx)
 	d.drain()
+	d.rates.cease()
 	d.rates.stop()
 	d.control.stop()
 	d.peers.Stop()
