--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -183,7 +183,7 @@
 	reply, err := peer.Call[rate.LeaseAsk, rate.LeaseReply](ctx, r.daemon.peers, ask.Home.Peer, peer.KindLease, ask.Message)
 	if err != nil {
 		r.borrower.Lost(ask, time.Now())
-		return time.Second
+		return rate.UnsettledWait
 	}
 	return r.borrower.Hear(ask.Home, reply, asked, time.Now())
 }
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -119,16 +119,19 @@
 
 // round asks each home once, as long as requests wait, and returns the shortest time until one has a token.
 func (r *rates) round(ctx context.Context, organisation string, s *seek) time.Duration {
-	wait := time.Hour
+	wait, asked := time.Hour, false
 	for _, home := range r.borrower.Homes(organisation, time.Now()) {
 		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
 		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
-			wait = min(wait, r.lease(ctx, ask))
+			wait, asked = min(wait, r.lease(ctx, ask)), true
 			s.tell()
 		}
 	}
+	if !asked {
+		return rate.UnsettledWait
+	}
 	return wait
 }
 
--- a/internal/fleet/rate/bucket.go
+++ b/internal/fleet/rate/bucket.go
@@ -141,12 +141,17 @@
 // wait returns the time until the bucket has a whole token.
 func (b *bucket) wait() time.Duration {
 	if b.rate <= 0 || b.size < 1 {
-		return noTokenWait
+		return UnsettledWait
 	}
 	seconds := max(1-b.balance, 0) / b.rate
 	return time.Duration(math.Min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
 
+// UnsettledWait is told by a home that holds no shards now, and assumed of one that
+// does not answer: either may change at any moment, and a daemon that refused for long on such
+// word would refuse callers inside their rate.
+const UnsettledWait = 50 * time.Millisecond
+
 // noTokenWait is told when nothing is known of when tokens come; maxWait bounds what a caller is told.
 const (
 	noTokenWait = time.Second
--- a/internal/fleet/rate/lender.go
+++ b/internal/fleet/rate/lender.go
@@ -62,7 +62,7 @@
 }
 
 func (l *Lender) answer(key accountKey, item LeaseItem, now time.Time) LeaseGrant {
-	grant := LeaseGrant{Organisation: item.Organisation, Account: item.Account, Wait: noTokenWait}
+	grant := LeaseGrant{Organisation: item.Organisation, Account: item.Account, Wait: UnsettledWait}
 	b, ok := l.bucket(item.Organisation, now)
 	if !ok {
 		grant.Closed = true
