--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,10 @@
 
 # The tables of settings and reasons are the program's own; a test holds that they are current.
 docs:
-	go run ./cmd/foxctl reference settings >docs/SETTINGS.md
-	go run ./cmd/foxctl reference reasons >docs/REASONS.md
+	@mkdir -p bin
+	go build -o bin/foxctl ./cmd/foxctl
+	bin/foxctl reference settings >docs/SETTINGS.md
+	bin/foxctl reference reasons >docs/REASONS.md
 
 demo:
 	@./scripts/demo.sh
