--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -8,8 +8,8 @@
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
-// seekBound is how long a request waits for tokens of its organisation before it is refused.
-const seekBound = 200 * time.Millisecond
+// seekBound is how long a request waits for tokens while no home can say how it stands; when they can, it is refused at once.
+const seekBound = 500 * time.Millisecond
 
 // seeks are the searches for tokens that requests wait for, one for each organisation.
 type seeks struct {
@@ -99,10 +99,15 @@
 func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
 	again := false
 	for s.wanted() && ctx.Err() == nil {
-		wait = r.round(ctx, organisation, s)
+		var certain bool
+		wait, certain = r.round(ctx, organisation, s)
 		if wait == 0 {
 			continue
 		}
+		if !certain {
+			time.Sleep(unsettledPause)
+			continue
+		}
 		if again || wait > againWithin {
 			return wait, true
 		}
@@ -117,22 +122,30 @@
 // and one far over it should hear so at once.
 const againWithin = 20 * time.Millisecond
 
-// round asks each home once, as long as requests wait, and returns the shortest time until one has a token.
-func (r *rates) round(ctx context.Context, organisation string, s *seek) time.Duration {
-	wait, asked := time.Hour, false
+// unsettledPause stands between rounds in which no home could say how it stands.
+const unsettledPause = 10 * time.Millisecond
+
+// round asks each home once, as long as requests wait, and returns the
+// shortest time until one has a token, and whether any could tell.
+func (r *rates) round(ctx context.Context, organisation string, s *seek) (wait time.Duration, certain bool) {
+	wait = rate.UnsettledWait
 	for _, home := range r.borrower.Homes(organisation, time.Now()) {
 		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
 		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
-			wait, asked = min(wait, r.lease(ctx, ask)), true
+			told := r.lease(ctx, ask)
+			switch {
+			case told == rate.UnsettledWait:
+			case certain:
+				wait = min(wait, told)
+			default:
+				wait, certain = told, true
+			}
 			s.tell()
 		}
 	}
-	if !asked {
-		return rate.UnsettledWait
-	}
-	return wait
+	return wait, certain
 }
 
 func (s *seek) look() (changed chan struct{}, ended, dry bool, wait time.Duration) {
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -53,7 +53,7 @@
 	// rareDemand in calls/s is where a token in stock would lie idle longer than it is worth.
 	rareDemand = 0.1
 	// slowTime is how long a home that did not answer is passed over.
-	slowTime = 250 * time.Millisecond
+	slowTime = 100 * time.Millisecond
 	// leastDry and mostDry bound the time during which a dry purse refuses without
 	// asking: a flood of an organisation over its rate must not become a flood of
 	// questions, and a token that another borrower gives back must be found soon.
