--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -123,7 +123,7 @@
 	if was := r.mayLend.Swap(status.MayLend); was != status.MayLend {
 		r.daemon.log.WithFields(logrus.Fields{"mayLend": status.MayLend, "hostsVersion": status.Version, "members": status.Members}).Info("rates")
 	}
-	if !r.complete.IsZero() && (status.MayLend && status.Settled || now.Sub(r.complete) >= readyBound) {
+	if !r.complete.IsZero() && (!status.Listed || status.MayLend && status.Settled || now.Sub(r.complete) >= readyBound) {
 		r.ready.Store(true)
 	}
 	scope := r.daemon.metrics.Scope
--- a/internal/fleet/rate/home.go
+++ b/internal/fleet/rate/home.go
@@ -63,6 +63,8 @@
 	Members  int
 	Vouching bool
 	MayLend  bool
+	// Listed tells whether the list has this process as a member; one that it has not borrows only.
+	Listed bool
 	// Settled tells whether a quorum is known to have this version of the list, so that new shards may be taken.
 	Settled bool
 	// LendsUntil ends the right to lend if nobody confirms it again; zero means never or no right.
@@ -76,7 +78,7 @@
 	m := h.membership
 	s := HomeStatus{
 		Holdings: h.lender.Holdings(), Version: m.version, Members: len(m.roster.members),
-		Vouching: m.vouching, MayLend: m.MayLend(now), Settled: m.version > 0 && m.settled == m.version,
+		Vouching: m.vouching, MayLend: m.MayLend(now), Listed: m.listed[m.self], Settled: m.version > 0 && m.settled == m.version,
 	}
 	if s.MayLend && !m.until.Equal(forever) {
 		s.LendsUntil = m.until
