--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -24,6 +24,8 @@
 	defer cancel()
 	_ = d.callers.Stop(ctx)
 	d.drain()
+	d.rates.cease()
+	d.rates.stop()
 	d.control.stop()
 	d.peers.Stop()
 	_ = d.operator.Stop(ctx)
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/decide/placing"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
 // EnvPrefix stands before a flag's name in its environment variable, as in FOXTAILHOOK_HOST.
@@ -53,6 +54,11 @@
 	Watch          time.Duration
 	IsolationTime  time.Duration
 	LogLevel       logrus.Level
+
+	// Advertise is the address of Peers as the hosts list has it.
+	Advertise netip.AddrPort
+	Fence     time.Duration
+	Loan      time.Duration
 }
 
 // Problems lists every fault of the settings; as an error it has one line for each.
@@ -134,6 +140,9 @@
 	b.duration(&s.LeaveTime, "leave-time", 2*time.Second, "time between refusing new work and closing, so that others notice", 0, time.Minute)
 	b.duration(&s.DrainTime, "drain-time", 2*time.Minute, "longest wait for requests in flight at shutdown", time.Second, time.Hour)
 	b.duration(&s.Watch, "watch", 30*time.Second, "length of one watch at the platform", 100*time.Millisecond, 5*time.Minute)
+	b.advertised(&s.Advertise, &s.Peers)
+	b.duration(&s.Fence, "fence", rate.DefaultFence, "time until the rate shards of a host that vanished are taken over; the same on all hosts", time.Second, 24*time.Hour)
+	b.duration(&s.Loan, "loan", rate.DefaultLoan, "time that lent tokens may be spent; the same on all hosts", 10*time.Millisecond, time.Minute)
 	b.duration(&s.IsolationTime, "isolation-time", time.Minute, "time after which a daemon that neither a peer nor the platform answers takes no more callers; 0 is never", 0, 24*time.Hour)
 	s.Guards.bind(b)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
@@ -146,6 +155,9 @@
 	if s.MaxTimeout < s.DefaultTimeout {
 		b.fault("-max-timeout (%s) is below -default-timeout (%s)", s.MaxTimeout, s.DefaultTimeout)
 	}
+	if err := s.Limits().Check(); err != nil {
+		b.fault("%v", err)
+	}
 	s.checkGuards(b)
 	seen := map[netip.AddrPort]string{}
 	own := []struct {
@@ -160,6 +172,13 @@
 	}
 }
 
+// Limits returns the times that the fleet's rates rest on.
+func (s *Settings) Limits() rate.Limits {
+	l := rate.DefaultLimits()
+	l.Fence, l.Loan = s.Fence, s.Loan
+	return l
+}
+
 func usage(fs *flag.FlagSet, out io.Writer) {
 	fmt.Fprintf(out, "foxtailhook: the daemon beside one upstream.\n\n")
 	fmt.Fprintf(out, "Each flag can be given as an environment variable: -log-level as %s_LOG_LEVEL.\n\n", EnvPrefix)
