--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -16,7 +16,6 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
@@ -39,7 +38,7 @@
 	inFlight atomic.Int64
 
 	control  *control
-	rates    *rate.Split
+	rates    *rates
 	placer   *placing.Placer
 	needs    *budget.Needs
 	doors    *pressure.Doors
@@ -56,7 +55,6 @@
 		settings: s,
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
-		rates:    rate.NewSplit(),
 		placer:   placing.New(s.Zone, placing.WithKind(s.Placing)),
 		needs:    budget.NewNeeds(),
 		doors:    pressure.New(),
@@ -64,9 +62,11 @@
 	d.answers = newAnswerCounts(d.metrics.Scope)
 	d.view.Store(lists.NewSet().View())
 	d.owner = newOwner(s, upstream.New(s.Upstream, upstream.WithMaxAnswer(int64(s.BodyBound)), upstream.WithOnceIdle(s.OnceIdle)))
+	d.rates = newRates(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+frameSlack), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...))
 	peer.Handle(d.peers, peer.KindCall, d.takeHandoff)
+	d.rates.handle(d.peers)
 	peer.Handle(d.peers, peer.KindDigest, d.takeDigest)
 	peer.Handle(d.peers, peer.KindFetch, d.takeFetch)
 	d.repeats = newRepeats(d)
@@ -97,6 +97,7 @@
 		return err
 	}
 	d.control.start()
+	d.rates.start()
 	d.control.done.Go(d.observe)
 	d.awaitLists(ctx)
 	if err := startAll(d.callers.Start); err != nil {
@@ -120,12 +121,12 @@
 	listsLook = 10 * time.Millisecond
 )
 
-// awaitLists keeps the callers' port closed until the lists are there, so that a
+// awaitLists keeps the callers' port closed until the lists and the rates are there, so that a
 // restart refuses nobody: a caller that can't connect goes to another host. When
 // they don't come, callers are better told so than left without an answer.
 func (d *Daemon) awaitLists(ctx context.Context) {
 	limit := time.Now().Add(listsWait)
-	for !d.takes(time.Now()) && ctx.Err() == nil && time.Now().Before(limit) {
+	for !(d.takes(time.Now()) && d.rates.ready.Load()) && ctx.Err() == nil && time.Now().Before(limit) {
 		time.Sleep(listsLook)
 	}
 }
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -27,6 +27,7 @@
 	SentBytes   uint64                `json:"peerBytesSent"`
 	GotBytes    uint64                `json:"peerBytesReceived"`
 	Reads       uint64                `json:"platformReads"`
+	Rates       RateStatus            `json:"rates"`
 }
 
 // ListStatus tells which version of a list is in force and which was rejected.
@@ -49,6 +50,8 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !d.takes(time.Now()):
 		http.Error(w, "lists not confirmed as current: "+d.standing.Load().String(), http.StatusServiceUnavailable)
+	case !d.rates.ready.Load():
+		http.Error(w, "no rates yet", http.StatusServiceUnavailable)
 	case !d.serving.Load():
 		http.Error(w, "starting", http.StatusServiceUnavailable)
 	default:
@@ -70,13 +73,14 @@
 	sent, received := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
-		Ready: d.takes(time.Now()), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Ready: d.takes(time.Now()) && d.rates.ready.Load(), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
 		Gate:  d.owner.gate.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
 	}
 	s.SaidLeaving, s.Suspects = d.members.Load().Counts()
 	d.control.ask(func() {
+		s.Rates = d.rates.status(time.Now())
 		s.Reader = d.control.reader != nil
 		for k := range lists.Kinds {
 			s.Lists[lists.Kind(k).String()] = d.control.listStatus(lists.Kind(k))
