--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -139,7 +139,7 @@
 
 func (c *control) publish() {
 	view := c.set.View()
-	c.daemon.rates.Configure(view.Organisations(), len(view.Hosts()), time.Now())
+	c.daemon.rates.configure(view)
 	c.daemon.repeats.observe(view, time.Now())
 	c.daemon.view.Store(view)
 }
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -67,7 +67,7 @@
 	a.request.ID = newID()
 	a.still = d.keyStill(view, key, organisation)
 	a.account = budget.New(a.request.Budget)
-	if wait, ok := d.rates.Spend(organisation, now); !ok {
+	if wait, ok := d.rates.Spend(r.Context(), organisation); !ok {
 		return refuse(call.OverRate, wait)
 	}
 	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
--- /dev/null
+++ b/internal/app/daemon/seek.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
+)
+
+// seekBound is how long a request waits for tokens while no home can say how it stands; when they can, it is refused at once.
+const seekBound = 500 * time.Millisecond
+
+// seeks are the searches for tokens that requests wait for, one for each organisation.
+type seeks struct {
+	mu    *sync.Mutex
+	going map[string]*seek
+}
+
+func newSeeks() seeks { return seeks{mu: &sync.Mutex{}, going: map[string]*seek{}} }
+
+// seek asks home after home. A burst of requests at a dry daemon must not
+// become as many questions, so those that come meanwhile wait for the same ones.
+type seek struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	waiters int
+	ended   bool
+	dry     bool
+	wait    time.Duration
+}
+
+// Spend takes a token of the organisation. If none is here it waits, bounded, for
+// homes to lend one; false comes with the time after which to come back.
+func (r *rates) Spend(ctx context.Context, organisation string) (time.Duration, bool) {
+	switch outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
+	case rate.Spent:
+		return 0, true
+	case rate.Refused:
+		return wait, false
+	case rate.Dry:
+	}
+	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	s := r.join(organisation)
+	defer func() { s.leave() }()
+	for {
+		changed, ended, dry, wait := s.look()
+		if r.borrower.Take(organisation, time.Now()) {
+			return 0, true
+		}
+		if ended && dry {
+			return wait, false
+		}
+		if ended {
+			s.leave()
+			s = r.join(organisation)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return time.Second, false
+		}
+	}
+}
+
+// join returns the search that is going on for the organisation, starting one if there is none.
+func (r *rates) join(organisation string) *seek {
+	r.seeks.mu.Lock()
+	defer r.seeks.mu.Unlock()
+	s, ok := r.seeks.going[organisation]
+	if !ok {
+		s = &seek{changed: make(chan struct{}), wait: time.Second}
+		r.seeks.going[organisation] = s
+		go r.seek(organisation, s)
+	}
+	s.mu.Lock()
+	s.waiters++
+	s.mu.Unlock()
+	return s
+}
+
+func (r *rates) seek(organisation string, s *seek) {
+	ends := time.Now().Add(seekBound)
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	wait, dry := r.rounds(ctx, organisation, s)
+	r.seeks.mu.Lock()
+	delete(r.seeks.going, organisation)
+	r.seeks.mu.Unlock()
+	if dry {
+		r.borrower.RanDry(organisation, wait, time.Now())
+	}
+	s.end(wait, dry)
+}
+
+// rounds asks all homes again while some have more than was asked for, since
+// requests join meanwhile, and once more when a token is about to come.
+func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
+	again := false
+	for s.wanted() && ctx.Err() == nil {
+		var certain bool
+		wait, certain = r.round(ctx, organisation, s)
+		if wait == 0 {
+			continue
+		}
+		if !certain {
+			time.Sleep(unsettledPause)
+			continue
+		}
+		if again || wait > againWithin {
+			return wait, true
+		}
+		again = true
+		time.Sleep(wait)
+	}
+	return wait, ctx.Err() != nil
+}
+
+// againWithin is how soon a home must expect a token for the homes to be asked
+// once more: a caller inside its rate should not be refused for a few milliseconds,
+// and one far over it should hear so at once.
+const againWithin = 20 * time.Millisecond
+
+// unsettledPause stands between rounds in which no home could say how it stands.
+const unsettledPause = 10 * time.Millisecond
+
+// round asks each home once, as long as requests wait, and returns the
+// shortest time until one has a token, and whether any could tell.
+func (r *rates) round(ctx context.Context, organisation string, s *seek) (wait time.Duration, certain bool) {
+	wait = rate.UnsettledWait
+	for _, home := range r.borrower.Homes(organisation, time.Now()) {
+		if !s.wanted() || ctx.Err() != nil {
+			break
+		}
+		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
+			told := r.lease(ctx, ask)
+			switch {
+			case told == rate.UnsettledWait:
+			case certain:
+				wait = min(wait, told)
+			default:
+				wait, certain = told, true
+			}
+			s.tell()
+		}
+	}
+	return wait, certain
+}
+
+func (s *seek) look() (changed chan struct{}, ended, dry bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed, s.ended, s.dry, s.wait
+}
+
+func (s *seek) leave() {
+	s.mu.Lock()
+	s.waiters--
+	s.mu.Unlock()
+}
+
+func (s *seek) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiters
+}
+
+func (s *seek) wanted() bool { return s.waiting() > 0 }
+
+func (s *seek) tell() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *seek) end(wait time.Duration, dry bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended, s.dry, s.wait = true, dry, wait
+	close(s.changed)
+}
--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -84,6 +84,22 @@
 	})
 }
 
+// advertised binds the address as others know it; empty means the same as the listener's.
+func (b *binder) advertised(into, listener *netip.AddrPort) {
+	raw := b.fs.String("advertise", "", "IP:port of -peers as the hosts list has it (default the same)")
+	b.reads = append(b.reads, func() {
+		if *raw == "" {
+			*into = *listener
+			return
+		}
+		a, err := netip.ParseAddrPort(*raw)
+		if err != nil {
+			b.fault("-advertise: %q is not an IP number with a port", *raw)
+		}
+		*into = a
+	})
+}
+
 func (b *binder) addresses(into *[]netip.AddrPort, name, value, help string) {
 	read(b, into, name, value, help, func(raw string) ([]netip.AddrPort, error) {
 		var all []netip.AddrPort
