--- a/internal/proof/architecture/embedding_test.go
+++ b/internal/proof/architecture/embedding_test.go
@@ -23,6 +23,7 @@
 	"github.com/foxtailhook/foxtailhook/parts/budget"
 	"github.com/foxtailhook/foxtailhook/parts/limit"
 	"github.com/foxtailhook/foxtailhook/parts/queue"
+	"github.com/foxtailhook/foxtailhook/parts/rate"
 	"github.com/foxtailhook/foxtailhook/parts/spread"
 )
 
@@ -34,6 +35,7 @@
 	items := queue.New[string]()
 	items.Push(&queue.Item[string]{Value: "x", Weight: 1, Cost: 1, Priority: queue.Interactive})
 	core := spread.New(spread.Config{Host: "h"}, rand.New(rand.NewPCG(1, 1)), time.Now())
+	rate.NewBorrower("h", 1, rate.DefaultLimits()).SetPlans([]rate.Organisation{{Organisation: "o", Rate: 1, Burst: 1}})
 	core.SetHosts([]spread.Host{{Host: "h", Zone: "a"}})
 	fmt.Println(budget.New(3).Left(), gate.Counts().Ran, items.Len())
 }
