Send paths on as their callers wrote them, and refuse dot segments

Cause: found in reading. The door found the operation by the unescaped path and sent the unescaped one on: a%3Fb became a path with a query, and a%20b no request at all. Dot segments passed, so that an upstream which resolves them ran /exports for a plan that has only /vehicles.

Conclusion: operations are found by the unescaped path, upstreams get the escaped one, and paths with empty or dot segments are badRequest.

--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -99,17 +99,17 @@
 }
 
 func (d *Daemon) prepare(view *lists.View, organisation string, r *http.Request, body []byte) (admitted, call.Answer, bool) {
-	service, path := splitPath(r.URL.Path)
-	op, ok := view.Operation(service, r.Method, path)
+	to, ok := locate(r.URL)
+	if !ok {
+		return refuse(call.BadRequest, 0)
+	}
+	op, ok := view.Operation(to.service, r.Method, to.path)
 	if !ok {
 		return refuse(call.UnknownOperation, 0)
 	}
 	if !view.Allows(organisation, op.Operation) {
 		return refuse(call.NotAllowed, 0)
 	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
 	o, _ := view.Organisation(organisation)
 	runs := op.Runs
 	if runs == 0 {
@@ -118,9 +118,9 @@
 	return admitted{request: call.Request{
 		Organisation:   organisation,
 		Operation:      op.Operation,
-		Service:        service,
+		Service:        to.service,
 		Method:         r.Method,
-		Path:           path,
+		Path:           to.sent,
 		Header:         passed(r.Header),
 		Body:           body,
 		Priority:       op.PriorityClass(),
@@ -147,12 +147,6 @@
 	return admitted{}, call.Refuse(reason, wait), false
 }
 
-// splitPath cuts /service/rest into the service and /rest.
-func splitPath(path string) (service, rest string) {
-	service, rest, _ = strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return service, "/" + rest
-}
-
 // kept are the headers that are the daemon's own or belong to one connection; no upstream sees them.
 var kept = []string{
 	headerAuthorization, headerTimeout, upstream.HeaderToken, upstream.HeaderOrganisation,
--- a/internal/app/daemon/refused.go
+++ b/internal/app/daemon/refused.go
@@ -11,8 +11,8 @@
 // refused returns what is known of a request that the door refused: an id, by
 // which its caller and its operator can speak of it, and whose it is.
 func (d *Daemon) refused(r *http.Request) *call.Request {
-	service, path := splitPath(r.URL.Path)
-	known := &call.Request{ID: newID(), Service: service, Method: r.Method, Path: path}
+	to, _ := locate(r.URL)
+	known := &call.Request{ID: newID(), Service: to.service, Method: r.Method, Path: to.path}
 	if origin, ok := d.owner.chains.find(r.Header.Get(upstream.HeaderToken)); ok {
 		known.ID, known.Organisation, known.Depth = origin.request.ID, origin.request.Organisation, origin.request.Depth+1
 		return known
