--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -64,7 +64,7 @@
 
 // Times of the questions between daemons.
 const (
-	// confirmEvery is how often a daemon looks whether to ask a member.
+	// confirmEvery is the time between two questions to members while there are some to ask.
 	confirmEvery = 20 * time.Millisecond
 	// confirmBound is how long an answer about membership is waited for; it counts from when it was asked.
 	confirmBound = 2 * time.Second
@@ -95,8 +95,12 @@
 			return
 		case <-ticker.C:
 		}
-		r.confirmNext(ctx)
-		if now := time.Now(); now.Sub(prefetched) >= rate.TickEvery {
+		next := rate.TickEvery
+		if r.confirmNext(ctx) {
+			next = confirmEvery
+		}
+		ticker.Reset(next)
+		if now := time.Now(); next == rate.TickEvery || now.Sub(prefetched) >= rate.TickEvery {
 			prefetched = now
 			r.tick(ctx)
 		}
@@ -133,8 +137,8 @@
 	scope.Gauge("rate_asks").Update(float64(r.asked.Load()))
 }
 
-// confirmNext asks the next member what it knows of membership.
-func (r *rates) confirmNext(ctx context.Context) {
+// confirmNext asks the next member what it knows of membership, and reports whether there was one to ask.
+func (r *rates) confirmNext(ctx context.Context) bool {
 	var to rate.Member
 	var ask rate.Statement
 	due := false
@@ -147,6 +151,7 @@
 	if due {
 		go r.confirm(ctx, to, ask, asked)
 	}
+	return due
 }
 
 func (r *rates) confirm(ctx context.Context, to rate.Member, ask rate.Statement, asked time.Time) {
--- a/internal/wire/httpd/hangup.go
+++ b/internal/wire/httpd/hangup.go
@@ -19,33 +19,44 @@
 type hangups struct {
 	mu      sync.Mutex
 	running map[*nbio.Conn]context.CancelFunc
-	done    chan struct{}
-	once    sync.Once
+	looking bool
 }
 
 // lookEvery bounds how long work goes on for a caller that is gone.
 const lookEvery = 20 * time.Millisecond
 
-func newHangups() *hangups {
-	return &hangups{running: map[*nbio.Conn]context.CancelFunc{}, done: make(chan struct{})}
+func newHangups() *hangups { return &hangups{running: map[*nbio.Conn]context.CancelFunc{}} }
+
+// add begins to watch a request's connection.
+func (h *hangups) add(conn *nbio.Conn, cancel context.CancelFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running[conn] = cancel
+	if !h.looking {
+		h.looking = true
+		go h.run()
+	}
 }
 
+func (h *hangups) remove(conn *nbio.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.running, conn)
+}
+
+// run looks while there are requests at work; an idle process is not woken for nothing.
 func (h *hangups) run() {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
-	for {
-		select {
-		case <-h.done:
+	for range tick.C {
+		if !h.look() {
 			return
-		case <-tick.C:
-			h.look()
 		}
 	}
 }
 
-func (h *hangups) stop() { h.once.Do(func() { close(h.done) }) }
-
-func (h *hangups) look() {
+// look ends the contexts of callers that are gone; false means that nothing is left to look at.
+func (h *hangups) look() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for conn, cancel := range h.running {
@@ -53,6 +64,8 @@
 			cancel()
 		}
 	}
+	h.looking = len(h.running) > 0
+	return h.looking
 }
 
 func (h *hangups) wrap(next http.Handler) http.Handler {
@@ -63,13 +76,9 @@
 			return
 		}
 		ctx, cancel := context.WithCancel(r.Context())
-		h.mu.Lock()
-		h.running[conn] = cancel
-		h.mu.Unlock()
+		h.add(conn, cancel)
 		defer func() {
-			h.mu.Lock()
-			delete(h.running, conn)
-			h.mu.Unlock()
+			h.remove(conn)
 			cancel()
 		}()
 		next.ServeHTTP(plainWriter{w}, r.WithContext(ctx))
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -144,7 +144,6 @@
 
 // Start listens and serves until Stop.
 func (s *Server) Start() error {
-	go s.watch.run()
 	return errors.Wrapf(s.engine.Start(), "http: listen on %s", s.address)
 }
 
@@ -154,7 +153,6 @@
 // Closing at once would cut answers still on their way out, and requests that a
 // caller sends on a connection that it believes to be open.
 func (s *Server) Stop(ctx context.Context) error {
-	defer s.watch.stop()
 	s.listener.end()
 	// A connection accepted last has no guard yet, and its request may be on the way.
 	least := time.Now().Add(idleEnough)
