Start and end processes of the scripts in one place

Cause: found in reading the whole change. Three scripts had the same folder, list of ids and end, two the same loop that publishes the lists, and three tests filled a world by the same steps. scripts/processes.sh and populate now serve them; behaviour and assertions are as they were.

Ruled out: joining the two foxctl key commands, the flags' tables and the enum declarations, which are alike in shape only.

--- a/internal/bench/rates/world_test.go
+++ b/internal/bench/rates/world_test.go
@@ -29,7 +29,11 @@
 }
 
 func newTestWorld(seed uint64, hosts int, opts ...rate.MembershipOption) *World {
-	w := NewWorld(seed, Lending, testLimits, testPlans, opts...)
+	return populate(NewWorld(seed, Lending, testLimits, testPlans, opts...), hosts)
+}
+
+// populate gives a world its hosts and the list that names them.
+func populate(w *World, hosts int) *World {
 	for range hosts {
 		w.AddHost()
 	}
@@ -85,20 +89,12 @@
 			return w
 		}, false},
 		{"full rate on each host", func() *World {
-			w := NewWorld(1, Full, testLimits, testPlans)
-			for range 5 {
-				w.AddHost()
-			}
-			w.Publish(w.Hosts())
+			w := populate(NewWorld(1, Full, testLimits, testPlans), 5)
 			cutOffHome(w)
 			return w
 		}, true},
 		{"equal split over lists of different length", func() *World {
-			w := NewWorld(1, Equal, testLimits, testPlans)
-			for range 5 {
-				w.AddHost()
-			}
-			w.Publish(w.Hosts())
+			w := populate(NewWorld(1, Equal, testLimits, testPlans), 5)
 			cutOffHome(w)
 			return w
 		}, true},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,14 +4,7 @@
 # REPORT names a folder for a report of the run, second by second.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-work=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop EXIT
+source scripts/processes.sh
 say() { echo "demo: $*" >&2; }
 
 say "building"
@@ -36,12 +29,7 @@
 start 3 repairs-1 repairs a ""
 start 4 repairs-2 repairs b ""
 
-for list in plans uses keys hosts; do
-  for _ in $(seq 50); do
-    "$work/foxtailload" publish -platform 127.0.0.1:17900 -list "$list" -file "scripts/demo/$list.json" 2>/dev/null && break
-    sleep 0.1
-  done
-done
+publish_lists 127.0.0.1:17900 scripts/demo
 "$work/foxtailload" ready -operators "$operators"
 say "traffic: three organisations, maker-wola at five times its rate, lookups call repairs"
 "$work/foxtailload" run -plan scripts/demo/traffic.json ${REPORT:+-report "$REPORT"} >"$work/result"
--- a/scripts/latency.sh
+++ b/scripts/latency.sh
@@ -5,14 +5,7 @@
 cd "$(dirname "$0")/.."
 rate=${1:-68}
 length=${2:-20s}
-work=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop EXIT
+source scripts/processes.sh
 go build -o "$work/" ./cmd/foxtailhook ./cmd/standin ./cmd/foxtailload
 "$work/standin" platform -listen 127.0.0.1:18900 & pids+=($!)
 start() { # number host service
@@ -40,12 +33,7 @@
 {"hosts":[{"host":"lookup-1","service":"lookup","zone":"a","peer":"127.0.0.1:18100"},
           {"host":"repairs-1","service":"repairs","zone":"a","peer":"127.0.0.1:18101"}]}
 JSON
-for list in plans uses keys hosts; do
-  for _ in $(seq 50); do
-    "$work/foxtailload" publish -platform 127.0.0.1:18900 -list "$list" -file "$work/$list.json" 2>/dev/null && break
-    sleep 0.1
-  done
-done
+publish_lists 127.0.0.1:18900 "$work"
 "$work/foxtailload" ready -operators 127.0.0.1:18200,127.0.0.1:18201
 "$work/foxtailload" latency -key latency-key -rate "$rate" -length "$length" \
   -ways direct=http://127.0.0.1:18300/vehicles,hop=http://127.0.0.1:18000/lookup/vehicles,handoff=http://127.0.0.1:18001/lookup/vehicles
--- a/scripts/measure/changes.sh
+++ b/scripts/measure/changes.sh
@@ -6,14 +6,8 @@
 daemons=$1 zones=$2 organisations=$3 changes=$4 listed=${5:-0}
 shift $(($# < 5 ? $# : 5))
 cd "$(dirname "$0")/../.."
-work=$(mktemp -d)
-pids=()
-stop() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop EXIT
+source scripts/processes.sh
+end_with=KILL
 go build -o "$work/" ./cmd/foxtailhook ./cmd/standin ./cmd/foxtailload
 net=127.$((100 + $$ % 100))
 platform=$net.255.1:9000
