Keep requests in their region while it serves them

Cause: placing scored a host by the requests that this daemon has on it and by reports that fade within a second.

Ruled out: the latency term, which does count the way but fades with a half-life of 5 s, so that each far host is tried again and again; a fixed price for distance, which says nothing beside a hundred requests in flight.

Now hosts of the own region are chosen between as before, and another region gets the share of requests that the chosen near host lately refused or failed. The hot path is unchanged with one region: one more comparison.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -55,7 +55,7 @@
 		settings: s,
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
-		placer:   placing.New(s.Zone, placing.WithKind(s.Placing)),
+		placer:   placing.New(s.Zone, placing.WithRegion(s.Region), placing.WithKind(s.Placing)),
 		needs:    budget.NewNeeds(),
 		doors:    pressure.New(),
 	}
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -118,7 +118,7 @@
 func (s *Settings) bind(b *binder) {
 	b.text(&s.Host, "host", "", "name of this host, as in the platform's list")
 	b.text(&s.Service, "service", "", "service of the upstream beside this daemon")
-	b.text(&s.Region, "region", "default", "region of this host")
+	b.text(&s.Region, "region", "default", "region of this host, as in the hosts list; requests stay in it while it serves them")
 	b.text(&s.Zone, "zone", "", "availability zone of this host")
 	b.address(&s.Callers, "callers", "127.0.0.1:7000", "IP:port where callers and the local upstream come in (HTTP)")
 	b.address(&s.Peers, "peers", "127.0.0.1:7001", "IP:port where other daemons come in")
--- a/internal/decide/placing/member.go
+++ b/internal/decide/placing/member.go
@@ -18,7 +18,9 @@
 	pace float64
 	// trouble is the recent share of failed placements.
 	trouble float64
-	settled time.Time
+	// declined is the recent share of placements that the host refused for overload.
+	declined float64
+	settled  time.Time
 
 	load   call.Load
 	loadAt time.Time
@@ -28,6 +30,7 @@
 	paceWeight    = 0.2
 	failedWeight  = 0.5
 	faultyWeight  = 0.1
+	declineWeight = 0.3
 	servedWeight  = 0.3
 	leastPace     = 1.0 / 8
 	mostPace      = 8
@@ -38,7 +41,7 @@
 	// memory is the half-life of what is known of a host that gets no requests:
 	// what once was slow or dead is tried again, little by little.
 	memory = 5 * time.Second
-	// loadMemory is the half-life of a reported load, which is old news soon.
+	// loadMemory is the half-life of a reported load and of refusals, which are old news soon.
 	loadMemory = 500 * time.Millisecond
 	// rampTime is how long a host that has newly appeared gets less than its
 	// share: caches and connections are cold, and a full share would stall it.
@@ -84,6 +87,11 @@
 	return max(1-m.trouble*fade(now.Sub(m.settled), memory), leastHealth)
 }
 
+// spent returns the share of requests that the host lately refused or failed, the greater of both.
+func (m *member) spent(now time.Time) float64 {
+	return max(m.declined*fade(now.Sub(m.settled), loadMemory), 1-m.health(now))
+}
+
 func (m *member) ramp(now time.Time) float64 {
 	if m.since.IsZero() {
 		return 1
@@ -105,13 +113,17 @@
 func (m *member) settle(now time.Time, e Ending, ratio float64) {
 	m.pace = m.paceAt(now)
 	m.trouble *= fade(now.Sub(m.settled), memory)
+	m.declined *= fade(now.Sub(m.settled), loadMemory)
 	m.settled = now
 	switch e {
 	case Served:
 		m.pace += (min(max(ratio, leastPace), mostPace) - m.pace) * paceWeight
 		m.trouble -= m.trouble * servedWeight
+		m.declined -= m.declined * servedWeight
 	case Faulty:
 		m.trouble += (1 - m.trouble) * faultyWeight
+	case Declined:
+		m.declined += (1 - m.declined) * declineWeight
 	case Failed:
 		m.trouble += (1 - m.trouble) * failedWeight
 	}
--- a/internal/decide/placing/placer.go
+++ b/internal/decide/placing/placer.go
@@ -18,7 +18,7 @@
 // the better of two random hosts doesn't, and costs the same for four hosts and
 // for four hundred.
 type Placer struct {
-	zone   string
+	at     place
 	kind   Kind
 	choose func(n int) int
 
@@ -36,18 +36,30 @@
 	draws = 4
 )
 
+// place is where a daemon is.
+type place struct {
+	region string
+	zone   string
+}
+
+// anyRegion counts the hosts of all regions as near.
+const anyRegion = ""
+
 // Option sets one property of a placer.
 type Option func(*Placer)
 
 // WithKind sets the way to choose, TwoChoices by default.
 func WithKind(k Kind) Option { return func(p *Placer) { p.kind = k } }
 
+// WithRegion sets the daemon's region, whose hosts go before all others; without it distance between regions counts for nothing.
+func WithRegion(region string) Option { return func(p *Placer) { p.at.region = region } }
+
 // WithChoose sets the source of chance, whole numbers from 0 up to below n.
 func WithChoose(f func(n int) int) Option { return func(p *Placer) { p.choose = f } }
 
 // New returns a placer for a daemon in the zone.
 func New(zone string, opts ...Option) *Placer {
-	p := &Placer{zone: zone, choose: rand.IntN, groups: map[string]*group{}}
+	p := &Placer{at: place{zone: zone}, choose: rand.IntN, groups: map[string]*group{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -68,7 +80,7 @@
 	g := p.group(service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.adopt(hosts, p.zone, now)
+	g.adopt(hosts, p.at, now)
 	m := p.pick(now, g, tried)
 	if m == nil {
 		return Placement{}, false
@@ -101,23 +113,54 @@
 	case LeastLatency:
 		return g.fastest(now, tried)
 	default:
-		return p.better(now, g, tried)
+		return p.inRegion(now, g, tried)
 	}
 }
 
-// better returns the better of two hosts, the first from the own availability
-// zone if it has any: that one is taken while it is as good, counting the time
-// that the other's distance costs.
-func (p *Placer) better(now time.Time, g *group, tried []string) *member {
+// inRegion returns a host of the own region, or of another one to the degree
+// that the own one lately refused or failed.
+//
+// It is for a service in several regions, tens of milliseconds apart. The load
+// that other daemons put on a far host is not known here, so by its score it
+// looks idle: a busy day at home would send a fifth of the requests across an
+// ocean, each many times as long as the work itself. Refusals are known for
+// certain, and what is sent on grows and fades with them, so that regions
+// neither swing from one to the other nor fail alone.
+func (p *Placer) inRegion(now time.Time, g *group, tried []string) *member {
+	near := p.inZone(now, g, tried)
+	if len(g.far) == 0 || near != nil && p.chance() >= near.spent(now) {
+		return near
+	}
+	far := p.better(now, g, p.draw(g.far, tried, nil), p.draw(g.far, tried, nil))
+	if far == nil || near != nil && far.spent(now) > near.spent(now) {
+		return near
+	}
+	return far
+}
+
+// chance returns a random number from 0 up to below 1, in steps fine enough for a share.
+func (p *Placer) chance() float64 { return float64(p.choose(chanceSteps)) / chanceSteps }
+
+const chanceSteps = 1024
+
+// inZone returns the better of two hosts of the own region, the first from the
+// own availability zone if it has any: that one is taken while it is as good,
+// counting the time that the other's distance costs.
+func (p *Placer) inZone(now time.Time, g *group, tried []string) *member {
 	first := p.draw(g.local, tried, nil)
 	if first == nil {
-		first = p.draw(g.members, tried, nil)
+		first = p.draw(g.near, tried, nil)
 	}
 	if first == nil {
 		return nil
 	}
-	second := p.draw(g.members, tried, first)
-	if second == nil || p.choose(exploreOneIn) == 0 {
+	return p.better(now, g, first, p.draw(g.near, tried, first))
+}
+
+// better returns the better of two hosts, either of which may be missing; now
+// and then the first whatever it is.
+func (p *Placer) better(now time.Time, g *group, first, second *member) *member {
+	if first == nil || second == nil || first == second || p.choose(exploreOneIn) == 0 {
 		return first
 	}
 	if p.cost(now, g, second) < p.cost(now, g, first) {
@@ -128,7 +171,7 @@
 
 func (p *Placer) cost(now time.Time, g *group, m *member) float64 {
 	cost := m.score(now, g.meanLimit)
-	if m.host.Zone != p.zone && g.mean > 0 {
+	if m.host.Zone != p.at.zone && g.mean > 0 {
 		cost += crossZone.Seconds() / g.mean
 	}
 	return cost
