Open a door for bursts at a service that is idle again

Cause: the doors counted all that was asked for and had no success yet as failed, and requests made before the first refusal came back not at all, so that a door stayed after a flood with empty counts.

Change: what was let through without an answer is taken to end as the answered requests did; a door refuses in full only while it remembers a failure; four successes in a row with none failed for a half-life end it.

--- a/internal/decide/pressure/doors.go
+++ b/internal/decide/pressure/doors.go
@@ -56,10 +56,13 @@
 	}
 	t.decay(now)
 	chance := t.refusal()
-	t.ask()
 	if chance == 0 || d.rand() >= chance {
+		t.unanswered++
+		t.fit()
 		return 0, true
 	}
+	t.turned++
+	t.fit()
 	back := time.Duration(float64(t.back) * (jitterLeast + jitterSpread*d.rand()))
 	return min(max(back, leastBack), mostBack), false
 }
@@ -84,21 +87,21 @@
 		t = d.open(now, r)
 	}
 	t.decay(now)
-	t.succeeded += 1 - min(max(pressure, 0), 1)
+	t.answer(now, min(max(pressure, 0), 1))
 	if pressure > 0 && back > 0 {
 		t.back = back
 	}
-	if pressure == 0 && t.over() {
+	if pressure == 0 && t.over(now) {
 		delete(d.doors, r)
 	}
 }
 
-// open makes the door of a first refusal; the request refused was asked for too.
+// open makes the door of a first refusal.
 func (d *Doors) open(now time.Time, r route) *throttle {
 	if len(d.doors) >= most {
 		d.sweep(now)
 	}
-	t := &throttle{at: now, asked: 1, halfLife: shortest}
+	t := &throttle{at: now, halfLife: shortest}
 	d.doors[r] = t
 	return t
 }
@@ -107,7 +110,7 @@
 func (d *Doors) sweep(now time.Time) {
 	for r, t := range d.doors {
 		t.decay(now)
-		if t.asked < 1 {
+		if t.asked() < 1 {
 			delete(d.doors, r)
 		}
 	}
@@ -116,12 +119,6 @@
 	}
 }
 
-// over reports whether nearly all that was asked for succeeds again.
-func (t *throttle) over() bool { return t.asked > free && t.succeeded >= t.asked*settled }
-
-// settled allows for requests that are asked for and not yet answered.
-const settled = 0.9
-
 // Len returns how many doors are not fully open.
 func (d *Doors) Len() int {
 	d.mu.Lock()
--- a/internal/decide/pressure/doors_test.go
+++ b/internal/decide/pressure/doors_test.go
@@ -102,3 +102,66 @@
 		So(d.Len(), ShouldBeLessThanOrEqualTo, most)
 	})
 }
+
+// A maker sends a batch of exports at once, more than the queue holds, and the
+// rest is refused. The service works off what it took and is idle. A door that
+// still counts the refusals then, or takes a burst without answers for failures,
+// refuses part of the next batch: the maker is told that an idle service is
+// overloaded, as often as it comes after a pause.
+func TestBurstAfterFlood(t *testing.T) {
+	cases := []struct {
+		name string
+		// asked at once, of which so many succeed, four at a time each 50 ms.
+		asked, succeed int
+		pause          time.Duration
+		burst          int
+	}{
+		{"at once", 60, 12, 0, 8},
+		{"a little later", 60, 12, 150 * ms, 8},
+		{"after the memory has faded", 60, 12, 800 * ms, 8},
+		{"long after", 60, 12, time.Minute, 8},
+		{"far more at once", 60, 12, 800 * ms, 500},
+		{"where nothing succeeded", 60, 0, time.Second, 8},
+		{"of a rare caller", 5, 0, time.Second, 8},
+		{"of a large flood", 2000, 20, 0, 8},
+	}
+	for _, c := range cases {
+		Convey("The next burst is let in, "+c.name, t, func() {
+			random := rand.New(rand.NewPCG(5, 6))
+			d := New(WithRand(random.Float64))
+			now := time.Unix(0, 0)
+			for range c.asked {
+				d.Admit(now, "o", "op")
+			}
+			for range c.asked - c.succeed {
+				d.Report(now.Add(ms), "o", "op", 1, 50*ms)
+			}
+			for i := range c.succeed {
+				if i%4 == 0 {
+					now = now.Add(50 * ms)
+				}
+				d.Report(now, "o", "op", 0, 0)
+			}
+			now = now.Add(c.pause)
+			refused := 0
+			for range c.burst {
+				if _, ok := d.Admit(now, "o", "op"); !ok {
+					refused++
+				}
+			}
+			So(refused, ShouldEqual, 0)
+		})
+	}
+	Convey("Requests that a door turned away don't keep it shut after the trouble", t, func() {
+		random := rand.New(rand.NewPCG(5, 6))
+		d := New(WithRand(random.Float64))
+		drive(d, time.Unix(0, 0), time.Second, func() bool { return false })
+		refused := 0
+		for range 8 {
+			if _, ok := d.Admit(time.Unix(2, 0), "o", "op"); !ok {
+				refused++
+			}
+		}
+		So(refused, ShouldEqual, 0)
+	})
+}
