Let what a loop made ready run before the loop waits again

Cause: a loop that has handed a request or an answer on goes straight into epoll_wait. What it made ready then starts only when another thread has been woken: three times on a call with a handoff, once on one hop. Found with switches of /proc/PID/task and perf: 17 voluntary switches a request at the daemon at 300 calls/s.

Change: the loop yields after each data callback, so that the new goroutine runs on the loop's thread, which is awake.

--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -12,6 +12,8 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
 // Server is one HTTP listener.
@@ -125,6 +127,7 @@
 func (s *Server) data(c *nbio.Conn, data []byte) {
 	if g, ok := s.guardOf(c); ok {
 		g.parse(data)
+		loops.Yield()
 	}
 }
 
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -186,6 +186,7 @@
 		n.logger(l.remote, err)
 		_ = c.CloseWithError(err)
 	}
+	loops.Yield()
 }
 
 func (n *Node) closed(c *nbio.Conn, _ error) {
