Tell the failures of a latency run by outcome and reason

A run on a loaded machine had up to 4,235 of 20,074 calls at one hop failed, and its result was a mere number. Each failure is now counted by the daemon's outcome and reason, another answer's status, or how the connection broke.

--- a/internal/load/latency/run.go
+++ b/internal/load/latency/run.go
@@ -29,22 +29,23 @@
 
 // Result is what one way took, in milliseconds, and what it added to the first way.
 type Result struct {
-	Way        string  `json:"way"`
-	Whole      int64   `json:"whole"`
-	Failed     int64   `json:"failed"`
-	P50Ms      float64 `json:"p50Ms"`
-	P99Ms      float64 `json:"p99Ms"`
-	AddedP50Ms float64 `json:"addedP50Ms"`
-	AddedP99Ms float64 `json:"addedP99Ms"`
+	Way        string           `json:"way"`
+	Whole      int64            `json:"whole"`
+	Failed     int64            `json:"failed"`
+	Failures   map[string]int64 `json:"failures,omitempty"` // by outcome and reason
+	P50Ms      float64          `json:"p50Ms"`
+	P99Ms      float64          `json:"p99Ms"`
+	AddedP50Ms float64          `json:"addedP50Ms"`
+	AddedP99Ms float64          `json:"addedP99Ms"`
 }
 
 type lane struct {
 	way    Way
 	client *http.Client
 
-	mu     sync.Mutex
-	times  *hdrhistogram.Histogram
-	failed int64
+	mu       sync.Mutex
+	times    *hdrhistogram.Histogram
+	failures map[string]int64
 }
 
 const (
@@ -64,9 +65,10 @@
 	var lanes []*lane
 	for _, w := range p.Ways {
 		lanes = append(lanes, &lane{
-			way:    w,
-			client: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: conns}},
-			times:  hdrhistogram.New(1, slowest, digits),
+			way:      w,
+			client:   &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: conns}},
+			times:    hdrhistogram.New(1, slowest, digits),
+			failures: map[string]int64{},
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.WarmUp+p.Length)
@@ -100,21 +102,25 @@
 func (l *lane) request(key string, counts bool) {
 	req, err := http.NewRequest(http.MethodPost, l.way.URL, strings.NewReader("vehicle"))
 	if err != nil {
-		l.fail()
+		l.fail(broken(err))
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	begun := time.Now()
 	res, err := l.client.Do(req)
 	if err != nil {
-		l.fail()
+		l.fail(broken(err))
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		l.fail(refused(res))
+		return
+	}
 	_, err = io.Copy(io.Discard, res.Body)
 	took := time.Since(begun)
-	if err != nil || res.StatusCode != http.StatusOK {
-		l.fail()
+	if err != nil {
+		l.fail(broken(err))
 		return
 	}
 	if counts {
@@ -124,16 +130,26 @@
 	}
 }
 
-func (l *lane) fail() {
+func (l *lane) fail(why string) {
 	l.mu.Lock()
-	l.failed++
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	l.failures[why]++
+}
+
+func (l *lane) failed() int64 {
+	total := int64(0)
+	for _, count := range l.failures {
+		total += count
+	}
+	return total
 }
 
 func results(lanes []*lane) []Result {
 	var all []Result
 	for _, l := range lanes {
-		r := Result{Way: l.way.Name, Whole: l.times.TotalCount(), Failed: l.failed, P50Ms: l.at(50), P99Ms: l.at(99)}
+		r := Result{
+			Way: l.way.Name, Whole: l.times.TotalCount(), Failed: l.failed(), Failures: l.failures, P50Ms: l.at(50), P99Ms: l.at(99),
+		}
 		if len(all) > 0 {
 			r.AddedP50Ms, r.AddedP99Ms = r.P50Ms-all[0].P50Ms, r.P99Ms-all[0].P99Ms
 		}
--- a/internal/load/latency/run_test.go
+++ b/internal/load/latency/run_test.go
@@ -29,3 +29,46 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+func TestFailuresAreTold(t *testing.T) {
+	// Some hundred calls of a measurement fail. As a mere number that says
+	// neither whether they were refused nor by whom, and the cause stays unknown.
+	answers := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    string
+	}{
+		{"a refusal", answers(http.StatusServiceUnavailable, `{"outcome":"notRun","reason":"overloaded"}`), "notRun overloaded"},
+		{"an upstream's answer", answers(http.StatusBadGateway, "no"), "status 502"},
+		{"no answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "connection closed"},
+		{"half an answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		}, "connection closed"},
+	}
+	Convey("Each failure is counted by its reason", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				server := httptest.NewServer(c.handler)
+				defer server.Close()
+				results, err := Run(t.Context(), Plan{Ways: []Way{{"way", server.URL}}, Rate: 50, Length: 100 * time.Millisecond})
+				So(err, ShouldBeNil)
+				So(results[0].Failed, ShouldBeGreaterThan, 0)
+				So(results[0].Failures, ShouldResemble, map[string]int64{c.want: results[0].Failed})
+			})
+		}
+	})
+	Convey("A port on which nobody listens", t, func() {
+		server := httptest.NewServer(http.NotFoundHandler())
+		server.Close()
+		results, err := Run(t.Context(), Plan{Ways: []Way{{"way", server.URL}}, Rate: 50, Length: 100 * time.Millisecond})
+		So(err, ShouldBeNil)
+		So(results[0].Failures, ShouldResemble, map[string]int64{"connection refused": results[0].Failed})
+	})
+}
