Check the binding rate and refused keys in the soak

Cause: the soak had no organisation whose rate binds, and the notRun answers of keyed requests were not checked against runs. The upstreams now keep a trace, which is compared with burst + rate x length for every interval, whatever became of the answers; a request whose every attempt was refused must not have run.

--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -67,6 +67,7 @@
 	relays   *relays
 	load     *load
 	keyed    *load
+	paced    *load
 	begun    map[begunKey]*begun
 }
 
--- a/internal/proof/scenario/soak_test.go
+++ b/internal/proof/scenario/soak_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -25,6 +26,8 @@
 	cmds := commands()
 	cmds["keyed"] = cmdKeyed       // keyed RATE METHOD PATH key=K: send requests up to three times each, with idempotency keys, anywhere
 	cmds["keyedend"] = cmdKeyedEnd // keyedend: stop, and print the most runs for one key
+	cmds["paced"] = cmdPaced       // paced RATE METHOD PATH key=K: as load, for an organisation whose rate binds
+	cmds["pacedend"] = cmdPacedEnd // pacedend ORGANISATION RATE BURST: stop, and print by how much the runs are over the rate
 	cmds["mayhem"] = cmdMayhem     // mayhem: bring about faults for the length of SOAK
 	testscript.Run(t, testscript.Params{Dir: "testdata/soak", Cmds: cmds, Setup: setup})
 }
@@ -130,7 +133,7 @@
 	need(ts, args, 4, "keyed RATE METHOD PATH key=K")
 	rate, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	l := &load{fleet: fleetOf(ts), stop: make(chan struct{}), counts: map[string]int{}}
+	l := newLoad(fleetOf(ts))
 	fleetOf(ts).keyed = l
 	key := pairs(ts, args[3:])["key"]
 	l.done.Go(func() {
@@ -165,12 +168,20 @@
 	req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(loadTimeout.Milliseconds(), 10))
 	out, err := exchange(req)
 	l.note(number, out, err)
+	l.noteKey(name, err == nil && strings.Fields(out)[1] == call.NotRun.String())
+}
+
+// noteKey keeps whether every attempt with a key was answered notRun.
+func (l *load) noteKey(name string, notRun bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, known := l.refused[name]
+	l.refused[name] = notRun && (before || !known)
 }
 
 func cmdKeyedEnd(ts *testscript.TestScript, _ bool, _ []string) {
 	l := fleetOf(ts).keyed
-	close(l.stop)
-	l.done.Wait()
+	l.end()
 	runs := map[string]int{}
 	most := 0
 	for _, name := range l.fleet.order {
@@ -184,6 +195,14 @@
 			most = max(most, runs[key])
 		}
 	}
-	fmt.Fprintf(ts.Stdout(), "keys=%d whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d most=%d\n",
-		len(runs), l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], most)
+	refused, ran := 0, 0
+	for key, all := range l.refused {
+		if all {
+			refused++
+			ran += runs[key]
+		}
+	}
+	fmt.Fprintf(ts.Stdout(), "keys=%d whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d refused=%d refusedRan=%d untrue=%d most=%d\n",
+		len(runs), l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"],
+		refused, ran, l.untrue(ts), most)
 }
--- a/internal/proof/scenario/stream_test.go
+++ b/internal/proof/scenario/stream_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -121,28 +120,19 @@
 	ts.Logf("%s", text)
 }
 
-// cmdWithin looks at every interval that begins with one admission and ends
-// with another. An interval counts the requests that were sent and answered
-// inside it, since only of those it is certain that they were let in inside it.
+// cmdWithin looks at the requests that were answered whole: of those it is
+// certain that they were let in between sending and answer.
 func cmdWithin(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 2, "within RATE BURST")
 	rate, err := strconv.ParseFloat(args[0], 64)
 	ts.Check(err)
 	burst, err := strconv.ParseFloat(args[1], 64)
 	ts.Check(err)
-	all := slices.Clone(streamsIn(ts).admitted)
-	slices.SortFunc(all, func(a, b admission) int { return a.heard.Compare(b.heard) })
-	worst := 0.0
-	for i := range all {
-		begin, count := all[i].sent, 0
-		for _, a := range all {
-			if a.sent.Before(begin) {
-				continue
-			}
-			count++
-			worst = max(worst, float64(count)-burst-rate*a.heard.Sub(begin).Seconds())
-		}
+	var all []span
+	for _, a := range streamsIn(ts).admitted {
+		all = append(all, span{from: a.sent.UnixNano(), to: a.heard.UnixNano()})
 	}
+	worst := mostOver(all, rate, burst)
 	ts.Logf("most over the invariant: %.1f", worst)
 	if worst > 0 {
 		ts.Fatalf("%.1f requests over burst %g + rate %g × length in some interval", worst, burst, rate)
--- a/internal/proof/scenario/truth_test.go
+++ b/internal/proof/scenario/truth_test.go
@@ -79,24 +79,47 @@
 	stop  chan struct{}
 	done  sync.WaitGroup
 
-	mu     sync.Mutex
-	counts map[string]int
-	faults []string
-	notRun []string
+	mu       sync.Mutex
+	counts   map[string]int
+	faults   []string
+	notRun   []string
+	overRate int
+	// refused are the keys, and whether each of their attempts was answered notRun.
+	refused map[string]bool
+	// sent are the times at which the requests were last sent.
+	sent map[int]time.Time
 }
 
 const loadTimeout = 5 * time.Second
 
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
-	need(ts, args, 4, "load RATE METHOD PATH key=K")
+	fleetOf(ts).load = startLoad(ts, args)
+}
+
+func startLoad(ts *testscript.TestScript, args []string) *load {
+	need(ts, args, 4, "RATE METHOD PATH key=K")
 	rate, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	l := &load{
-		fleet: fleetOf(ts), stop: make(chan struct{}), counts: map[string]int{},
-	}
-	fleetOf(ts).load = l
+	l := newLoad(fleetOf(ts))
 	key := pairs(ts, args[3:])["key"]
 	l.done.Go(func() { l.run(time.Second/time.Duration(rate), args[1], args[2], key) })
+	return l
+}
+
+func newLoad(f *fleet) *load {
+	return &load{fleet: f, stop: make(chan struct{}), counts: map[string]int{}, refused: map[string]bool{}, sent: map[int]time.Time{}}
+}
+
+// end stops the load and waits for its answers.
+func (l *load) end() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+func (l *load) sending(number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[number] = time.Now()
 }
 
 func (l *load) run(every time.Duration, method, path, key string) {
@@ -120,6 +143,7 @@
 		req, _ := http.NewRequest(method, url, &plainBody{strings.NewReader(fmt.Sprintf("load-%d", number))})
 		req.Header.Set("Authorization", "Bearer "+key)
 		req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(loadTimeout.Milliseconds(), 10))
+		l.sending(number)
 		out, err := exchange(req)
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
@@ -148,6 +172,10 @@
 	if id := requestID.FindStringSubmatch(out); what == call.NotRun.String() && id != nil {
 		l.notRun = append(l.notRun, id[1])
 	}
+	if strings.Contains(out, call.OverRate.String()) {
+		l.overRate++
+		return
+	}
 	if what != call.Whole.String() {
 		l.faults = append(l.faults, fmt.Sprintf("%d: %s%v", number, out, err))
 	}
@@ -184,8 +212,7 @@
 
 func cmdLoadEnd(ts *testscript.TestScript, _ bool, _ []string) {
 	l := fleetOf(ts).load
-	close(l.stop)
-	l.done.Wait()
+	l.end()
 	fmt.Fprintf(ts.Stdout(), "whole=%d notRun=%d outcomeUnknown=%d crossed=%d broken=%d untrue=%d\n%s\n",
 		l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], l.untrue(ts),
 		strings.Join(l.faults, "\n"))
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -30,6 +30,16 @@
 	Retries int
 	// Lossy closes the connection in place of each answer.
 	Lossy bool
+	// Trace keeps each run with its time, for as long as the stand-in lives.
+	Trace bool
+}
+
+// Run is one run of the trace.
+type Run struct {
+	Organisation string    `json:"organisation"`
+	RequestID    string    `json:"requestId"`
+	Echo         string    `json:"echo"`
+	At           time.Time `json:"at"`
 }
 
 // Upstream answers requests with who asked and what was asked, and counts its runs.
@@ -39,9 +49,10 @@
 	latency atomic.Int64
 	client  *http.Client
 
-	mu   sync.Mutex
-	runs map[string]int
-	keys map[string]int
+	mu    sync.Mutex
+	runs  map[string]int
+	keys  map[string]int
+	trace []Run
 }
 
 // Answer is the JSON body of a stand-in's answer.
@@ -80,6 +91,7 @@
 	mux.HandleFunc("GET /standin/load", u.serveLoad)
 	mux.HandleFunc("GET /standin/runs", u.serveRuns)
 	mux.HandleFunc("GET /standin/keys", u.serveKeys)
+	mux.HandleFunc("GET /standin/trace", u.serveTrace)
 	mux.HandleFunc("POST /standin/latency/{ms}", u.serveLatency)
 	mux.HandleFunc("/", u.serve)
 	return mux
@@ -101,7 +113,7 @@
 		return
 	}
 	defer func() { <-u.slots }()
-	u.count(r)
+	u.count(r, body)
 	select {
 	case <-time.After(time.Duration(u.latency.Load())):
 	case <-r.Context().Done():
@@ -155,9 +167,15 @@
 	return raw, res.StatusCode, err
 }
 
-func (u *Upstream) count(r *http.Request) {
+func (u *Upstream) count(r *http.Request, body []byte) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.config.Trace {
+		u.trace = append(u.trace, Run{
+			Organisation: r.Header.Get(wire.HeaderOrganisation), RequestID: r.Header.Get(wire.HeaderRequestID),
+			Echo: string(body), At: time.Now(),
+		})
+	}
 	u.runs[r.Header.Get(wire.HeaderRequestID)]++
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		u.keys[key]++
@@ -176,6 +194,12 @@
 	_ = json.NewEncoder(w).Encode(u.keys)
 }
 
+func (u *Upstream) serveTrace(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(u.trace)
+}
+
 func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(map[string]int{"inFlight": len(u.slots), "slots": cap(u.slots)})
 }
