--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -54,6 +54,7 @@
 		"runs":    cmdRuns,    // runs: print the number of runs over all upstreams, and the most for one request
 		"status":  cmdStatus,  // status NAME: print /statusz
 		"garbage": cmdGarbage, // garbage NAME callers|peers TEXT: send raw bytes (Go escapes) and wait for the end
+		"forge":   cmdForge,   // forge NAME bare|guess ORGANISATION: hand a request on at the peers' port as a daemon would
 		"sleep":   cmdSleep,   // sleep DURATION
 		"flood":   cmdFlood,   // flood NAME KEY COUNT PATH...: POST to all paths at once and print the outcomes of each
 		"program": cmdProgram, // program CODE NAME ARGUMENT...: run a program to its end and expect its exit code; @HOST stands for an operators' address, %HOST for a log, @platform for the platform
