Read of a changed list only what has changed

Cause: each change of a list was read as a whole, twice over by the JSON decoder, checked with maps of all entries, and all four lists' views were built anew; rates were configured for a change of keys too, and a collection ran after each.

A text is judged from its change only if that surely comes to the same; all else goes to Parse as before. The test in fuzz_test.go takes its lists from the tables and the view, since the set holds no others any more. Memory is given back at most every 10 s, so that a list that changes all the time doesn't cost a collection each.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -31,6 +31,7 @@
 	reader     context.CancelFunc
 	reading    bool
 	releasing  bool
+	released   time.Time
 	viewed     time.Time
 
 	asks   chan func()
--- a/internal/app/daemon/memory.go
+++ b/internal/app/daemon/memory.go
@@ -10,6 +10,8 @@
 	largeValue = 64 << 10
 	// releaseDelay gathers the lists that come together, as at a start.
 	releaseDelay = 2 * time.Second
+	// releaseSpacing bounds what lists that change all the time cost: a collection takes as long as reading one of them.
+	releaseSpacing = 10 * time.Second
 )
 
 // release gives memory back after a large list was read.
@@ -23,8 +25,9 @@
 		return
 	}
 	c.releasing = true
-	time.AfterFunc(releaseDelay, func() {
+	wait := max(releaseDelay, releaseSpacing-time.Since(c.released))
+	time.AfterFunc(wait, func() {
 		debug.FreeOSMemory()
-		c.ask(func() { c.releasing = false })
+		c.ask(func() { c.releasing, c.released = false, time.Now() })
 	})
 }
--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -24,9 +24,11 @@
 	asked    atomic.Uint64
 	mayLend  atomic.Bool
 	complete time.Time
-	ready    atomic.Bool
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// configured are the versions of the lists that were taken over.
+	configured [2]uint64
+	ready      atomic.Bool
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 func newRates(d *Daemon) *rates {
@@ -52,14 +54,27 @@
 // configure takes over a new view; it runs on the control thread.
 func (r *rates) configure(view *lists.View) {
 	now := time.Now()
+	if versions := configuredBy(view); versions != r.configured {
+		r.configured = versions
+		r.setLists(view, now)
+	}
+	if view.Complete() && r.complete.IsZero() {
+		r.complete = now
+	}
+}
+
+// configuredBy returns the versions of the lists that rates depend on. Keys and uses
+// change without the rates of all organisations being gone through again.
+func configuredBy(view *lists.View) [2]uint64 {
+	return [2]uint64{view.Version(lists.KindHosts), view.Version(lists.KindPlans)}
+}
+
+func (r *rates) setLists(view *lists.View, now time.Time) {
 	members := rate.Members(view.Hosts())
 	r.home.SetList(view.Version(lists.KindHosts), members, now)
 	r.home.SetPlans(view.Organisations(), now)
 	r.borrower.SetList(view.Version(lists.KindHosts), members)
 	r.borrower.SetPlans(view.Organisations())
-	if view.Complete() && r.complete.IsZero() {
-		r.complete = now
-	}
 }
 
 // Times of the questions between daemons.
--- a/internal/domain/lists/fault.go
+++ b/internal/domain/lists/fault.go
@@ -30,15 +30,17 @@
 
 type place struct {
 	faults *faults
-	path   string
+	array  string
+	index  int
 }
 
-func (f *faults) at(field string, index int) place {
-	return place{faults: f, path: fmt.Sprintf("%s[%d]", field, index)}
+func (f *faults) at(array string, index int) place {
+	return place{faults: f, array: array, index: index}
 }
 
 func (p place) add(field, format string, args ...any) {
-	p.faults.list = append(p.faults.list, Fault{Place: p.path + "." + field, Text: fmt.Sprintf(format, args...)})
+	path := fmt.Sprintf("%s[%d].%s", p.array, p.index, field)
+	p.faults.list = append(p.faults.list, Fault{Place: path, Text: fmt.Sprintf(format, args...)})
 }
 
 func (p place) name(field, value string) {
--- a/internal/domain/lists/fuzz_test.go
+++ b/internal/domain/lists/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"testing"
 )
 
@@ -35,7 +37,10 @@
 }
 
 func again(t *testing.T, set *Set, k Kind) {
-	value := map[Kind]any{KindPlans: set.plans, KindUses: set.uses, KindKeys: set.keys, KindHosts: set.hosts}[k]
+	value := map[Kind]any{
+		KindPlans: Plans{Organisations: set.plans.entries}, KindUses: usesOf(set.view.usesView),
+		KindKeys: Keys{Keys: set.keys.entries}, KindHosts: Hosts{Hosts: set.hosts.entries},
+	}[k]
 	raw, err := json.Marshal(value)
 	if err != nil {
 		t.Fatal(err)
@@ -44,3 +49,15 @@
 		t.Fatalf("not accepted again: %v", faults)
 	}
 }
+
+// usesOf returns the list that the view was made of, in another order.
+func usesOf(v usesView) Uses {
+	var u Uses
+	for _, operations := range v.operations {
+		u.Operations = append(u.Operations, operations...)
+	}
+	for plan, set := range v.grants {
+		u.Plans = append(u.Plans, Grant{Plan: plan, Operations: slices.Collect(maps.Keys(set))})
+	}
+	return u
+}
--- a/internal/domain/lists/keys.go
+++ b/internal/domain/lists/keys.go
@@ -3,6 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Key is one organisation key, known only by its hash.
@@ -30,21 +33,28 @@
 	return f.list
 }
 
+func (k *Key) check(at place) {
+	at.name("id", k.ID)
+	at.name("organisation", k.Organisation)
+	if len(k.SHA256) != hex.EncodedLen(sha256.Size) || strings.Trim(k.SHA256, "0123456789abcdef") != "" {
+		at.add("sha256", "must be 64 lower-case hexadecimal digits")
+	}
+}
+
+func (k *Key) marks(into []uint64) []uint64 {
+	return append(into, xxhash.Sum64String(k.ID), ^xxhash.Sum64String(k.SHA256))
+}
+
 func (k *Keys) check(f *faults) {
 	ids := map[string]int{}
 	hashes := map[string]int{}
 	for i, e := range k.Keys {
 		at := f.at("keys", i)
-		at.name("id", e.ID)
-		at.name("organisation", e.Organisation)
+		e.check(at)
 		if first, dup := ids[e.ID]; dup {
 			at.add("id", "duplicate of keys[%d] (%q)", first, e.ID)
 		}
 		ids[e.ID] = i
-		raw, err := hex.DecodeString(e.SHA256)
-		if err != nil || len(raw) != sha256.Size || hex.EncodeToString(raw) != e.SHA256 {
-			at.add("sha256", "must be 64 lower-case hexadecimal digits")
-		}
 		if first, dup := hashes[e.SHA256]; dup {
 			at.add("sha256", "same hash as keys[%d]", first)
 		}
--- a/internal/domain/lists/set.go
+++ b/internal/domain/lists/set.go
@@ -33,10 +33,10 @@
 type Set struct {
 	raw      [Kinds]Value
 	rejected [Kinds]Rejection
-	plans    *Plans
-	uses     *Uses
-	keys     *Keys
-	hosts    *Hosts
+	plans    table[Organisation, *Organisation]
+	keys     table[Key, *Key]
+	hosts    table[Host, *Host]
+	view     View
 }
 
 // NewSet returns a set with nothing in force.
@@ -59,28 +59,60 @@
 	return Accepted, nil
 }
 
+// parse takes the value over into the tables and the view, or returns what is wrong with it.
 func (s *Set) parse(v Value) error {
-	var err error
+	before := s.raw[v.Kind].Raw
 	switch v.Kind {
 	case KindPlans:
-		err = adopt(&s.plans, v.Raw)
+		plans, err := adopt(&s.plans, "organisations", before, v.Raw, func(p *Plans) []Organisation { return p.Organisations })
+		if err != nil {
+			return err
+		}
+		s.view.plansView = newPlansView(plans)
 	case KindUses:
-		err = adopt(&s.uses, v.Raw)
+		uses, err := Parse[Uses](v.Raw)
+		if err != nil {
+			return err
+		}
+		s.view.usesView = newUsesView(uses)
 	case KindKeys:
-		err = adopt(&s.keys, v.Raw)
+		keys, err := adopt(&s.keys, "keys", before, v.Raw, func(k *Keys) []Key { return k.Keys })
+		if err != nil {
+			return err
+		}
+		s.view.keysView = newKeysView(keys)
 	case KindHosts:
-		err = adopt(&s.hosts, v.Raw)
+		hosts, err := adopt(&s.hosts, "hosts", before, v.Raw, func(h *Hosts) []Host { return h.Hosts })
+		if err != nil {
+			return err
+		}
+		s.view.hostsView = newHostsView(hosts)
 	}
-	return err
+	return nil
 }
 
-func adopt[T any, P Checked[T]](into **T, raw []byte) error {
-	value, err := Parse[T, P](raw)
+// adopt reads the text after as a change of the text before, or as a whole table. What is neither is judged
+// by Parse, which alone finds faults; entriesOf is for what it accepts in another form.
+func adopt[T any, C Checked[T], E any, P ruled[E]](
+	t *table[E, P], field string, before, after []byte, entriesOf func(*T) []E,
+) ([]E, error) {
+	if len(after) <= MaxBytes {
+		if changed, err := t.change(before, after); err == nil {
+			*t = *changed
+			return t.entries, nil
+		}
+		var whole table[E, P]
+		if err := whole.read(after, field); err == nil {
+			*t = whole
+			return t.entries, nil
+		}
+	}
+	value, err := Parse[T, C](after)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	*into = value
-	return nil
+	*t = table[E, P]{entries: entriesOf(value)}
+	return t.entries, nil
 }
 
 // Value returns the value in force of one list; version 0 means none.
@@ -91,9 +123,9 @@
 
 // View returns an immutable view of what is in force.
 func (s *Set) View() *View {
-	var versions [Kinds]uint64
-	for k := range versions {
-		versions[k] = s.raw[k].Version
+	view := s.view
+	for k := range view.versions {
+		view.versions[k] = s.raw[k].Version
 	}
-	return NewView(versions, s.plans, s.uses, s.keys, s.hosts)
+	return &view
 }
--- a/internal/domain/lists/view.go
+++ b/internal/domain/lists/view.go
@@ -1,6 +1,8 @@
 package lists
 
 import (
+	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
@@ -10,15 +12,28 @@
 )
 
 // View is an immutable join of the four lists in force; traffic reads it without locks.
+//
+// Views share the part of each list that stays the same between them.
 type View struct {
-	versions      [Kinds]uint64
+	versions [Kinds]uint64
+	plansView
+	usesView
+	keysView
+	hostsView
+}
+
+type plansView struct {
 	organisations map[string]Organisation
-	operations    map[string][]Operation
-	grants        map[string]map[string]bool
-	keys          map[uint64][]keyEntry
-	hosts         []Host
-	byName        map[string]Host
-	byService     map[string][]Host
+}
+
+type usesView struct {
+	operations map[string][]Operation
+	grants     map[string]map[string]bool
+}
+
+// keysView holds the keys in the order of their hashes.
+type keysView struct {
+	keys []keyEntry
 }
 
 type keyEntry struct {
@@ -26,40 +41,42 @@
 	organisation string
 }
 
+// hostsView holds the hosts in the list's order; byName has their places in it.
+type hostsView struct {
+	hosts     []Host
+	byName    map[string]int32
+	byService map[string][]Host
+}
+
 // NewView returns the view of the given values at the given versions; a nil value counts as empty.
 func NewView(versions [Kinds]uint64, plans *Plans, uses *Uses, keys *Keys, hosts *Hosts) *View {
-	v := &View{
-		versions:      versions,
-		organisations: map[string]Organisation{},
-		operations:    map[string][]Operation{},
-		grants:        map[string]map[string]bool{},
-		keys:          map[uint64][]keyEntry{},
-		byName:        map[string]Host{},
-		byService:     map[string][]Host{},
-	}
+	v := &View{versions: versions}
 	if plans != nil {
-		v.addPlans(plans)
+		v.plansView = newPlansView(plans.Organisations)
 	}
 	if uses != nil {
-		v.addUses(uses)
+		v.usesView = newUsesView(uses)
 	}
 	if keys != nil {
-		v.addKeys(keys)
+		v.keysView = newKeysView(keys.Keys)
 	}
 	if hosts != nil {
-		v.addHosts(hosts)
+		v.hostsView = newHostsView(hosts.Hosts)
 	}
 	return v
 }
 
-func (v *View) addPlans(p *Plans) {
-	for _, o := range p.Organisations {
+func newPlansView(organisations []Organisation) plansView {
+	v := plansView{organisations: make(map[string]Organisation, len(organisations))}
+	for _, o := range organisations {
 		o.Weight = max(o.Weight, 1)
 		v.organisations[o.Organisation] = o
 	}
+	return v
 }
 
-func (v *View) addUses(u *Uses) {
+func newUsesView(u *Uses) usesView {
+	v := usesView{operations: map[string][]Operation{}, grants: map[string]map[string]bool{}}
 	for _, o := range u.Operations {
 		v.operations[o.Service] = append(v.operations[o.Service], o)
 	}
@@ -73,24 +90,27 @@
 		}
 		v.grants[g.Plan] = set
 	}
+	return v
 }
 
-func (v *View) addKeys(k *Keys) {
-	for _, e := range k.Keys {
-		raw, _ := hex.DecodeString(e.SHA256)
-		entry := keyEntry{organisation: e.Organisation}
-		copy(entry.hash[:], raw)
-		slot := binary.BigEndian.Uint64(entry.hash[:])
-		v.keys[slot] = append(v.keys[slot], entry)
+func newKeysView(keys []Key) keysView {
+	v := keysView{keys: make([]keyEntry, len(keys))}
+	var digits [2 * sha256.Size]byte
+	for i, k := range keys {
+		v.keys[i].organisation = k.Organisation
+		_, _ = hex.Decode(v.keys[i].hash[:], digits[:copy(digits[:], k.SHA256)])
 	}
+	slices.SortFunc(v.keys, func(a, b keyEntry) int { return bytes.Compare(a.hash[:], b.hash[:]) })
+	return v
 }
 
-func (v *View) addHosts(h *Hosts) {
-	v.hosts = h.Hosts
-	for _, e := range h.Hosts {
-		v.byName[e.Host] = e
-		v.byService[e.Service] = append(v.byService[e.Service], e)
+func newHostsView(hosts []Host) hostsView {
+	v := hostsView{hosts: hosts, byName: make(map[string]int32, len(hosts)), byService: map[string][]Host{}}
+	for i, h := range hosts {
+		v.byName[h.Host] = int32(i)
+		v.byService[h.Service] = append(v.byService[h.Service], h)
 	}
+	return v
 }
 
 // Version returns the version in force of one list; 0 means none.
@@ -123,10 +143,14 @@
 // time, so that answer times tell nothing of a key in force.
 func (v *View) Authenticate(key string) (string, bool) {
 	hash := HashKey(key)
+	first := binary.BigEndian.Uint64(hash[:])
+	at, _ := slices.BinarySearchFunc(v.keys, first, func(e keyEntry, first uint64) int {
+		return cmp.Compare(binary.BigEndian.Uint64(e.hash[:]), first)
+	})
 	organisation := ""
-	for _, e := range v.keys[binary.BigEndian.Uint64(hash[:])] {
-		if subtle.ConstantTimeCompare(e.hash[:], hash[:]) == 1 {
-			organisation = e.organisation
+	for ; at < len(v.keys) && binary.BigEndian.Uint64(v.keys[at].hash[:]) == first; at++ {
+		if subtle.ConstantTimeCompare(v.keys[at].hash[:], hash[:]) == 1 {
+			organisation = v.keys[at].organisation
 		}
 	}
 	return organisation, organisation != ""
@@ -161,6 +185,9 @@
 
 // Host returns the host with the given name, or false.
 func (v *View) Host(name string) (Host, bool) {
-	h, ok := v.byName[name]
-	return h, ok
+	at, ok := v.byName[name]
+	if !ok {
+		return Host{}, false
+	}
+	return v.hosts[at], true
 }
--- a/internal/fleet/spread/archive.go
+++ b/internal/fleet/spread/archive.go
@@ -79,15 +79,7 @@
 }
 
 func splice(before, after lists.Value) Splice {
-	shorter := min(len(before.Raw), len(after.Raw))
-	prefix := 0
-	for prefix < shorter && before.Raw[prefix] == after.Raw[prefix] {
-		prefix++
-	}
-	suffix := 0
-	for suffix < shorter-prefix && before.Raw[len(before.Raw)-1-suffix] == after.Raw[len(after.Raw)-1-suffix] {
-		suffix++
-	}
+	prefix, suffix := lists.CommonEnds(before.Raw, after.Raw)
 	middle := bytes.Clone(after.Raw[prefix : len(after.Raw)-suffix])
 	return Splice{From: before.Version, To: after.Version, Prefix: prefix, Suffix: suffix, Middle: middle}
 }
