Break refusals of the rate bench down, and let it confirm at the daemons' pace

Cause looked for: 13 to 15% wrongful refusals at 200 hosts, calm. The bench now counts each organisation and, at the instant of each refusal, what the whole fleet held: nothing, a token in another daemon's stock, a token at a home, fractions, or no home that could tell.

Ruled out: the bound of a search (0.2 s), dryUntil, the start inside the minute at 15 hosts.

So that worlds of this size run at that pace, and since 3,400 members would cost a daemon a look through all of them at every tick, a membership that finds nobody due rests a quarter of a second unless something is learnt.

--- a/cmd/foxtailrate/main.go
+++ b/cmd/foxtailrate/main.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -20,6 +21,7 @@
 	seed := fs.Uint64("seed", 1, "seed of the run")
 	only := fs.String("case", "", "run only cases whose name has this text")
 	way := fs.String("way", "", "run only ways whose name has this text")
+	each := fs.Bool("each", false, "show each organisation, and all its refusals by their cause")
 	asJSON := fs.Bool("json", false, "print one JSON line for each run in place of a table")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FOXTAILRATE")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -27,13 +29,16 @@
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	show := func(r rates.Result) {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t\n", r.Case, r.Arrival, r.Variant, r.Hosts, r.Percent, r.Asking, r.Messages, r.Excess)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%.2f\t%.1f\t%.1f\t%.0f\t%.1f\t\n", r.Case, r.Arrival, r.Variant, r.Hosts, r.Percent, r.Asking, r.Messages, r.Bytes, r.Excess)
+		if *each {
+			showEach(table, r)
+		}
 	}
 	if *asJSON {
 		out := json.NewEncoder(os.Stdout)
 		show = func(r rates.Result) { _ = out.Encode(r) }
 	} else {
-		fmt.Fprintln(table, "case\tarrival\tway\thosts\twrongful %\tasked %\tmessages/host/s\ttokens over\t")
+		fmt.Fprintln(table, "case\tarrival\tway\thosts\twrongful %\tasked %\tmessages/host/s\tlease bytes/host/s\ttokens over\t")
 	}
 	for _, c := range rates.Cases() {
 		for _, a := range []rates.Arrival{rates.Uniform, rates.Skewed} {
@@ -46,3 +51,10 @@
 	}
 	_ = table.Flush()
 }
+
+// showEach prints a row for each organisation; refusals are counted with those that one global bucket makes too.
+func showEach(out io.Writer, r rates.Result) {
+	for _, t := range r.Organisations {
+		fmt.Fprintf(out, "\t\t%s\t%d in\t%.2f\t%v\t\t\t\t\n", t.Organisation, t.Inside, t.Percent(), t.Refusals)
+	}
+}
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -18,11 +18,13 @@
 		return
 	}
 	w.Counts.Arrivals++
+	w.tally(organisation).Arrivals++
 	if w.ideal.Inside(organisation, w.Now) {
 		w.Counts.Inside++
+		w.tally(organisation).Inside++
 	}
 	if w.way != Lending {
-		w.settle(organisation, h.equal.spend(organisation, w.Now))
+		w.arriveEqual(h, organisation)
 		return
 	}
 	if s, ok := h.seeks[organisation]; ok {
@@ -31,9 +33,9 @@
 	}
 	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.settle(organisation, true)
+		w.admit(organisation)
 	case rate.Refused:
-		w.settle(organisation, false)
+		w.refuse(organisation, w.blame(organisation, false))
 	case rate.Dry:
 		w.Counts.Asked++
 		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
@@ -48,13 +50,23 @@
 	s.waiters++
 }
 
-func (w *World) settle(organisation string, admitted bool) {
-	if admitted {
-		w.Counts.Admitted++
-		w.Checker.Admit(organisation, w.Now)
+func (w *World) arriveEqual(h *Host, organisation string) {
+	if h.equal.spend(organisation, w.Now) {
+		w.admit(organisation)
 		return
 	}
+	w.refuse(organisation, Elsewhere)
+}
+
+func (w *World) admit(organisation string) {
+	w.Counts.Admitted++
+	w.tally(organisation).Admitted++
+	w.Checker.Admit(organisation, w.Now)
+}
+
+func (w *World) refuse(organisation string, c Cause) {
 	w.Counts.Refused++
+	w.tally(organisation).Refusals[c.String()]++
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
@@ -83,6 +95,7 @@
 		for _, g := range r.Items {
 			s.wait = min(s.wait, g.Wait)
 		}
+		s.settled = s.settled || settled(r)
 		next()
 	}, next)
 }
@@ -105,13 +118,13 @@
 			return
 		}
 		s.waiters--
-		w.settle(organisation, true)
+		w.admit(organisation)
 	}
 }
 
 func (w *World) end(h *Host, organisation string, s *seek) {
 	for range s.waiters {
-		w.settle(organisation, false)
+		w.refuse(organisation, w.blame(organisation, !s.settled))
 	}
 	s.waiters = 0
 	delete(h.seeks, organisation)
--- a/internal/bench/rates/experiment.go
+++ b/internal/bench/rates/experiment.go
@@ -129,8 +129,12 @@
 	Asking  float64 `json:"askedPercent"`
 	// Messages are sent per host and second, answers counted.
 	Messages float64 `json:"messagesPerHostSecond"`
+	// Bytes are those of lease messages, sent per host and second.
+	Bytes float64 `json:"leaseBytesPerHostSecond"`
 	// Excess is how many tokens the invariant was broken by, 0 if it held.
 	Excess float64 `json:"excess"`
+	// Organisations tells the same of each organisation.
+	Organisations []Tally `json:"organisations"`
 }
 
 // loadShare is the offered load as a share of each organisation's rate: inside it, so that all refusals are wrongful.
@@ -165,13 +169,14 @@
 		w.offer(o, i, a, hosts)
 	}
 	w.Run(settleTime)
-	w.Counts = Counts{}
+	w.Reset()
 	c.Fault(w)
 	w.Run(c.Length)
-	r := Result{Variant: v.Name, Case: c.Name, Arrival: a.String(), Hosts: hosts, Counts: w.Counts, Excess: w.Checker.Excess}
+	r := Result{Variant: v.Name, Case: c.Name, Arrival: a.String(), Hosts: hosts, Counts: w.Counts, Excess: w.Checker.Excess, Organisations: w.Tallies()}
 	r.Percent = 100 * float64(w.Counts.Wrongful()) / float64(max(w.Counts.Inside, 1))
 	r.Asking = 100 * float64(w.Counts.Asked) / float64(max(w.Counts.Arrivals, 1))
 	r.Messages = float64(w.Counts.Messages) / float64(hosts) / c.Length.Seconds()
+	r.Bytes = float64(w.Counts.Bytes) / float64(hosts) / c.Length.Seconds()
 	return r
 }
 
--- a/internal/bench/rates/messages.go
+++ b/internal/bench/rates/messages.go
@@ -3,10 +3,12 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
-// confirmEvery is how often a host looks whether it should ask a member.
+// confirmEvery is the time between two questions to members while there are some to ask, as in the daemon.
 const confirmEvery = 20 * time.Millisecond
 
 func (w *World) tick(h *Host, incarnation uint64) {
@@ -15,10 +17,12 @@
 	}
 	var confirm, prefetch func()
 	confirm = func() {
+		pace := rate.TickEvery
 		if m, ok := h.home.NextAsk(w.Now); ok {
 			w.confirm(h, m)
+			pace = confirmEvery
 		}
-		w.process(h, incarnation, w.confirmPace(), confirm)
+		w.process(h, incarnation, pace, confirm)
 	}
 	prefetch = func() {
 		h.home.Tick(w.Now)
@@ -31,14 +35,6 @@
 	w.process(h, incarnation, w.rngTime(rate.TickEvery), prefetch)
 }
 
-// confirmPace looks less often in large worlds, which would spend their time on it.
-func (w *World) confirmPace() time.Duration {
-	if len(w.hosts) > 50 {
-		return 10 * confirmEvery
-	}
-	return confirmEvery
-}
-
 // send carries a message from a to b, and runs arrive there as often as the network wants.
 //
 // A connection ends with the process at either end, so a message reaches only
@@ -93,6 +89,21 @@
 	})
 }
 
+// frameBytes is what a frame between daemons takes besides its message.
+const frameBytes = 14
+
+// weigh counts the bytes of a lease message as they would be on the wire.
+func (w *World) weigh(a, b *Host, message any) {
+	if a == b {
+		return
+	}
+	raw, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	w.Counts.Bytes += frameBytes + len(raw)
+}
+
 // askBound is how long a waiting request's question may take; homes slower than that are passed over.
 const askBound = 50 * time.Millisecond
 
@@ -103,8 +114,10 @@
 		return
 	}
 	incarnation, asked, over := h.incarnation, w.Now, false
+	w.weigh(h, other, ask.Message)
 	w.send(h, other, other.incarnation, func() {
 		reply := other.home.AnswerLease(ask.Message, w.Now)
+		w.weigh(other, h, reply)
 		w.send(other, h, incarnation, func() {
 			h.borrower.Hear(ask.Home, reply, asked, w.Now)
 			if !over {
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -43,14 +43,15 @@
 	Checker *Checker
 	Counts  Counts
 
-	ideal  *Checker
-	way    Way
-	limits rate.Limits
-	opts   []rate.MembershipOption
-	rng    *rand.Rand
-	events events
-	serial uint64
-	plans  []lists.Organisation
+	ideal   *Checker
+	tallies map[string]*Tally
+	way     Way
+	limits  rate.Limits
+	opts    []rate.MembershipOption
+	rng     *rand.Rand
+	events  events
+	serial  uint64
+	plans   []lists.Organisation
 	// planVersion counts the changes of the plans.
 	planVersion int
 
@@ -69,6 +70,8 @@
 	Inside   int `json:"inside"`
 	Asked    int `json:"asked"`
 	Messages int `json:"messages"`
+	// Bytes are those of lease messages between hosts, frames counted.
+	Bytes int `json:"bytes"`
 }
 
 // Wrongful returns how many requests were refused that one global bucket would have admitted.
@@ -101,6 +104,8 @@
 	again   bool
 	wait    time.Duration
 	ends    time.Time
+	// settled is set once a home could tell when it has a token.
+	settled bool
 }
 
 // Start is when virtual time begins.
@@ -109,7 +114,8 @@
 // NewWorld returns a world without hosts.
 func NewWorld(seed uint64, way Way, l rate.Limits, plans []lists.Organisation, opts ...rate.MembershipOption) *World {
 	w := &World{
-		Now: Start, way: way, limits: l, opts: opts, plans: plans, byName: map[rate.Member]*Host{},
+		tallies: map[string]*Tally{},
+		Now:     Start, way: way, limits: l, opts: opts, plans: plans, byName: map[rate.Member]*Host{},
 		rng: rand.New(rand.NewPCG(seed, seed)), Checker: NewChecker(plans, Start), ideal: NewChecker(plans, Start),
 		cut: func(*Host, *Host) bool { return false },
 	}
--- a/internal/fleet/rate/asking.go
+++ b/internal/fleet/rate/asking.go
@@ -6,6 +6,9 @@
 type asking struct {
 	last   map[Member]time.Time
 	latest time.Time
+	// restUntil is when to look again after nobody was due, unless something was learnt since the generation.
+	restUntil  time.Time
+	generation uint64
 }
 
 // Paces of the questions. A steady round takes a quarter of a tenure, so that
@@ -21,7 +24,7 @@
 
 // NextAsk returns the member to ask now, or false while it is too early.
 func (m *Membership) NextAsk(now time.Time) (Member, bool) {
-	if now.Sub(m.asking.latest) < fastPace {
+	if now.Sub(m.asking.latest) < fastPace || m.resting(now) {
 		return Member{}, false
 	}
 	e, ok := m.unsure(now)
@@ -30,8 +33,16 @@
 	}
 	if ok {
 		m.asking.last[e], m.asking.latest = now, now
+		return e, true
 	}
-	return e, ok
+	m.asking.restUntil, m.asking.generation = now.Add(slowPace), m.generation
+	return Member{}, false
+}
+
+// resting spares a process the look through thousands of members at each tick, which
+// would take a good part of the time it may spend on control while nothing happens.
+func (m *Membership) resting(now time.Time) bool {
+	return m.asking.generation == m.generation && now.Before(m.asking.restUntil)
 }
 
 // unsure returns the member asked longest ago of those not known to vouch for this list.
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -256,3 +256,14 @@
 	}
 	return len(b.purses), tokens
 }
+
+// Stock returns the number of the organisation's tokens at hand.
+func (b *Borrower) Stock(organisation string, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.purses[organisation]
+	if !ok {
+		return 0
+	}
+	return p.left(now)
+}
--- a/internal/fleet/rate/home.go
+++ b/internal/fleet/rate/home.go
@@ -49,6 +49,9 @@
 // Tick forgets what is not needed any more.
 func (h *Home) Tick(now time.Time) { h.lender.Tick(now) }
 
+// Balance returns the organisation's tokens that may be lent, as of the last question.
+func (h *Home) Balance(organisation string) float64 { return h.lender.Balance(organisation) }
+
 // Cease gives up all shards for good and returns the members that have to be told.
 func (h *Home) Cease(now time.Time) []Member {
 	h.membership.Cease(now)
--- a/internal/fleet/rate/lender.go
+++ b/internal/fleet/rate/lender.go
@@ -218,3 +218,12 @@
 	}
 	return h
 }
+
+// Balance returns the organisation's tokens that may be lent, as of the last question.
+func (l *Lender) Balance(organisation string) float64 {
+	b, ok := l.buckets[organisation]
+	if !ok {
+		return 0
+	}
+	return b.balance
+}
