Hold tokens ahead only where callers come often, and ask the own home first

Cause: a daemon with 0.1 calls/s of an organisation kept a token for it, so 200 daemons held more than small bursts have, and renewed each loan twice a second. A purse below its target asked at every tick, also while homes had nothing.

The price: more calls wait a round trip for their token. What is left is scattered: the homes together have a token but none a whole one.

--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -34,10 +34,12 @@
 	incarnation := uint64(now.UnixNano())
 	limits := d.settings.Limits()
 	self := rate.Member{Host: d.settings.Host, Peer: d.settings.Advertise}
+	borrower := rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits)
+	borrower.SetOwn(self)
 	return &rates{
 		daemon: d, self: self,
 		home:     rate.NewHome(self, incarnation, limits, now),
-		borrower: rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits),
+		borrower: borrower,
 		seeks:    newSeeks(),
 		done:     make(chan struct{}),
 	}
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -1,10 +1,11 @@
 package rate
 
 import (
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -22,6 +23,9 @@
 	purses      map[string]*purse
 	accounts    uint64
 	ticked      time.Time
+	// own is the home in this process, none where it is zero; start spreads the first questions.
+	own   Member
+	start uint64
 }
 
 // Ask is a question to a home.
@@ -44,7 +48,14 @@
 
 // NewBorrower returns a borrower without tokens; the name and incarnation are unique to the process.
 func NewBorrower(name string, incarnation uint64, l Limits) *Borrower {
-	return &Borrower{name: name, incarnation: incarnation, limits: l, purses: map[string]*purse{}}
+	return &Borrower{name: name, incarnation: incarnation, limits: l, purses: map[string]*purse{}, start: xxhash.Sum64String(name)}
+}
+
+// SetOwn names the home in the same process, which is asked first since that costs no message.
+func (b *Borrower) SetOwn(own Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.own = own
 }
 
 // SetList takes over the members that may be homes.
@@ -119,7 +130,7 @@
 		p = &purse{plan: o, accounts: map[Member]*account{}, used: now}
 		b.purses[organisation] = p
 	}
-	p.find(b.version, &b.roster, b.limits.Shards)
+	p.find(b.version, &b.roster, b.limits.Shards, b.start)
 	return p, true
 }
 
@@ -148,8 +159,7 @@
 	if !ok || len(p.homes) == 0 {
 		return nil
 	}
-	first := p.cursor % len(p.homes)
-	return append(slices.Clone(p.homes[first:]), p.homes[:first]...)
+	return b.order(p)
 }
 
 // RanDry notes that no home had a token; until the time that they told, capped, requests are refused without asking.
@@ -179,6 +189,10 @@
 func (b *Borrower) item(p *purse, a *account, want int, urgent bool) LeaseItem {
 	a.seq++
 	a.told = a.spent
+	a.wanted = 0
+	if !urgent {
+		a.wanted = want
+	}
 	return LeaseItem{
 		Organisation: p.plan.Organisation, Account: a.id, Birth: a.birth, Seq: a.seq,
 		Spent: a.spent, Returned: a.returned, Want: want, Urgent: urgent,
@@ -221,7 +235,12 @@
 	a.expires = latest(a.expires, asked.Add(b.limits.Loan))
 	if a.left(now) > before {
 		p.point(home)
-		p.dryUntil = time.Time{}
+		p.dryUntil, p.aheadFrom = time.Time{}, time.Time{}
+		return
+	}
+	if a.wanted > 0 {
+		a.restUntil, p.aheadFrom = now.Add(restTime), now.Add(aheadPause)
+		p.cursor++
 	}
 }
 
--- a/internal/fleet/rate/bucket.go
+++ b/internal/fleet/rate/bucket.go
@@ -111,16 +111,13 @@
 
 // lend deducts tokens for an account, as many as wanted and there are.
 //
-// An ask ahead of need gets no more than half of what is there, and of a small
-// bucket nothing unless it is over half full: a daemon whose callers may come must not
-// leave a daemon whose callers have come without tokens.
+// An ask ahead of need gets only what is above half of the bucket: daemons whose
+// callers may come must not leave a daemon whose callers have come without tokens, however
+// many they are. What is out counts against the size, so no more than half lies in stock.
 func (b *bucket) lend(l *lent, item LeaseItem) int {
 	free := int(b.balance)
 	if !item.Urgent {
-		free = (free + 1) / 2
-		if b.size < smallSize && b.balance <= b.size/2 {
-			free = 0
-		}
+		free = min(free, int(math.Ceil(b.balance-b.size/2)))
 	}
 	n := max(min(item.Want, free), 0)
 	l.granted += n
@@ -129,9 +126,6 @@
 	return n
 }
 
-// smallSize is the size in tokens below which a bucket keeps its last half for requests that wait.
-const smallSize = 8
-
 // extend notes that an answer goes out now.
 func (b *bucket) extend(l *lent, expires time.Time) {
 	l.expires = expires
--- a/internal/fleet/rate/prefetch.go
+++ b/internal/fleet/rate/prefetch.go
@@ -1,6 +1,9 @@
 package rate
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TickEvery is how often a borrower looks whether it should ask ahead of need.
 const TickEvery = 50 * time.Millisecond
@@ -14,10 +17,6 @@
 // perHome is how many tokens are asked of one home at a time before others are asked as well.
 const perHome = 8
 
-// tellBelow is the burst below which spent tokens are told at the next tick: a
-// home whose shard holds a few tokens can't refill it while it believes them out.
-const tellBelow = 4 * DefaultShards
-
 // Tick returns the questions to ask ahead of need: for more tokens where
 // callers arrive, to keep loans from running out, and to give back what callers
 // don't need, so that daemons where they come next find it at its home.
@@ -33,7 +32,7 @@
 			delete(b.purses, name)
 			continue
 		}
-		p.find(b.version, &b.roster, b.limits.Shards)
+		p.find(b.version, &b.roster, b.limits.Shards, b.start)
 		p.tick(elapsed)
 		p.close(now, b.limits.Loan)
 		for home, item := range b.wishes(p, now) {
@@ -55,14 +54,14 @@
 	out := map[Member]LeaseItem{}
 	target, left := p.target(), p.left(now)
 	switch {
-	case left < target && !now.Before(p.dryUntil):
+	case left <= target/2 && left < target && !now.Before(p.dryUntil) && !now.Before(p.aheadFrom):
 		b.more(p, target-left, out, now)
 	case left > returnFactor*target:
 		b.giveBack(p, left-target, out, now)
 	}
 	for home, a := range p.accounts {
 		renew := a.left(now) > 0 && a.expires.Sub(now) < b.limits.Loan/2
-		tell := a.spent > a.told && p.plan.Burst < tellBelow
+		tell := a.spent > a.told && now.Sub(a.untold) >= p.tellAfter()
 		if _, asked := out[home]; !asked && (renew || tell) && now.Before(a.expires) {
 			out[home] = b.item(p, a, 0, false)
 		}
@@ -70,20 +69,34 @@
 	return out
 }
 
-// more asks as many homes as the missing tokens are worth, starting with one that had some.
+// more asks as many homes as the missing tokens are worth: the process's own, which costs no
+// message, then those that had some.
 func (b *Borrower) more(p *purse, missing int, out map[Member]LeaseItem, now time.Time) {
-	homes := min(len(p.homes), 1+missing/perHome)
-	for i := range homes {
-		home := p.homes[(p.cursor+i)%len(p.homes)]
+	need := 1 + missing/perHome
+	for _, home := range b.order(p) {
+		if len(out) == need {
+			return
+		}
 		a := b.account(p, home, now)
-		if now.Before(a.slow) {
+		if now.Before(a.slow) || now.Before(a.restUntil) {
 			continue
 		}
-		out[home] = b.item(p, a, (missing+homes-1)/homes, false)
+		out[home] = b.item(p, a, (missing+need-1)/need, false)
 	}
-	if len(p.homes) > 0 {
-		p.cursor = (p.cursor + homes) % len(p.homes)
+}
+
+// order returns the homes in the order in which they are asked.
+func (b *Borrower) order(p *purse) []Member {
+	out := make([]Member, 0, len(p.homes))
+	if slices.Contains(p.homes, b.own) {
+		out = append(out, b.own)
 	}
+	for i := range p.homes {
+		if home := p.homes[(p.cursor+i)%len(p.homes)]; home != b.own {
+			out = append(out, home)
+		}
+	}
+	return out
 }
 
 // giveBack stops spending first and tells the home after that; if the message is lost, the tokens are.
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -1,7 +1,6 @@
 package rate
 
 import (
-	"math"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
@@ -20,6 +19,8 @@
 	demand   float64
 	used     time.Time
 	dryUntil time.Time
+	// aheadFrom is when to ask ahead of need again after a home had nothing to spare.
+	aheadFrom time.Time
 }
 
 // account is what one home lent. Spent, returned and granted are totals.
@@ -35,6 +36,11 @@
 	expires  time.Time
 	opened   time.Time
 	slow     time.Time
+	// untold is when the first token was spent that the home was not told of.
+	untold time.Time
+	// wanted is what the last question asked for ahead of need; restUntil is when to ask so again, after it brought nothing.
+	wanted    int
+	restUntil time.Time
 }
 
 func (a *account) left(now time.Time) int {
@@ -48,10 +54,6 @@
 const (
 	// demandTime smooths arrivals: long enough that a caller with one request in some seconds finds a token in stock.
 	demandTime = 4 * time.Second
-	// stock is how much demand is held ahead, well over the time of one question to another zone.
-	stock = 200 * time.Millisecond
-	// rareDemand in calls/s is where a token in stock would lie idle longer than it is worth.
-	rareDemand = 0.1
 	// slowTime is how long a home that did not answer is passed over.
 	slowTime = 100 * time.Millisecond
 	// leastDry and mostDry bound the time during which a dry purse refuses without
@@ -70,6 +72,9 @@
 func (p *purse) spend(now time.Time) bool {
 	for _, a := range p.accounts {
 		if a.left(now) > 0 {
+			if a.spent == a.told {
+				a.untold = now
+			}
 			a.spent++
 			return true
 		}
@@ -96,16 +101,9 @@
 	p.arrivals = 0
 }
 
-// target is the number of tokens to hold ahead of need.
-func (p *purse) target() int {
-	if p.demand < rareDemand {
-		return 0
-	}
-	return max(1, int(math.Ceil(p.demand*stock.Seconds())))
-}
-
 // find works out the homes of the organisation's shards, once for each version of the hosts list.
-func (p *purse) find(version uint64, r *roster, shards int) {
+// Borrowers start at different homes, or the home of the first shard would have all their questions.
+func (p *purse) find(version uint64, r *roster, shards int, start uint64) {
 	if p.version == version {
 		return
 	}
@@ -119,12 +117,13 @@
 			p.homes = append(p.homes, home)
 		}
 	}
+	p.cursor = int(start % uint64(max(len(p.homes), 1)))
 }
 
 // close drops accounts that ran out; their tokens are the home's loss.
 func (p *purse) close(now time.Time, loan time.Duration) {
 	for home, a := range p.accounts {
-		if !now.Before(a.expires) && now.Sub(a.opened) >= loan && !now.Before(a.slow) {
+		if !now.Before(a.expires) && now.Sub(a.opened) >= loan && !now.Before(a.slow) && !now.Before(a.restUntil) {
 			delete(p.accounts, home)
 		}
 	}
