Give each caller over the rate a place of its own to come back at

Cause: all refused requests of an organisation were told the moment of the next token. Callers that obey come back together, one gets in and the rest are refused again: 200 callers of an organisation with 20 requests/s made 9,100 requests a second at one daemon, of which 19 were admitted.

The gate's own spreading of come-back times moves to a package of its own, internal/decide/comeback, and the rates use it at the pace at which a daemon lets the organisation's requests in.

--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -68,7 +68,7 @@
 	a.still = d.keyStill(view, key, organisation)
 	a.account = budget.New(a.request.Budget)
 	if wait, ok := d.rates.Spend(r.Context(), organisation); !ok {
-		return refuse(call.OverRate, wait)
+		return refuse(call.OverRate, d.rates.borrower.ComeBack(organisation, wait, time.Now()))
 	}
 	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
 		return refuse(call.Overloaded, back)
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -1,10 +1,10 @@
 package admission
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/comeback"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -22,7 +22,7 @@
 	queue   queue.Queue[*Ticket]
 	running int
 	held    latencies
-	back    comeBack
+	back    *comeback.Places
 
 	longestWait time.Duration
 	length      int
@@ -59,14 +59,16 @@
 func WithLength(n int) Option { return func(g *Gate) { g.length = n } }
 
 // WithRand sets the source of jitter, numbers from 0 to 1.
-func WithRand(f func() float64) Option { return func(g *Gate) { g.back.rand = f } }
+func WithRand(f func() float64) Option {
+	return func(g *Gate) { g.back = comeback.New(comeback.WithRand(f)) }
+}
 
 // New returns a gate with the limit.
 func New(l limit.Learner, opts ...Option) *Gate {
 	g := &Gate{
 		limit:       l,
 		held:        latencies{operations: map[string]*holding{}},
-		back:        comeBack{rand: rand.Float64},
+		back:        comeback.New(),
 		longestWait: DefaultWait,
 		length:      DefaultLength,
 	}
@@ -200,7 +202,9 @@
 
 func (g *Gate) refuse(now time.Time, reason call.Reason) Decision {
 	g.counts.Refused++
-	return Decision{Verdict: Refuse, Reason: reason, RetryAfter: g.back.place(now, g.queue.Len(), g.interval())}
+	interval := g.interval()
+	room := time.Duration(g.queue.Len()+1) * interval
+	return Decision{Verdict: Refuse, Reason: reason, RetryAfter: g.back.Next(now, room, interval)}
 }
 
 // interval is the time between two starts while all slots are busy.
--- a/internal/decide/admission/gate_test.go
+++ b/internal/decide/admission/gate_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/comeback"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
@@ -171,7 +172,7 @@
 		for _, b := range backs {
 			distinct[b/(10*ms)] = true
 			latestBack = max(latestBack, b)
-			So(b, ShouldBeBetweenOrEqual, soonest, latest)
+			So(b, ShouldBeBetweenOrEqual, comeback.Soonest, comeback.Latest)
 		}
 		So(len(distinct), ShouldBeGreaterThan, 20)
 	})
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/comeback"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -127,7 +128,7 @@
 	}
 	p, ok := b.purses[organisation]
 	if !ok {
-		p = &purse{plan: o, accounts: map[Member]*account{}, used: now}
+		p = &purse{plan: o, accounts: map[Member]*account{}, used: now, back: comeback.New()}
 		b.purses[organisation] = p
 	}
 	p.find(b.version, &b.roster, b.limits.Shards, b.start)
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/comeback"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
@@ -17,6 +18,10 @@
 	// arrivals are counted since the last tick; demand is their smoothed rate in calls/s.
 	arrivals int
 	demand   float64
+	// spends are those since the last tick, pace is their smoothed rate in calls/s.
+	spends   int
+	pace     float64
+	back     *comeback.Places
 	used     time.Time
 	dryUntil time.Time
 	// aheadFrom is when to ask ahead of need again after a home had nothing to spare.
@@ -76,6 +81,7 @@
 				a.untold = now
 			}
 			a.spent++
+			p.spends++
 			return true
 		}
 	}
@@ -90,15 +96,16 @@
 	return sum
 }
 
-// tick smooths the demand over the time since the last tick.
+// tick smooths demand and pace over the time since the last tick.
 func (p *purse) tick(elapsed time.Duration) {
 	if elapsed <= 0 {
 		return
 	}
-	seen := float64(p.arrivals) / elapsed.Seconds()
-	weight := min(elapsed.Seconds()/demandTime.Seconds(), 1)
-	p.demand += (seen - p.demand) * weight
-	p.arrivals = 0
+	seconds := elapsed.Seconds()
+	weight := min(seconds/demandTime.Seconds(), 1)
+	p.demand += (float64(p.arrivals)/seconds - p.demand) * weight
+	p.pace += (float64(p.spends)/seconds - p.pace) * weight
+	p.arrivals, p.spends = 0, 0
 }
 
 // find works out the homes of the organisation's shards, once for each version of the hosts list.
