Lend fractions to a request that found no whole token, in shorter messages

Cause of what was left: a burst of 8 lies in 8 shards of one token. A shard that is spent from refills at an eighth of the rate while full ones refill nothing, so the homes together had a token and none a whole one. Tried and left: fractions for each waiting request, which empties several homes for one call; they go only to a request that all homes have refused, and what is gathered in vain is given back at the next tick.

--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -95,12 +95,12 @@
 }
 
 // rounds asks all homes again while some have more than was asked for, since
-// requests join meanwhile, and once more when a token is about to come.
+// requests join meanwhile, and once more for the fractions that they hold.
 func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
-	again := false
+	need := rate.Waiting
 	for s.wanted() && ctx.Err() == nil {
 		var certain bool
-		wait, certain = r.round(ctx, organisation, s)
+		wait, certain = r.round(ctx, organisation, s, need)
 		if wait == 0 {
 			continue
 		}
@@ -108,17 +108,19 @@
 			time.Sleep(unsettledPause)
 			continue
 		}
-		if again || wait > againWithin {
+		if need == rate.Gathering {
 			return wait, true
 		}
-		again = true
-		time.Sleep(wait)
+		need = rate.Gathering
+		if wait <= againWithin {
+			time.Sleep(wait)
+		}
 	}
 	return wait, ctx.Err() != nil
 }
 
-// againWithin is how soon a home must expect a token for the homes to be asked
-// once more: a caller inside its rate should not be refused for a few milliseconds,
+// againWithin is how soon a home must expect a token for it to be waited for
+// before the homes are asked once more: a caller inside its rate should not be refused for a few milliseconds,
 // and one far over it should hear so at once.
 const againWithin = 20 * time.Millisecond
 
@@ -127,13 +129,13 @@
 
 // round asks each home once, as long as requests wait, and returns the
 // shortest time until one has a token, and whether any could tell.
-func (r *rates) round(ctx context.Context, organisation string, s *seek) (wait time.Duration, certain bool) {
+func (r *rates) round(ctx context.Context, organisation string, s *seek, need rate.Need) (wait time.Duration, certain bool) {
 	wait = rate.UnsettledWait
 	for _, home := range r.borrower.Homes(organisation, time.Now()) {
 		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
-		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
+		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), need, time.Now()); ok {
 			told := r.lease(ctx, ask)
 			switch {
 			case told == rate.UnsettledWait:
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -9,7 +9,7 @@
 // seekBound is how long a request waits for tokens before it is refused.
 const seekBound = 200 * time.Millisecond
 
-// againWithin is how soon a home must expect a token for all to be asked once more.
+// againWithin is how soon a home must expect a token for it to be waited for before all are asked once more.
 const againWithin = 20 * time.Millisecond
 
 // Arrive lets a request of an organisation come in at a host.
@@ -38,7 +38,7 @@
 		w.refuse(organisation, w.blame(organisation, false))
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
+		s := &seek{waiters: 1, need: rate.Waiting, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
@@ -71,9 +71,15 @@
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
 	ask, ok := w.nextAsk(h, organisation, s)
-	if !ok && s.wait <= againWithin && !s.again && w.Now.Before(s.ends) {
+	if !ok && s.need < rate.Gathering && w.Now.Before(s.ends) {
 		wait := s.wait
-		s.again, s.wait = wait > 0, time.Hour
+		if wait > againWithin {
+			wait = 0
+		}
+		if s.wait > 0 {
+			s.need = rate.Gathering
+		}
+		s.wait = time.Hour
 		s.homes = h.borrower.Homes(organisation, w.Now)
 		w.process(h, h.incarnation, wait, func() { w.seek(h, organisation, s) })
 		return
@@ -104,7 +110,7 @@
 	for len(s.homes) > 0 {
 		home := s.homes[0]
 		s.homes = s.homes[1:]
-		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, w.Now); ok {
+		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, s.need, w.Now); ok {
 			return ask, true
 		}
 	}
--- a/internal/bench/rates/messages.go
+++ b/internal/bench/rates/messages.go
@@ -97,11 +97,13 @@
 	if a == b {
 		return
 	}
-	raw, err := msgpack.Marshal(message)
-	if err != nil {
+	w.wire.Reset()
+	out := msgpack.NewEncoder(&w.wire)
+	out.UseCompactInts(true)
+	if err := out.Encode(message); err != nil {
 		panic(err)
 	}
-	w.Counts.Bytes += frameBytes + len(raw)
+	w.Counts.Bytes += frameBytes + w.wire.Len()
 }
 
 // askBound is how long a waiting request's question may take; homes slower than that are passed over.
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -1,6 +1,7 @@
 package rates
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -45,6 +46,7 @@
 
 	ideal   *Checker
 	tallies map[string]*Tally
+	wire    bytes.Buffer
 	way     Way
 	limits  rate.Limits
 	opts    []rate.MembershipOption
@@ -101,7 +103,7 @@
 type seek struct {
 	waiters int
 	homes   []rate.Member
-	again   bool
+	need    rate.Need
 	wait    time.Duration
 	ends    time.Time
 	// settled is set once a home could tell when it has a token.
--- a/internal/bench/rates/world_test.go
+++ b/internal/bench/rates/world_test.go
@@ -146,3 +146,38 @@
 		So(w.Counts.Wrongful(), ShouldBeLessThan, w.Counts.Arrivals/50)
 	})
 }
+
+// Callers of small organisations come in at every one of many hosts, now and
+// then. Were a token kept ready at each host, or were only whole tokens
+// lent, a small organisation would be refused half of what its plan allows while the
+// fleet's mean looks fine.
+func TestSmallOrganisations(t *testing.T) {
+	plans := []lists.Organisation{
+		{Organisation: "small", Plan: "p", Rate: 4, Burst: 8},
+		{Organisation: "steady", Plan: "p", Rate: 20, Burst: 40},
+	}
+	cases := []struct {
+		name  string
+		hosts int
+	}{
+		{"few hosts", 6},
+		{"more hosts than tokens", 40},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			w := populate(NewWorld(1, Lending, rate.DefaultLimits(), plans), c.hosts)
+			w.Run(10 * time.Second)
+			for i, o := range plans {
+				w.offer(o, i, Uniform, c.hosts)
+			}
+			w.Run(20 * time.Second)
+			w.Reset()
+			w.Run(3 * time.Minute)
+			for _, tally := range w.Tallies() {
+				t.Logf("%+v", tally)
+				So(tally.Percent(), ShouldBeLessThan, 8)
+			}
+			So(w.Checker.Excess, ShouldEqual, 0)
+		})
+	}
+}
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -137,7 +137,7 @@
 // Urgent returns the question that waiting requests ask of a home; false means
 // that the home did not answer lately. It asks for a token for each that
 // waits: a burst at one daemon would else be refused while its home is full.
-func (b *Borrower) Urgent(organisation string, home Member, waiting int, now time.Time) (Ask, bool) {
+func (b *Borrower) Urgent(organisation string, home Member, waiting int, need Need, now time.Time) (Ask, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
@@ -148,7 +148,14 @@
 	if now.Before(a.slow) {
 		return Ask{}, false
 	}
-	return b.ask(home, b.item(p, a, max(1, waiting, p.target()), true)), true
+	want := max(whole(max(1, waiting)), p.target()) - p.left(now)
+	if want <= 0 {
+		return Ask{}, false
+	}
+	if need == Gathering {
+		p.gathered = now
+	}
+	return b.ask(home, b.item(p, a, want, need)), true
 }
 
 // Homes returns the homes of the organisation's shards, the one to ask first in front.
@@ -162,12 +169,16 @@
 	return b.order(p)
 }
 
-// RanDry notes that no home had a token; until the time that they told, capped, requests are refused without asking.
+// RanDry notes that the homes together had no token; until they may have one, requests are
+// refused without asking, each time longer while nothing comes.
 func (b *Borrower) RanDry(organisation string, wait time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p, ok := b.purse(organisation, now); ok {
-		p.dryUntil = now.Add(min(max(wait, leastDry), mostDry))
+		missing := (perToken - p.left(now)).tokens()
+		wait = min(wait, time.Duration(p.filling(missing/float64(p.plan.Burst))*float64(time.Second)))
+		p.dryUntil = now.Add(min(max(wait, leastDry<<p.dries), mostDry))
+		p.dries = min(p.dries+1, mostDries)
 	}
 }
 
@@ -186,16 +197,16 @@
 	return next
 }
 
-func (b *Borrower) item(p *purse, a *account, want int, urgent bool) LeaseItem {
+func (b *Borrower) item(p *purse, a *account, want Parts, need Need) LeaseItem {
 	a.seq++
 	a.told = a.spent
 	a.wanted = 0
-	if !urgent {
+	if need == Ahead {
 		a.wanted = want
 	}
 	return LeaseItem{
 		Organisation: p.plan.Organisation, Account: a.id, Birth: a.birth, Seq: a.seq,
-		Spent: a.spent, Returned: a.returned, Want: want, Urgent: urgent,
+		Spent: a.spent, Returned: a.returned, Want: want, Need: need,
 	}
 }
 
@@ -233,7 +244,7 @@
 	a.birth, a.home = g.Birth, incarnation
 	a.granted = max(a.granted, g.Granted)
 	a.expires = latest(a.expires, asked.Add(b.limits.Loan))
-	if a.left(now) > before {
+	if a.left(now)-before >= perToken {
 		p.point(home)
 		p.dryUntil, p.aheadFrom = time.Time{}, time.Time{}
 		return
@@ -271,7 +282,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.purses {
-		tokens += p.left(now)
+		tokens += int(p.left(now) / perToken)
 	}
 	return len(b.purses), tokens
 }
@@ -284,5 +295,5 @@
 	if !ok {
 		return 0
 	}
-	return p.left(now)
+	return int(p.left(now) / perToken)
 }
--- a/internal/fleet/rate/bucket.go
+++ b/internal/fleet/rate/bucket.go
@@ -26,7 +26,7 @@
 	lapses     uint64
 	looked     time.Time
 
-	out      int
+	out      Parts
 	accounts map[accountKey]*list.Element
 	order    *list.List
 }
@@ -42,13 +42,13 @@
 	key      accountKey
 	birth    uint64
 	seq      uint64
-	granted  int
-	spent    int
-	returned int
+	granted  Parts
+	spent    Parts
+	returned Parts
 	expires  time.Time
 }
 
-func (l *lent) out() int { return l.granted - l.spent - l.returned }
+func (l *lent) out() Parts { return l.granted - l.spent - l.returned }
 
 func newBucket(o lists.Organisation, now time.Time) *bucket {
 	return &bucket{plan: o, last: now, accounts: map[accountKey]*list.Element{}, order: list.New()}
@@ -59,7 +59,7 @@
 // from now on and not from before.
 func (b *bucket) refill(now time.Time) {
 	if now.After(b.last) {
-		room := max(b.size-float64(b.out), 0)
+		room := max(b.size-b.out.tokens(), 0)
 		b.balance = min(b.balance+b.rate*now.Sub(b.last).Seconds(), room)
 		b.last = now
 	}
@@ -77,7 +77,7 @@
 // resize takes over a rate and size; what is above the new size is lost.
 func (b *bucket) resize(rate, size float64) {
 	b.rate, b.size = rate, size
-	b.balance = min(b.balance, max(size-float64(b.out), 0))
+	b.balance = min(b.balance, max(size-b.out.tokens(), 0))
 }
 
 // settle takes over what the borrower tells of its account; false means that
@@ -105,7 +105,7 @@
 	returned := min(max(item.Returned-l.returned, 0), l.out())
 	l.returned += returned
 	b.out -= before - l.out()
-	b.balance = min(b.balance+float64(returned), max(b.size-float64(b.out), 0))
+	b.balance = min(b.balance+returned.tokens(), max(b.size-b.out.tokens(), 0))
 	return l, true
 }
 
@@ -114,15 +114,22 @@
 // An ask ahead of need gets only what is above half of the bucket: daemons whose
 // callers may come must not leave a daemon whose callers have come without tokens, however
 // many they are. What is out counts against the size, so no more than half lies in stock.
-func (b *bucket) lend(l *lent, item LeaseItem) int {
-	free := int(b.balance)
-	if !item.Urgent {
-		free = min(free, int(math.Ceil(b.balance-b.size/2)))
+//
+// Fractions are lent only to a request that found no whole token anywhere: were they always, each
+// request would empty several homes, and none would have a token to lend ahead.
+func (b *bucket) lend(l *lent, item LeaseItem) Parts {
+	free := whole(int(b.balance))
+	switch item.Need {
+	case Ahead:
+		free = min(free, whole(int(math.Ceil(b.balance-b.size/2))))
+	case Gathering:
+		free = partsIn(b.balance)
+	case Waiting:
 	}
 	n := max(min(item.Want, free), 0)
 	l.granted += n
 	b.out += n
-	b.balance -= float64(n)
+	b.balance -= n.tokens()
 	return n
 }
 
--- a/internal/fleet/rate/lender.go
+++ b/internal/fleet/rate/lender.go
@@ -14,7 +14,7 @@
 	plans      map[string]plan
 	buckets    map[string]*bucket
 	swept      time.Time
-	tokens     uint64
+	granted    Parts
 	births     uint64
 }
 
@@ -74,14 +74,14 @@
 		grant.Closed, grant.Wait = true, b.wait()
 		return grant
 	}
-	lent := 0
+	var lent Parts
 	if item.Seq > account.seq {
 		account.seq = item.Seq
 		if l.membership.MayLend(now) {
 			lent = b.lend(account, item)
 		}
 	}
-	l.tokens += uint64(lent)
+	l.granted += lent
 	b.extend(account, now.Add(l.limits.lent()))
 	grant.Birth, grant.Granted = account.birth, account.granted
 	grant.Wait = b.wait()
@@ -207,15 +207,17 @@
 
 // Holdings returns the organisations with a bucket, the shards held, the tokens out on loan and all lent since the start.
 func (l *Lender) Holdings() Holdings {
-	h := Holdings{Organisations: len(l.buckets), Tokens: l.tokens}
+	var out Parts
+	h := Holdings{Organisations: len(l.buckets), Tokens: uint64(l.granted / perToken)}
 	for _, b := range l.buckets {
-		h.Lent += b.out
+		out += b.out
 		for _, held := range b.held {
 			if held {
 				h.Shards++
 			}
 		}
 	}
+	h.Lent = int(out / perToken)
 	return h
 }
 
--- a/internal/fleet/rate/prefetch.go
+++ b/internal/fleet/rate/prefetch.go
@@ -1,6 +1,7 @@
 package rate
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,7 +16,7 @@
 const returnFactor = 3
 
 // perHome is how many tokens are asked of one home at a time before others are asked as well.
-const perHome = 8
+const perHome = 8 * perToken
 
 // Tick returns the questions to ask ahead of need: for more tokens where
 // callers arrive, to keep loans from running out, and to give back what callers
@@ -54,6 +55,8 @@
 	out := map[Member]LeaseItem{}
 	target, left := p.target(), p.left(now)
 	switch {
+	case left > 0 && left < perToken && now.Sub(p.gathered) >= TickEvery:
+		b.giveBack(p, left, out, now)
 	case left <= target/2 && left < target && !now.Before(p.dryUntil) && !now.Before(p.aheadFrom):
 		b.more(p, target-left, out, now)
 	case left > returnFactor*target:
@@ -63,7 +66,7 @@
 		renew := a.left(now) > 0 && a.expires.Sub(now) < b.limits.Loan/2
 		tell := a.spent > a.told && now.Sub(a.untold) >= p.tellAfter()
 		if _, asked := out[home]; !asked && (renew || tell) && now.Before(a.expires) {
-			out[home] = b.item(p, a, 0, false)
+			out[home] = b.item(p, a, 0, Ahead)
 		}
 	}
 	return out
@@ -71,8 +74,9 @@
 
 // more asks as many homes as the missing tokens are worth: the process's own, which costs no
 // message, then those that had some.
-func (b *Borrower) more(p *purse, missing int, out map[Member]LeaseItem, now time.Time) {
-	need := 1 + missing/perHome
+func (b *Borrower) more(p *purse, missing Parts, out map[Member]LeaseItem, now time.Time) {
+	need := 1 + int(missing/perHome)
+	each := whole(int(math.Ceil(missing.tokens() / float64(need))))
 	for _, home := range b.order(p) {
 		if len(out) == need {
 			return
@@ -81,7 +85,7 @@
 		if now.Before(a.slow) || now.Before(a.restUntil) {
 			continue
 		}
-		out[home] = b.item(p, a, (missing+need-1)/need, false)
+		out[home] = b.item(p, a, each, Ahead)
 	}
 }
 
@@ -100,7 +104,7 @@
 }
 
 // giveBack stops spending first and tells the home after that; if the message is lost, the tokens are.
-func (b *Borrower) giveBack(p *purse, surplus int, out map[Member]LeaseItem, now time.Time) {
+func (b *Borrower) giveBack(p *purse, surplus Parts, out map[Member]LeaseItem, now time.Time) {
 	for home, a := range p.accounts {
 		n := min(a.left(now), surplus)
 		if n <= 0 {
@@ -108,6 +112,6 @@
 		}
 		a.returned += n
 		surplus -= n
-		out[home] = b.item(p, a, 0, false)
+		out[home] = b.item(p, a, 0, Ahead)
 	}
 }
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -19,6 +19,9 @@
 	demand   float64
 	used     time.Time
 	dryUntil time.Time
+	// gathered is when fractions were last asked for.
+	gathered time.Time
+	dries    int
 	// aheadFrom is when to ask ahead of need again after a home had nothing to spare.
 	aheadFrom time.Time
 }
@@ -29,21 +32,21 @@
 	birth    uint64
 	seq      uint64
 	home     uint64
-	granted  int
-	spent    int
-	told     int
-	returned int
+	granted  Parts
+	spent    Parts
+	told     Parts
+	returned Parts
 	expires  time.Time
 	opened   time.Time
 	slow     time.Time
 	// untold is when the first token was spent that the home was not told of.
 	untold time.Time
 	// wanted is what the last question asked for ahead of need; restUntil is when to ask so again, after it brought nothing.
-	wanted    int
+	wanted    Parts
 	restUntil time.Time
 }
 
-func (a *account) left(now time.Time) int {
+func (a *account) left(now time.Time) Parts {
 	if !now.Before(a.expires) {
 		return 0
 	}
@@ -61,6 +64,8 @@
 	// questions, and a token that another borrower gives back must be found soon.
 	leastDry = 20 * time.Millisecond
 	mostDry  = 500 * time.Millisecond
+	// mostDries is how often leastDry is doubled at most, up to mostDry.
+	mostDries = 5
 )
 
 func (p *purse) arrive(now time.Time) {
@@ -68,22 +73,29 @@
 	p.used = now
 }
 
-// spend takes a token that one of the homes lent.
+// spend takes a token, of what one home lent or several.
 func (p *purse) spend(now time.Time) bool {
+	if p.left(now) < perToken {
+		return false
+	}
+	p.dries = 0
+	missing := perToken
 	for _, a := range p.accounts {
-		if a.left(now) > 0 {
-			if a.spent == a.told {
-				a.untold = now
-			}
-			a.spent++
-			return true
-		}
+		missing -= a.spend(min(missing, a.left(now)), now)
+	}
+	return true
+}
+
+func (a *account) spend(n Parts, now time.Time) Parts {
+	if n > 0 && a.spent == a.told {
+		a.untold = now
 	}
-	return false
+	a.spent += n
+	return n
 }
 
-func (p *purse) left(now time.Time) int {
-	sum := 0
+func (p *purse) left(now time.Time) Parts {
+	var sum Parts
 	for _, a := range p.accounts {
 		sum += a.left(now)
 	}
--- a/internal/fleet/rate/restart_test.go
+++ b/internal/fleet/rate/restart_test.go
@@ -33,7 +33,7 @@
 // drain spends all that a home lends at one moment.
 func drain(h *rate.Home, b *rate.Borrower, c *rates.Checker, now time.Time) (admitted int) {
 	const many = 1000
-	if ask, ok := b.Urgent("o", only, many, now); ok {
+	if ask, ok := b.Urgent("o", only, many, rate.Waiting, now); ok {
 		b.Hear(ask.Home, h.AnswerLease(ask.Message, now), now, now)
 	}
 	for b.Take("o", now) {
@@ -94,7 +94,7 @@
 			home, borrower := startHome(plans, 1, now), startBorrower(plans, 1)
 			now = now.Add(10 * time.Second)
 			for _, o := range plans {
-				ask, _ := borrower.Urgent(o.Organisation, only, 900, now)
+				ask, _ := borrower.Urgent(o.Organisation, only, 900, rate.Waiting, now)
 				borrower.Hear(ask.Home, home.AnswerLease(ask.Message, now), now, now)
 			}
 			runtime.GC()
--- a/internal/fleet/rate/stock.go
+++ b/internal/fleet/rate/stock.go
@@ -29,13 +29,13 @@
 	restTime   = 500 * time.Millisecond
 )
 
-// target is the number of tokens to hold ahead of need.
-func (p *purse) target() int {
+// target is how much to hold ahead of need.
+func (p *purse) target() Parts {
 	if p.demand < leastDemand {
 		return 0
 	}
 	ahead := min(mostStock.Seconds(), p.filling(stockShare))
-	return max(leastStock, int(math.Ceil(p.demand*ahead)))
+	return whole(max(leastStock, int(math.Ceil(p.demand*ahead))))
 }
 
 // filling returns the seconds in which the rate brings a share of the burst.
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 
@@ -8,6 +9,20 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// encode writes integers as short as they are: by default each takes nine bytes, which
+// would be most of a message that is sent many times a second.
+func encode(value any) ([]byte, error) {
+	out := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(out)
+	var buf bytes.Buffer
+	out.Reset(&buf)
+	out.UseCompactInts(true)
+	if err := out.Encode(value); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return buf.Bytes(), nil
+}
+
 // Handle sets the function that answers messages of one kind; it is called before Start.
 func Handle[Req, Resp any](n *Node, kind Kind, answer func(ctx context.Context, from netip.AddrPort, req Req) Resp) {
 	n.handlers[kind] = func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error) {
@@ -15,7 +30,7 @@
 		if err := msgpack.Unmarshal(payload, &req); err != nil {
 			return nil, errors.Wrapf(err, "peer: unreadable %s", kind)
 		}
-		out, err := msgpack.Marshal(answer(ctx, from, req))
+		out, err := encode(answer(ctx, from, req))
 		return out, errors.Wrapf(err, "peer: encode answer to %s", kind)
 	}
 }
@@ -23,7 +38,7 @@
 // Call sends a request and waits for its answer; the error is ErrNotSent, ErrLost, or the context's when it ended first.
 func Call[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req) (Resp, error) {
 	var resp Resp
-	payload, err := msgpack.Marshal(req)
+	payload, err := encode(req)
 	if err != nil {
 		return resp, errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
@@ -74,7 +89,7 @@
 
 // Send sends a message that has no answer; an error means it may not have arrived.
 func Send[Msg any](n *Node, to netip.AddrPort, kind Kind, msg Msg) error {
-	payload, err := msgpack.Marshal(msg)
+	payload, err := encode(msg)
 	if err != nil {
 		return errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
