Give a token back when its request did not run

Cause: the rate is spent before the door and the queues decide, so a caller inside its rate paid for refusals of overload, and was refused for its rate after that.

Weighed: deciding overload first lets an organisation over its rate use up what the door lets in for it. Giving back always is unsafe: once the home was told, it counts the token as spent and refills its place. So a token comes back to the account it was taken from, while no question has gone to that home since; otherwise it is lost.

--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -9,6 +9,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -28,10 +29,14 @@
 	origin *origin
 	// still reports, after a wait, whether the caller's key is still in force; nil means that it need not be asked.
 	still func() bool
+	// token is what a caller's request has spent of its organisation's rate.
+	token rate.Token
 }
 
 // admit decides in the order key, plan, rate, overload, so that nothing is
-// spent on a request that an earlier check refuses.
+// spent on a request that an earlier check refuses. The rate goes before overload, since an
+// organisation over its rate would else use up what the door lets in; a token goes back
+// when the door, or later a queue, refuses.
 func (d *Daemon) admit(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
 	if token := r.Header.Get(upstream.HeaderToken); token != "" {
 		return d.admitChained(r, token, body)
@@ -67,10 +72,13 @@
 	a.request.ID = newID()
 	a.still = d.keyStill(view, key, organisation)
 	a.account = budget.New(a.request.Budget)
-	if wait, ok := d.rates.Spend(r.Context(), organisation); !ok {
+	token, wait, ok := d.rates.Spend(r.Context(), organisation)
+	if !ok {
 		return refuse(call.OverRate, wait)
 	}
+	a.token = token
 	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
+		d.rates.giveBack(&a)
 		return refuse(call.Overloaded, back)
 	}
 	return a, call.Answer{}, true
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -39,6 +39,9 @@
 		return
 	}
 	answer := d.repeats.route(r.Context(), a)
+	if answer.Outcome == call.NotRun {
+		d.rates.giveBack(&a)
+	}
 	d.finish(w, &a.request, answer, begun)
 }
 
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -32,12 +32,12 @@
 
 // Spend takes a token of the organisation. If none is here it waits, bounded, for
 // homes to lend one; false comes with the time after which to come back.
-func (r *rates) Spend(ctx context.Context, organisation string) (time.Duration, bool) {
-	switch outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
+func (r *rates) Spend(ctx context.Context, organisation string) (rate.Token, time.Duration, bool) {
+	switch token, outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
 	case rate.Spent:
-		return 0, true
+		return token, 0, true
 	case rate.Refused:
-		return wait, false
+		return token, wait, false
 	case rate.Dry:
 	}
 	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
@@ -45,11 +45,11 @@
 	defer func() { s.leave() }()
 	for {
 		changed, ended, dry, wait := s.look()
-		if r.borrower.Take(organisation, time.Now()) {
-			return 0, true
+		if token, ok := r.borrower.Take(organisation, time.Now()); ok {
+			return token, 0, true
 		}
 		if ended && dry {
-			return wait, false
+			return rate.Token{}, wait, false
 		}
 		if ended {
 			s.leave()
@@ -59,11 +59,18 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return time.Second, false
+			return rate.Token{}, time.Second, false
 		}
 	}
 }
 
+// giveBack returns the token of a request that did not run; a chained request has none.
+func (r *rates) giveBack(a *admitted) {
+	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
+		r.daemon.metrics.Scope.Counter("rate_given_back").Inc(1)
+	}
+}
+
 // join returns the search that is going on for the organisation, starting one if there is none.
 func (r *rates) join(organisation string) *seek {
 	r.seeks.mu.Lock()
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -31,9 +31,9 @@
 		w.join(h, organisation, s)
 		return
 	}
-	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
+	switch t, outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.admit(organisation)
+		w.spent(h, organisation, t)
 	case rate.Refused:
 		w.refuse(organisation, w.blame(organisation, false))
 	case rate.Dry:
@@ -58,6 +58,23 @@
 	w.refuse(organisation, Elsewhere)
 }
 
+// turnedAwayWithin is how long a request waits at most before an overloaded service turns it away.
+const turnedAwayWithin = 400 * time.Millisecond
+
+// spent lets a request run that has a token, or be turned away without having run.
+func (w *World) spent(h *Host, organisation string, t rate.Token) {
+	if w.Overload == 0 || w.rng.Float64() >= w.Overload {
+		w.admit(organisation)
+		return
+	}
+	w.Counts.TurnedAway++
+	w.process(h, h.incarnation, w.rngTime(turnedAwayWithin), func() {
+		if h.borrower.GiveBack(organisation, t, w.Now) {
+			w.Counts.GivenBack++
+		}
+	})
+}
+
 func (w *World) admit(organisation string) {
 	w.Counts.Admitted++
 	w.tally(organisation).Admitted++
@@ -120,11 +137,12 @@
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
 	for s.waiters > 0 {
-		if !h.borrower.Take(organisation, w.Now) {
+		t, ok := h.borrower.Take(organisation, w.Now)
+		if !ok {
 			return
 		}
 		s.waiters--
-		w.admit(organisation)
+		w.spent(h, organisation, t)
 	}
 }
 
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -41,8 +41,10 @@
 type World struct {
 	Now     time.Time
 	Network Network
-	Checker *Checker
-	Counts  Counts
+	// Overload is the share of requests with a token that are turned away before they run.
+	Overload float64
+	Checker  *Checker
+	Counts   Counts
 
 	ideal   *Checker
 	tallies map[string]*Tally
@@ -72,6 +74,9 @@
 	Inside   int `json:"inside"`
 	Asked    int `json:"asked"`
 	Messages int `json:"messages"`
+	// TurnedAway had a token and did not run; of these the tokens of GivenBack came back.
+	TurnedAway int `json:"turnedAway"`
+	GivenBack  int `json:"givenBack"`
 	// Bytes are those of lease messages between hosts, frames counted.
 	Bytes int `json:"bytes"`
 }
--- a/internal/fleet/rate/borrower.go
+++ b/internal/fleet/rate/borrower.go
@@ -86,21 +86,21 @@
 //
 // The time must be read right before: a process that was paused since then
 // would spend what its home has already counted as spent.
-func (b *Borrower) Spend(organisation string, now time.Time) (Spending, time.Duration) {
+func (b *Borrower) Spend(organisation string, now time.Time) (Token, Spending, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
 	if !ok {
-		return Refused, noTokenWait
+		return Token{}, Refused, noTokenWait
 	}
 	p.arrive(now)
-	if p.spend(now) {
-		return Spent, 0
+	if t, ok := p.spend(now); ok {
+		return t, Spent, 0
 	}
 	if now.Before(p.dryUntil) {
-		return Refused, p.dryUntil.Sub(now)
+		return Token{}, Refused, p.dryUntil.Sub(now)
 	}
-	return Dry, 0
+	return Token{}, Dry, 0
 }
 
 // Arrived counts a request that joins those waiting for an answer.
@@ -113,11 +113,14 @@
 }
 
 // Take spends a token for a request that waited for one; like Spend, it is given the time of this moment.
-func (b *Borrower) Take(organisation string, now time.Time) bool {
+func (b *Borrower) Take(organisation string, now time.Time) (Token, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, ok := b.purse(organisation, now)
-	return ok && p.spend(now)
+	if !ok {
+		return Token{}, false
+	}
+	return p.spend(now)
 }
 
 func (b *Borrower) purse(organisation string, now time.Time) (*purse, bool) {
--- a/internal/fleet/rate/export_test.go
+++ b/internal/fleet/rate/export_test.go
@@ -6,3 +6,6 @@
 		b.balance = b.size
 	}
 }
+
+// ForceGiveBack gives a token back whatever its home was told meanwhile.
+func (b *Borrower) ForceGiveBack(t Token) { t.account.spent -= perToken }
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -73,17 +73,23 @@
 	p.used = now
 }
 
-// spend takes a token, of what one home lent or several.
-func (p *purse) spend(now time.Time) bool {
+// spend takes a token, from one home's account if it can.
+func (p *purse) spend(now time.Time) (Token, bool) {
 	if p.left(now) < perToken {
-		return false
+		return Token{}, false
 	}
 	p.dries = 0
+	for _, a := range p.accounts {
+		if a.left(now) >= perToken {
+			a.spend(perToken, now)
+			return Token{account: a, seq: a.seq}, true
+		}
+	}
 	missing := perToken
 	for _, a := range p.accounts {
 		missing -= a.spend(min(missing, a.left(now)), now)
 	}
-	return true
+	return Token{}, true
 }
 
 func (a *account) spend(n Parts, now time.Time) Parts {
--- a/internal/fleet/rate/restart_test.go
+++ b/internal/fleet/rate/restart_test.go
@@ -36,11 +36,13 @@
 	if ask, ok := b.Urgent("o", only, many, rate.Waiting, now); ok {
 		b.Hear(ask.Home, h.AnswerLease(ask.Message, now), now, now)
 	}
-	for b.Take("o", now) {
+	for {
+		if _, ok := b.Take("o", now); !ok {
+			return admitted
+		}
 		c.Admit("o", now)
 		admitted++
 	}
-	return admitted
 }
 
 // A daemon is killed right after its organisation spent its burst, and starts again
--- a/parts/rate/example_test.go
+++ b/parts/rate/example_test.go
@@ -60,7 +60,7 @@
 	for range seconds * 100 {
 		now = now.Add(10 * time.Millisecond)
 		for _, h := range fleet {
-			if outcome, _ := h.borrower.Spend("maker", now); outcome == rate.Spent {
+			if _, outcome, _ := h.borrower.Spend("maker", now); outcome == rate.Spent {
 				admitted++
 			}
 		}
--- a/parts/rate/rate.go
+++ b/parts/rate/rate.go
@@ -21,6 +21,9 @@
 // Lost notes that none came.
 type Borrower = rate.Borrower
 
+// Token is one that was spent. If its request does not run, Borrower.GiveBack makes it spendable again.
+type Token = rate.Token
+
 // Spending is the outcome of Borrower.Spend.
 type Spending = rate.Spending
 
