--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -9,7 +9,7 @@
 // seekBound is how long a request waits for tokens before it is refused.
 const seekBound = 200 * time.Millisecond
 
-// againWithin is how soon a home must expect a token for all to be asked once more.
+// againWithin is how soon a home must expect a token for it to be waited for before all are asked once more.
 const againWithin = 20 * time.Millisecond
 
 // Arrive lets a request of an organisation come in at a host.
@@ -31,14 +31,14 @@
 		w.join(h, organisation, s)
 		return
 	}
-	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
+	switch t, outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.admit(organisation)
+		w.spent(h, organisation, t)
 	case rate.Refused:
 		w.refuse(organisation, w.blame(organisation, false))
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
+		s := &seek{waiters: 1, need: rate.Waiting, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
@@ -58,6 +58,23 @@
 	w.refuse(organisation, Elsewhere)
 }
 
+// turnedAwayWithin is how long a request waits at most before an overloaded service turns it away.
+const turnedAwayWithin = 400 * time.Millisecond
+
+// spent lets a request run that has a token, or be turned away without having run.
+func (w *World) spent(h *Host, organisation string, t rate.Token) {
+	if w.Overload == 0 || w.rng.Float64() >= w.Overload {
+		w.admit(organisation)
+		return
+	}
+	w.Counts.TurnedAway++
+	w.process(h, h.incarnation, w.rngTime(turnedAwayWithin), func() {
+		if h.borrower.GiveBack(organisation, t, w.Now) {
+			w.Counts.GivenBack++
+		}
+	})
+}
+
 func (w *World) admit(organisation string) {
 	w.Counts.Admitted++
 	w.tally(organisation).Admitted++
@@ -71,9 +88,15 @@
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
 	ask, ok := w.nextAsk(h, organisation, s)
-	if !ok && s.wait <= againWithin && !s.again && w.Now.Before(s.ends) {
+	if !ok && s.need < rate.Gathering && w.Now.Before(s.ends) {
 		wait := s.wait
-		s.again, s.wait = wait > 0, time.Hour
+		if wait > againWithin {
+			wait = 0
+		}
+		if s.wait > 0 {
+			s.need = rate.Gathering
+		}
+		s.wait = time.Hour
 		s.homes = h.borrower.Homes(organisation, w.Now)
 		w.process(h, h.incarnation, wait, func() { w.seek(h, organisation, s) })
 		return
@@ -104,7 +127,7 @@
 	for len(s.homes) > 0 {
 		home := s.homes[0]
 		s.homes = s.homes[1:]
-		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, w.Now); ok {
+		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, s.need, w.Now); ok {
 			return ask, true
 		}
 	}
@@ -114,11 +137,12 @@
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
 	for s.waiters > 0 {
-		if !h.borrower.Take(organisation, w.Now) {
+		t, ok := h.borrower.Take(organisation, w.Now)
+		if !ok {
 			return
 		}
 		s.waiters--
-		w.admit(organisation)
+		w.spent(h, organisation, t)
 	}
 }
 
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -1,6 +1,7 @@
 package rates
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -40,11 +41,14 @@
 type World struct {
 	Now     time.Time
 	Network Network
-	Checker *Checker
-	Counts  Counts
+	// Overload is the share of requests with a token that are turned away before they run.
+	Overload float64
+	Checker  *Checker
+	Counts   Counts
 
 	ideal   *Checker
 	tallies map[string]*Tally
+	wire    bytes.Buffer
 	way     Way
 	limits  rate.Limits
 	opts    []rate.MembershipOption
@@ -70,6 +74,9 @@
 	Inside   int `json:"inside"`
 	Asked    int `json:"asked"`
 	Messages int `json:"messages"`
+	// TurnedAway had a token and did not run; of these the tokens of GivenBack came back.
+	TurnedAway int `json:"turnedAway"`
+	GivenBack  int `json:"givenBack"`
 	// Bytes are those of lease messages between hosts, frames counted.
 	Bytes int `json:"bytes"`
 }
@@ -101,7 +108,7 @@
 type seek struct {
 	waiters int
 	homes   []rate.Member
-	again   bool
+	need    rate.Need
 	wait    time.Duration
 	ends    time.Time
 	// settled is set once a home could tell when it has a token.
--- a/internal/fleet/rate/comeback_test.go
+++ b/internal/fleet/rate/comeback_test.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		c.sent++
-		outcome, wait := c.borrower.Spend("o", now)
+		_, outcome, wait := c.borrower.Spend("o", now)
 		if outcome == rate.Spent {
 			c.admitted++
 			c.due[i] = now.Add(time.Second)
