--- a/internal/app/daemon/faults.go
+++ b/internal/app/daemon/faults.go
@@ -1,16 +1,13 @@
 package daemon
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
-	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
 // refuseFault answers a request that was refused before it was whole, in the form of all other refusals.
@@ -23,15 +20,9 @@
 		refusal = call.Refuse(call.Overloaded, time.Second)
 	case httpd.Malformed:
 	}
-	raw, _ := json.Marshal(Refusal{
-		Outcome: refusal.Outcome.String(), Reason: refusal.Reason.String(), RetryAfterMs: refusal.RetryAfter.Milliseconds(),
-	})
-	header := http.Header{"Content-Type": {"application/json"}}
-	header.Set(upstream.HeaderOutcome, refusal.Outcome.String())
-	if refusal.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(refusal.RetryAfter.Seconds())))
-	}
-	return refusal.Status, header, append(raw, '\n')
+	header := http.Header{}
+	refusalHead(header, refusal)
+	return refusal.Status, header, refusalBody(refusal, "")
 }
 
 // readBody takes a request's body over in one piece of its size.
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -83,16 +83,25 @@
 }
 
 func writeRefusal(w http.ResponseWriter, r *call.Request, a call.Answer) {
-	body := Refusal{Outcome: a.Outcome.String(), Reason: a.Reason.String(), RequestID: r.ID, RetryAfterMs: a.RetryAfter.Milliseconds()}
-	raw, _ := json.Marshal(body)
-	raw = append(raw, '\n')
-	w.Header().Set("Content-Type", "application/json")
+	raw := refusalBody(a, r.ID)
+	refusalHead(w.Header(), a)
 	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
-	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
 	w.Header().Set(upstream.HeaderRequestID, r.ID)
-	if a.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
-	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(raw)
 }
+
+func refusalBody(a call.Answer, requestID string) []byte {
+	raw, _ := json.Marshal(Refusal{
+		Outcome: a.Outcome.String(), Reason: a.Reason.String(), RequestID: requestID, RetryAfterMs: a.RetryAfter.Milliseconds(),
+	})
+	return append(raw, '\n')
+}
+
+func refusalHead(h http.Header, a call.Answer) {
+	h.Set("Content-Type", "application/json")
+	h.Set(upstream.HeaderOutcome, a.Outcome.String())
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
+	}
+}
