Cut large frames between daemons in pieces that take turns

Cause: a request was one frame, so a 64 MB body kept every smaller request on the same connection waiting until all of it had been sent.

Change: frames over 64 KiB are announced and sent in pieces, round robin, and only while less than 128 KiB wait outside the kernel. Small frames go whole and at once, as before. The receiver reads pieces into buffers of the announced size; together they announce at most what one frame may have, which is the bound a connection had before. The offset of the last piece is set before it can leave, so cutOff proves as before, and more: a request whose last piece was never queued can't have run. A cancelled half is dropped on both sides.

Ruled out: a connection for each large body (handshakes, no bound), a second connection for all large ones (they hold up each other).

--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -35,14 +35,14 @@
 		return resp, err
 	}
 	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
-	end, err := l.write(request.encode())
+	left, err := l.send(request)
 	if err != nil {
 		l.forget(id)
 		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
 	}
 	select {
 	case f, ok := <-answer:
-		if !ok && l.cutOff(end) {
+		if !ok && l.cutOff(left) {
 			return resp, errors.Wrapf(ErrNotSent, "connection to %s closed before the whole request left", to)
 		}
 		if !ok {
@@ -51,8 +51,7 @@
 		return resp, errors.Wrapf(msgpack.Unmarshal(f.payload, &resp), "peer: unreadable answer to %s", kind)
 	case <-ctx.Done():
 		l.forget(id)
-		stop := frame{form: formCancel, kind: kind, id: id}
-		_, _ = l.write(stop.encode())
+		l.abandon(request, left)
 		return resp, ctx.Err()
 	}
 }
@@ -83,6 +82,6 @@
 		return err
 	}
 	out := frame{form: formOneWay, kind: kind, payload: payload}
-	_, err = l.write(out.encode())
+	_, err = l.send(out)
 	return errors.Wrapf(err, "peer: write to %s", to)
 }
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -19,7 +19,10 @@
 	formAnswer
 	formOneWay
 	formCancel
-	formLast = formCancel
+	formOpen
+	formPiece
+	formDrop
+	formLast = formDrop
 )
 
 type frame struct {
@@ -35,13 +38,17 @@
 )
 
 func (f *frame) encode() []byte {
-	out := make([]byte, lengthSize+headerSize+len(f.payload))
-	binary.BigEndian.PutUint32(out, uint32(headerSize+len(f.payload)))
-	out[lengthSize] = byte(f.form)
-	out[lengthSize+1] = byte(f.kind)
-	binary.BigEndian.PutUint64(out[lengthSize+2:], f.id)
-	copy(out[lengthSize+headerSize:], f.payload)
-	return out
+	return f.append(make([]byte, 0, lengthSize+headerSize+len(f.payload)))
+}
+
+func (f *frame) append(out []byte) []byte {
+	return append(f.appendHead(out, len(f.payload)), f.payload...)
+}
+
+func (f *frame) appendHead(out []byte, size int) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(headerSize+size))
+	out = append(out, byte(f.form), byte(f.kind))
+	return binary.BigEndian.AppendUint64(out, f.id)
 }
 
 // reader cuts a byte stream into frames. Each payload is read straight into a
@@ -52,6 +59,7 @@
 	filled   int
 	inBody   bool
 	maxFrame int
+	pieces   assemblies
 }
 
 // feed takes the next bytes of the stream and passes each whole frame to emit.
@@ -67,10 +75,29 @@
 			return err
 		}
 		if r.inBody && r.filled == len(r.next.payload) {
-			whole := r.next
-			*r = reader{maxFrame: r.maxFrame, head: r.head[:0]}
+			if err := r.finish(emit); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// finish takes the frame that has arrived, and passes on what is whole with it.
+func (r *reader) finish(emit func(frame)) error {
+	f := r.next
+	r.next, r.filled, r.inBody, r.head = frame{}, 0, false, r.head[:0]
+	switch f.form {
+	case formOpen:
+		return r.pieces.begin(f, r.maxFrame)
+	case formPiece:
+		if whole, ok := r.pieces.fill(f.id, len(f.payload)); ok {
 			emit(whole)
 		}
+	case formDrop:
+		r.pieces.drop(f.id)
+	default:
+		emit(f)
 	}
 	return nil
 }
@@ -81,7 +108,7 @@
 	r.head = append(r.head, data[:n]...)
 	if len(r.head) >= lengthSize {
 		size := int(binary.BigEndian.Uint32(r.head))
-		if size < headerSize || size > r.maxFrame {
+		if size < headerSize || size > min(r.maxFrame, headerSize+pieceSize) {
 			return nil, errors.Wrapf(errFrameSize, "%d bytes", size)
 		}
 	}
@@ -93,9 +120,18 @@
 	if r.next.form == 0 || r.next.form > formLast {
 		return nil, errors.Wrapf(errFrameForm, "%d", r.next.form)
 	}
-	r.next.payload = make([]byte, int(binary.BigEndian.Uint32(r.head))-headerSize)
+	payload, err := r.room(int(binary.BigEndian.Uint32(r.head)) - headerSize)
+	r.next.payload = payload
 	r.inBody = true
-	return data[n:], nil
+	return data[n:], err
+}
+
+// room returns where the next frame's payload goes.
+func (r *reader) room(size int) ([]byte, error) {
+	if r.next.form == formPiece {
+		return r.pieces.room(r.next.id, size)
+	}
+	return make([]byte, size), nil
 }
 
 func (r *reader) fill(data []byte) []byte {
--- a/internal/wire/peer/frame_test.go
+++ b/internal/wire/peer/frame_test.go
@@ -44,6 +44,10 @@
 	f.Add(append(one.encode(), one.encode()...), 5)
 	f.Add([]byte("\x00\x00\x00\x0a\x09\x01\x00\x00\x00\x00\x00\x00\x00\x00"), 1)
 	f.Add([]byte("\xff\xff\xff\xff"), 1)
+	f.Add(inPieces(one, 1, 2), 4)
+	f.Add(append(inPieces(one, 1, 2)[:40], inPieces(one, 2, 5)...), 3)
+	drop := frame{form: formDrop, id: 1}
+	f.Add(append(inPieces(one, 1, 2)[:45], drop.encode()...), 7)
 	f.Fuzz(func(t *testing.T, stream []byte, step int) {
 		const bound = 1 << 16
 		step = min(max(step, 1), max(len(stream), 1))
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"github.com/pkg/errors"
 )
 
 // link is one connection with the calls in flight on it, in both directions.
@@ -21,9 +22,15 @@
 	used   stamp
 
 	sending sync.Mutex
-	queued  uint64
+	queued  atomic.Uint64
 	written atomic.Uint64
 
+	out      outbox
+	awaiting atomic.Bool
+	drained  chan struct{}
+	gone     chan struct{}
+	leave    sync.Once
+
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]chan frame
@@ -41,36 +48,91 @@
 		reader:  reader{maxFrame: n.maxFrame},
 		waiting: map[uint64]chan frame{},
 		running: map[uint64]context.CancelFunc{},
+		drained: make(chan struct{}, 1),
+		gone:    make(chan struct{}),
 	}
 }
 
-// write sends a frame and returns the stream offset at which it ends; an error
-// means that the frame was not sent whole, so the other side can't act on it.
-func (l *link) write(data []byte) (end uint64, err error) {
+// sent tells where on the stream a frame ends.
+type sent struct {
+	end    uint64
+	pieces *outgoing
+}
+
+// send sends a frame, a large one in pieces beside others; an error means that it was not sent whole.
+func (l *link) send(f frame) (sent, error) {
+	if len(f.payload) <= pieceSize {
+		end, err := l.write(f.encode(), nil)
+		return sent{end: end}, err
+	}
+	if headerSize+len(f.payload) > l.node.maxFrame {
+		return sent{}, errors.Wrapf(errFrameSize, "%d bytes", len(f.payload))
+	}
+	o := &outgoing{frame: f}
+	if l.out.add(o) {
+		go l.pump()
+	}
+	return sent{pieces: o}, nil
+}
+
+// abandon tells the other side that nobody waits for a request's answer any more, or sends no more of the request.
+func (l *link) abandon(f frame, s sent) {
+	if s.pieces == nil || s.pieces.end.Load() > 0 {
+		l.sendCancel(f)
+		return
+	}
+	l.out.drop(s.pieces)
+	// The last piece may have gone between the two, and its pump have seen nothing of this.
+	if s.pieces.end.Load() > 0 {
+		l.sendCancel(f)
+	}
+}
+
+func (l *link) sendCancel(f frame) {
+	cancel := frame{form: formCancel, kind: f.kind, id: f.id}
+	_, _ = l.write(cancel.encode(), nil)
+}
+
+// write sends bytes and returns the stream offset at which they end; an error
+// means that they were not sent whole, so the other side can't act on them.
+// The offset is stored before the first byte can leave: a connection that breaks
+// meanwhile must not show a frame that left whole as one whose end was not queued.
+func (l *link) write(data []byte, end *atomic.Uint64) (uint64, error) {
 	l.sending.Lock()
 	defer l.sending.Unlock()
+	queued := l.queued.Load() + uint64(len(data))
+	if end != nil {
+		end.Store(queued)
+	}
 	if _, err := l.conn.Write(data); err != nil {
 		return 0, err
 	}
-	l.queued += uint64(len(data))
+	l.queued.Store(queued)
 	l.node.sent.Add(uint64(len(data)))
-	return l.queued, nil
+	return queued, nil
 }
 
-// cutOff reports whether a frame that ends at the offset never left whole.
+// cutOff reports whether a frame never left whole.
 //
-// A connection can break while a large request is still in the send queue. The
-// peer executes whole frames only, and bytes are counted before the connection
-// can be seen as closed, so fewer than the frame needs prove that it did not
-// run. It is asked once the link is broken, when no more bytes go out.
-func (l *link) cutOff(end uint64) bool { return l.written.Load() < end }
+// A connection can break while a large request is still in the send queue, or
+// has pieces that were not even queued. The peer executes whole frames only, and
+// bytes are counted before the connection can be seen as closed, so fewer than
+// the frame needs prove that it did not run. It is asked once the link is
+// broken, when no more bytes go out.
+func (l *link) cutOff(s sent) bool {
+	end := s.end
+	if s.pieces != nil {
+		end = s.pieces.end.Load()
+	}
+	return end == 0 || l.written.Load() < end
+}
 
 // data takes the next bytes of the stream.
 func (l *link) data(bytes []byte) error {
 	if l.greet.done {
 		return l.reader.feed(bytes, l.take)
 	}
-	rest, err := l.greet.feed(bytes, func(out []byte) { _, _ = l.write(out) })
+	rest, err := l.greet.feed(bytes, func(out []byte) { _, _ = l.write(out, nil) })
 	if err != nil || !l.greet.done {
 		return err
 	}
@@ -166,12 +228,15 @@
 	}
 	if f.form == formRequest {
 		reply := frame{form: formAnswer, kind: f.kind, id: f.id, payload: out}
-		_, _ = l.write(reply.encode())
+		if _, err := l.send(reply); err != nil {
+			_ = l.conn.CloseWithError(err)
+		}
 	}
 }
 
 // fail ends every call in flight: their answers can't arrive any more, and work for a caller that is gone is stopped.
 func (l *link) fail() {
+	l.leave.Do(func() { close(l.gone) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.broken = true
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -160,10 +160,10 @@
 
 var errTooMany = errors.New("peer: too many connections")
 
-// written counts what went to the kernel; it runs under the connection's lock.
+// written hears of what went to the kernel; it runs under the connection's lock.
 func written(c *nbio.Conn, _ []byte, bytes int) {
 	if l, ok := c.Session().(*link); ok {
-		l.written.Add(uint64(bytes))
+		l.wrote(bytes)
 	}
 }
 
