Spread the first reads of a fleet, and tell of changes twice

Cause: a daemon that starts knows nobody and read all four lists within a second, so 3,400 that start in the same second made 13,600 calls. Now it reads the hosts list alone; the readers that it names go on to all lists at once, the others leave them to their peers and come later, spread in proportion to the fleet.

Lost messages. Cause: with a push of six some daemons are nobody's neighbour, and a fetch whose answer is lost was waited for for 700 ms. Now a change is pushed a second time 300 ms later, and a fetch is tried again after 400 ms, three times, then with growing waits.

The tests' network counts watches beside reads now; the bound on reads in an outage counts what it counted before.

--- a/internal/app/daemon/reading.go
+++ b/internal/app/daemon/reading.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/spread"
 	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
 )
 
@@ -62,19 +63,23 @@
 	}
 }
 
-// read asks the platform for every list once. A list that this daemon has no
+// read asks the platform for the hosts list or every list once. A list that this daemon has no
 // version of is waited for, so that a platform without lists isn't polled.
-func (c *control) read(begun time.Time) {
+func (c *control) read(what spread.Read, begun time.Time) {
 	if c.reading {
 		return
 	}
 	c.reading = true
+	first := lists.KindHosts
+	if what == spread.ReadAll {
+		first = 0
+	}
 	c.done.Go(func() {
 		var all sync.WaitGroup
 		var failures sync.Map
-		for k := range lists.Kinds {
+		for k := first; int(k) < lists.Kinds; k++ {
 			all.Go(func() {
-				if err := c.readOne(lists.Kind(k)); err != nil {
+				if err := c.readOne(k); err != nil {
 					failures.Store(k, err)
 				}
 			})
@@ -90,7 +95,7 @@
 			c.reading = false
 			if !failed {
 				now := time.Now()
-				c.core.PlatformAnswered(begun, now, true)
+				c.core.PlatformAnswered(begun, now, what == spread.ReadAll)
 				c.show(now)
 			}
 		})
--- a/internal/app/daemon/spreading.go
+++ b/internal/app/daemon/spreading.go
@@ -46,8 +46,8 @@
 	for _, from := range w.Fetch {
 		c.fetch(from)
 	}
-	if w.Read {
-		c.read(now)
+	if w.Read != spread.ReadNothing {
+		c.read(w.Read, now)
 	}
 }
 
--- a/internal/domain/lists/hosts.go
+++ b/internal/domain/lists/hosts.go
@@ -43,7 +43,6 @@
 	peers := map[netip.AddrPort]int{}
 	for i, e := range h.Hosts {
 		at := f.at("hosts", i)
-		e.check(at)
 		if first, dup := names[e.Host]; dup {
 			at.add("host", "duplicate of hosts[%d] (%q)", first, e.Host)
 		}
@@ -52,5 +51,6 @@
 			at.add("peer", "same address as hosts[%d]", first)
 		}
 		peers[e.Peer] = i
+		e.check(at)
 	}
 }
--- a/internal/domain/lists/keys.go
+++ b/internal/domain/lists/keys.go
@@ -50,7 +50,6 @@
 	hashes := map[string]int{}
 	for i, e := range k.Keys {
 		at := f.at("keys", i)
-		e.check(at)
 		if first, dup := ids[e.ID]; dup {
 			at.add("id", "duplicate of keys[%d] (%q)", first, e.ID)
 		}
@@ -59,5 +58,6 @@
 			at.add("sha256", "same hash as keys[%d]", first)
 		}
 		hashes[e.SHA256] = i
+		e.check(at)
 	}
 }
--- a/internal/domain/lists/plans.go
+++ b/internal/domain/lists/plans.go
@@ -46,10 +46,10 @@
 	seen := map[string]int{}
 	for i, o := range p.Organisations {
 		at := f.at("organisations", i)
-		o.check(at)
 		if first, dup := seen[o.Organisation]; dup {
 			at.add("organisation", "duplicate of organisations[%d] (%q)", first, o.Organisation)
 		}
 		seen[o.Organisation] = i
+		o.check(at)
 	}
 }
--- a/internal/fleet/spread/core.go
+++ b/internal/fleet/spread/core.go
@@ -27,8 +27,8 @@
 	Exchange []netip.AddrPort
 	// Fetch names the values to fetch.
 	Fetch []Source
-	// Read asks for one read of every list at the platform.
-	Read bool
+	// Read asks for one read at the platform.
+	Read Read
 }
 
 // Source is a peer that has a newer version of a list.
@@ -41,20 +41,27 @@
 func (w *Work) add(other Work) {
 	w.Exchange = append(w.Exchange, other.Exchange...)
 	w.Fetch = append(w.Fetch, other.Fetch...)
-	w.Read = w.Read || other.Read
+	w.Read = max(w.Read, other.Read)
 }
 
 const (
 	// exchangeEvery is the time between two digests to a random neighbour. They reach whom the push
 	// of a change missed; at one a second a daemon spends some hundreds of bytes a second on them.
 	exchangeEvery = time.Second
+	// pushAgainAfter is the time from a change to its second push. By chance one daemon in some hundreds is nobody's
+	// neighbour, and with lost messages more are missed; they would else learn of a change only when they next ask.
+	pushAgainAfter = 300 * time.Millisecond
 	// askEvery is the same for a daemon that takes no callers yet.
 	askEvery = 200 * time.Millisecond
 	// askWidth is the number of peers that it asks at once.
 	askWidth = 3
 	// fetchTime is the wait for a value before it is asked for once more. A peer that dies
 	// while it answers would else use up the time in which a change is to be in force.
-	fetchTime = 700 * time.Millisecond
+	// From the fetch after fetchTries on it doubles, fetchDoublings times at most: over a slow link a value
+	// of a megabyte takes seconds, and asked for again and again it would take longer each time.
+	fetchTime      = 400 * time.Millisecond
+	fetchTries     = 3
+	fetchDoublings = 3
 	// hearsayTime is how long a starting daemon holds out for a version that it heard of and can't
 	// get: the only peer that had it may be gone for good.
 	hearsayTime = 10 * time.Second
@@ -69,9 +76,11 @@
 	heardAt  [lists.Kinds]time.Time
 	rejected [lists.Kinds]rejects
 	fetching [lists.Kinds]fetching
+	// slow counts the fetches of the list's newest version that took too long.
+	slow [lists.Kinds]int
 
 	others     []lists.Host
-	byName     map[string]lists.Host
+	peers      map[string]netip.AddrPort
 	ranked     []lists.Host
 	neighbours neighbours
 
@@ -80,6 +89,7 @@
 	contact  time.Time
 	looked   time.Time
 	next     time.Time
+	again    time.Time
 	reading  readPlan
 }
 
@@ -91,7 +101,7 @@
 
 // New returns a core that starts at the given time and knows nothing.
 func New(c Config, rng *rand.Rand, now time.Time) *Core {
-	core := &Core{config: c, rng: rng, byName: map[string]lists.Host{}, looked: now, contact: now}
+	core := &Core{config: c, rng: rng, peers: map[string]netip.AddrPort{}, looked: now, contact: now}
 	core.reading = newReadPlan(rng, len(c.Seeds) > 0, now)
 	core.ask(Starting, now)
 	return core
@@ -106,12 +116,12 @@
 // SetHosts takes over the host list in force.
 func (c *Core) SetHosts(hosts []lists.Host) {
 	c.others = c.others[:0:0]
-	c.byName = make(map[string]lists.Host, len(hosts))
+	c.peers = make(map[string]netip.AddrPort, len(hosts))
 	for _, h := range hosts {
 		if h.Host == c.config.Host {
 			continue
 		}
-		c.byName[h.Host] = h
+		c.peers[h.Host] = h.Peer
 		if !h.Leaving {
 			c.others = append(c.others, h)
 		}
@@ -144,7 +154,8 @@
 	if !now.Before(c.next) {
 		work.Exchange = c.exchange(now, skip)
 	}
-	work.Read = c.reading.due(c, now)
+	work.Exchange = append(work.Exchange, c.pushAgain(now, skip)...)
+	work.Read = c.reading.due(c, now, skip)
 	return work
 }
 
@@ -172,7 +183,7 @@
 // The host's listed address is used rather than the one that the digest came
 // from, which is that of a short-lived connection.
 func (c *Core) Hear(d Digest, now time.Time) Work {
-	return c.hear(d, c.byName[d.Host].Peer, now, now)
+	return c.hear(d, c.peers[d.Host], now, now)
 }
 
 // hear takes a digest that can't have been written before the given time.
@@ -197,6 +208,9 @@
 // note remembers a version that a peer has. Only a digest renews it: a fetch
 // that is tried again is no sign that anyone still has the value.
 func (c *Core) note(k lists.Kind, version uint64, now time.Time) {
+	if version > c.heard[k] {
+		c.slow[k] = 0
+	}
 	if version >= c.heard[k] {
 		c.heard[k], c.heardAt[k] = version, now
 	}
@@ -229,10 +243,15 @@
 		f.spare = s.Peer
 		return Work{}
 	}
-	*f = fetching{source: s, until: now.Add(fetchTime)}
+	*f = fetching{source: s, until: now.Add(c.patience(s.Kind))}
 	return Work{Fetch: []Source{s}}
 }
 
+// patience returns how long the next fetch of the list may take.
+func (c *Core) patience(k lists.Kind) time.Duration {
+	return fetchTime << min(max(c.slow[k]-fetchTries+1, 0), fetchDoublings)
+}
+
 // Fetched notes that a fetch has ended, with or without a value.
 func (c *Core) Fetched(k lists.Kind, now time.Time) Work {
 	spare := c.fetching[k].spare
@@ -254,6 +273,7 @@
 			if !f.spare.IsValid() {
 				f.spare = f.source.Peer
 			}
+			c.slow[k]++
 			work.add(c.Fetched(lists.Kind(k), now))
 		}
 	}
@@ -263,8 +283,12 @@
 // Accepted notes a version that came in force and returns the peers to tell at once.
 func (c *Core) Accepted(k lists.Kind, version uint64, now time.Time, skip func(host string) bool) Work {
 	c.versions[k] = version
+	c.slow[k] = 0
 	c.rejected[k].passed(version)
 	c.settle(now)
+	if c.again.IsZero() {
+		c.again = now.Add(c.jitter(pushAgainAfter))
+	}
 	return Work{Exchange: c.Push(now, skip)}
 }
 
@@ -277,6 +301,15 @@
 	c.settle(now)
 }
 
+// pushAgain returns the peers to tell once more of a change, soon after it.
+func (c *Core) pushAgain(now time.Time, skip func(host string) bool) []netip.AddrPort {
+	if c.again.IsZero() || now.Before(c.again) {
+		return nil
+	}
+	c.again = time.Time{}
+	return c.Push(now, skip)
+}
+
 // Push returns the peers to tell of a change at once.
 func (c *Core) Push(now time.Time, skip func(host string) bool) []netip.AddrPort {
 	c.neighbours.renew(c, now, skip)
--- a/internal/fleet/spread/network_test.go
+++ b/internal/fleet/spread/network_test.go
@@ -33,7 +33,11 @@
 	stale    bool
 
 	exchanges int
-	reads     int
+	// reads are the reads of the platform, calls these and watches, slots the calls by time, and busiest the most in a second.
+	reads   int
+	calls   int
+	slots   map[int64]int
+	busiest int
 	// faults collects what must never happen.
 	faults []string
 }
@@ -54,6 +58,7 @@
 	pending     map[netip.AddrPort]bool
 	tried       map[string]int
 	servingAt   time.Time
+	watched     time.Time
 	seeds       []netip.AddrPort
 	// lenient is a daemon of another release, which accepts what the others reject.
 	lenient bool
@@ -62,6 +67,8 @@
 const (
 	tickEvery   = 100 * time.Millisecond
 	messageTime = time.Second
+	watchTime   = 5 * time.Second
+	slotTime    = 50 * time.Millisecond
 	// settled is how long a daemon must have taken callers before others are held to what it has.
 	settled = 4 * time.Second
 	// lagAllowed is the time within which a change is to be in force everywhere.
@@ -71,7 +78,7 @@
 func newNetwork(rng *rand.Rand, zones, perZone int) *network {
 	n := &network{
 		rng: rng, now: time.Unix(1_000_000, 0), nodes: map[string]*node{}, byPeer: map[netip.AddrPort]*node{},
-		apart: func(string, string) bool { return false }, down: map[string]bool{},
+		apart: func(string, string) bool { return false }, down: map[string]bool{}, slots: map[int64]int{},
 	}
 	for i := range zones * perZone {
 		zone := i % zones
@@ -141,9 +148,9 @@
 	d.have, d.changes = [lists.Kinds]lists.Value{}, [lists.Kinds][]change{}
 	d.archive, d.members = &Archive{}, member.New()
 	d.pending, d.tried = map[netip.AddrPort]bool{}, map[string]int{}
-	d.servingAt = time.Time{}
+	d.servingAt, d.watched = time.Time{}, time.Time{}
 	d.core = New(Config{
-		Host: d.host.Host, Zone: d.host.Zone, Region: d.host.Region, Watch: 5 * time.Second, IsolationTime: time.Minute, Seeds: d.seeds,
+		Host: d.host.Host, Zone: d.host.Zone, Region: d.host.Region, Watch: watchTime, IsolationTime: time.Minute, Seeds: d.seeds,
 	}, rand.New(rand.NewPCG(d.net.rng.Uint64(), 1)), d.net.now)
 	d.tick(d.incarnation)
 }
@@ -230,7 +237,7 @@
 			d.exchange(h.Peer)
 		}
 		if d.core.Reads(d.skip) {
-			d.read(false)
+			d.watch()
 		}
 		d.look()
 		d.net.after(tickEvery, func() { d.tick(incarnation) })
@@ -244,26 +251,56 @@
 	for _, from := range w.Fetch {
 		d.fetch(from)
 	}
-	if w.Read {
-		d.read(true)
+	if w.Read != ReadNothing {
+		d.read(w.Read)
 	}
 }
 
-// read is one look at the platform; a reader's watch is a look at each tick.
-func (d *node) read(all bool) {
+// read is one look at the platform.
+func (d *node) read(what Read) {
 	n := d.net
-	if all {
-		n.reads += lists.Kinds
+	kinds := []lists.Kind{lists.KindHosts}
+	if what == ReadAll {
+		kinds = []lists.Kind{lists.KindPlans, lists.KindUses, lists.KindKeys, lists.KindHosts}
 	}
+	n.reads += len(kinds)
+	n.called(len(kinds))
+	d.takeFrom(kinds, what == ReadAll)
+}
+
+// watch is a reader's look at each tick; a watch itself is one call a list and watch length.
+func (d *node) watch() {
+	n := d.net
+	if n.now.Sub(d.watched) >= watchTime {
+		d.watched = n.now
+		n.called(lists.Kinds)
+	}
+	d.takeFrom([]lists.Kind{lists.KindPlans, lists.KindUses, lists.KindKeys, lists.KindHosts}, false)
+}
+
+func (d *node) takeFrom(kinds []lists.Kind, all bool) {
+	n := d.net
 	if n.down[d.host.Zone] {
 		return
 	}
-	for k := range lists.Kinds {
+	for _, k := range kinds {
 		d.offer(n.served[k])
 	}
 	d.core.PlatformAnswered(n.now, n.now, all && n.served[lists.KindHosts].Version > 0)
 }
 
+// called counts calls of the platform, and the most in any second by the slots of a twentieth of it.
+func (n *network) called(count int) {
+	n.calls += count
+	slot := n.now.UnixMilli() / slotTime.Milliseconds()
+	n.slots[slot] += count
+	sum := 0
+	for i := range int64(time.Second / slotTime) {
+		sum += n.slots[slot-i]
+	}
+	n.busiest = max(n.busiest, sum)
+}
+
 func (d *node) offer(v lists.Value) {
 	now := d.net.now
 	if v.Version <= d.have[v.Kind].Version {
--- a/internal/fleet/spread/readers_test.go
+++ b/internal/fleet/spread/readers_test.go
@@ -55,6 +55,40 @@
 	})
 }
 
+func TestReadsOfAFleetThatStarts(t *testing.T) {
+	// Power comes back to all three regions in the same second, and each of 3,400 daemons
+	// has nothing. Were each to read its four lists at once, the platform would refuse most
+	// of the 13,600 calls, and the readers' would be among these.
+	Convey("The platform gets less than 2,000 calls in any second, and all take callers within 10 s", t, func() {
+		n := newNetwork(rand.New(rand.NewPCG(15, 15)), 11, 309)
+		n.publishAll()
+		for _, h := range n.hosts {
+			n.after(time.Duration(n.rng.Int64N(int64(time.Second))), n.nodes[h.Host].start)
+		}
+		took := time.Duration(0)
+		for took < 20*time.Second && (took < time.Second || len(n.behind()) > 0) {
+			n.advance(100 * time.Millisecond)
+			took += 100 * time.Millisecond
+		}
+		t.Logf("%d calls, %d in the busiest second, all take callers after %s", n.calls, n.busiest, took)
+		So(n.busiest, ShouldBeLessThan, 2000)
+		So(took, ShouldBeLessThan, 10*time.Second)
+		So(n.faults, ShouldBeEmpty)
+
+		// A switch loses packets, and its links' connections break with what was on them.
+		// Whoever misses a push and loses the answer to its own question is left with the old keys.
+		Convey("and then a change is in force at every daemon within 3 s with a twentieth of all messages lost", func() {
+			n.loss = 0.05
+			for range 3 {
+				n.publish(lists.KindKeys, "keys of many words that stay")
+				n.advance(3 * time.Second)
+				So(n.behind(), ShouldBeEmpty)
+			}
+			So(n.faults, ShouldBeEmpty)
+		})
+	})
+}
+
 // BenchmarkInForce reports how long a change takes to reach every daemon of a
 // fleet of the target size, in virtual time with 1 to 5 ms a message, and what it costs.
 func BenchmarkInForce(b *testing.B) {
--- a/parts/spread/spread.go
+++ b/parts/spread/spread.go
@@ -28,6 +28,16 @@
 // Work is what the program is to carry out.
 type Work = spread.Work
 
+// Read tells what to read at the source of the values.
+type Read = spread.Read
+
+// What Work asks to read: nothing, the hosts list alone, or every value.
+const (
+	ReadNothing = spread.ReadNothing
+	ReadHosts   = spread.ReadHosts
+	ReadAll     = spread.ReadAll
+)
+
 // Source is a peer that has a newer version of a value.
 type Source = spread.Source
 
