Describe every metric and log line, and tell bytes by message

Cause: the page for operators had its own table of metrics, without rate_waits and units of some, and left out four log lines (rates, shards handed over, idempotency keys not passed on, peer connection closed); nothing held it against the code. Metrics are an enum with descriptions now, and a scope gives out no others; docs/METRICS.md is written by make docs and compared by its test.

--- a/Makefile
+++ b/Makefile
@@ -34,12 +34,13 @@
 generate:
 	PATH="$(CURDIR)/.bin:$$PATH" go generate ./...
 
-# The tables of settings and reasons are the program's own; a test holds that they are current.
+# The tables of settings, reasons and metrics are the program's own; a test holds that they are current.
 docs:
 	@mkdir -p bin
 	go build -o bin/foxctl ./cmd/foxctl
 	bin/foxctl reference settings >docs/SETTINGS.md
 	bin/foxctl reference reasons >docs/REASONS.md
+	bin/foxctl reference metrics >docs/METRICS.md
 
 demo:
 	@./scripts/demo.sh
--- a/internal/app/daemon/answers.go
+++ b/internal/app/daemon/answers.go
@@ -25,11 +25,11 @@
 // answerCounts keeps the metrics of every kind of answer that came up: making
 // a tagged scope costs 2 µs and five allocations, each time anew.
 type answerCounts struct {
-	scope tally.Scope
+	scope telemetry.Scope
 	kinds sync.Map // answerKind to *answerCount
 }
 
-func newAnswerCounts(scope tally.Scope) *answerCounts { return &answerCounts{scope: scope} }
+func newAnswerCounts(scope telemetry.Scope) *answerCounts { return &answerCounts{scope: scope} }
 
 // add counts one answer that took so long.
 func (a *answerCounts) add(answer call.Answer, took time.Duration) {
@@ -44,8 +44,8 @@
 	}
 	scope := a.scope.Tagged(map[string]string{"outcome": kind.outcome.String(), "reason": kind.reason.String()})
 	kept, _ := a.kinds.LoadOrStore(kind, &answerCount{
-		answers: scope.Counter("answers"),
-		seconds: scope.Histogram("answer_seconds", telemetry.LatencyBuckets()),
+		answers: scope.Counter(telemetry.Answers),
+		seconds: scope.Latencies(telemetry.AnswerSeconds),
 	})
 	return kept.(*answerCount)
 }
--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/spread"
@@ -154,5 +155,5 @@
 
 func (d *Daemon) peerFault(from netip.AddrPort, err error) {
 	d.log.WithError(err).WithField("from", from.String()).Warn("peer connection closed")
-	d.metrics.Scope.Counter("peer_faults").Inc(1)
+	d.metrics.Counter(telemetry.PeerFaults).Inc(1)
 }
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
 // Status is what /statusz tells of a daemon.
@@ -26,8 +27,10 @@
 	Connections int                   `json:"peerConnections"`
 	SentBytes   uint64                `json:"peerBytesSent"`
 	GotBytes    uint64                `json:"peerBytesReceived"`
-	Reads       uint64                `json:"platformReads"`
-	Rates       RateStatus            `json:"rates"`
+	// Messages has the bytes of frames between daemons by the kind of message.
+	Messages map[string]peer.Bytes `json:"peerMessages"`
+	Reads    uint64                `json:"platformReads"`
+	Rates    RateStatus            `json:"rates"`
 }
 
 // ListStatus tells which version of a list is in force and which was rejected.
@@ -70,13 +73,13 @@
 }
 
 func (d *Daemon) status() Status {
-	sent, received := d.peers.Traffic()
+	traffic := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
 		Ready: d.takes(time.Now()) && d.rates.ready.Load(), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
 		Gate:  d.owner.gate.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
-		SentBytes: sent, GotBytes: received, Reads: d.control.platform.Reads(),
+		SentBytes: traffic.Sent, GotBytes: traffic.Received, Messages: messages(traffic), Reads: d.control.platform.Reads(),
 	}
 	s.SaidLeaving, s.Suspects = d.members.Load().Counts()
 	d.control.ask(func() {
@@ -89,6 +92,16 @@
 	return s
 }
 
+func messages(t peer.Traffic) map[string]peer.Bytes {
+	all := map[string]peer.Bytes{}
+	for k, bytes := range t.ByKind {
+		if k > 0 && bytes != (peer.Bytes{}) {
+			all[peer.Kind(k).String()] = bytes
+		}
+	}
+	return all
+}
+
 func (c *control) listStatus(k lists.Kind) ListStatus {
 	status := ListStatus{Version: c.set.Value(k).Version}
 	if r := c.set.Rejection(k); r.Version > status.Version {
--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -148,10 +149,10 @@
 		r.ready.Store(true)
 	}
 	scope := r.daemon.metrics.Scope
-	scope.Gauge("rate_shards").Update(float64(status.Shards))
-	scope.Gauge("rate_tokens_out").Update(float64(status.Lent))
-	scope.Gauge("rate_tokens_lent").Update(float64(status.Tokens))
-	scope.Gauge("rate_asks").Update(float64(r.asked.Load()))
+	scope.Gauge(telemetry.RateShards).Update(float64(status.Shards))
+	scope.Gauge(telemetry.RateTokensOut).Update(float64(status.Lent))
+	scope.Gauge(telemetry.RateTokensLent).Update(float64(status.Tokens))
+	scope.Gauge(telemetry.RateAsks).Update(float64(r.asked.Load()))
 }
 
 // confirmNext asks the next member what it knows of membership, and reports whether there was one to ask.
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
@@ -40,7 +41,7 @@
 		return wait, false
 	case rate.Dry:
 	}
-	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	r.daemon.metrics.Counter(telemetry.RateWaits).Inc(1)
 	s := r.join(organisation)
 	defer func() { s.leave() }()
 	for {
--- a/internal/app/telemetry/bench_test.go
+++ b/internal/app/telemetry/bench_test.go
@@ -75,14 +75,14 @@
 		b.ReportAllocs()
 		for b.Loop() {
 			scope := m.Scope.Tagged(map[string]string{"outcome": "whole", "reason": "none"})
-			scope.Counter("answers").Inc(1)
-			scope.Histogram("answer_seconds", LatencyBuckets()).RecordDuration(3 * time.Millisecond)
+			scope.Counter(Answers).Inc(1)
+			scope.Latencies(AnswerSeconds).RecordDuration(3 * time.Millisecond)
 		}
 	})
 	b.Run("kept", func(b *testing.B) {
 		scope := m.Scope.Tagged(map[string]string{"outcome": "notRun", "reason": "none"})
-		counter := scope.Counter("answers")
-		histogram := scope.Histogram("answer_seconds", LatencyBuckets())
+		counter := scope.Counter(Answers)
+		histogram := scope.Latencies(AnswerSeconds)
 		b.ReportAllocs()
 		for b.Loop() {
 			counter.Inc(1)
--- /dev/null
+++ b/internal/app/telemetry/metric.go
@@ -0,0 +1,86 @@
+package telemetry
+
+//go:generate stringer -type=Metric -linecomment
+
+// Metric names one metric of the daemon; its name in /metrics has the product's before it.
+type Metric uint8
+
+// The metrics of the daemon; Described tells what each counts.
+const (
+	Answers         Metric = iota // answers
+	AnswerSeconds                 // answer_seconds
+	GateLimit                     // gate_limit
+	GateRunning                   // gate_running
+	GateQueued                    // gate_queued
+	GateRan                       // gate_ran
+	GateWaited                    // gate_waited
+	GateRefused                   // gate_refused
+	GateEvicted                   // gate_evicted
+	GateExpired                   // gate_expired
+	GateShed                      // gate_shed
+	DoorsClosing                  // doors_closing
+	Serving                       // serving
+	ListVersion                   // list_version
+	MembersLeaving                // members_leaving
+	MembersSuspect                // members_suspect
+	RateShards                    // rate_shards
+	RateTokensOut                 // rate_tokens_out
+	RateTokensLent                // rate_tokens_lent
+	RateAsks                      // rate_asks
+	RateWaits                     // rate_waits
+	PeerConnections               // peer_connections
+	PeerFaults                    // peer_faults
+	PeerBytesSent                 // peer_bytes_sent
+	PeerBytesGot                  // peer_bytes_received
+)
+
+// MetricCount is the number of metrics.
+const MetricCount = int(PeerBytesGot) + 1
+
+// Description is what operators are told of a metric.
+type Description struct {
+	Metric  Metric
+	Meaning string
+	Unit    string
+	// Tags are those that it has beside host and zone, separated by commas; empty means none.
+	Tags string
+	// Look says when it is worth a look.
+	Look string
+}
+
+var descriptions = [MetricCount]Description{
+	Answers:         {Meaning: "answers to callers", Unit: "count", Tags: "outcome, reason", Look: "the first to look at: `notRun` by `reason`, and any `outcomeUnknown`"},
+	AnswerSeconds:   {Meaning: "time from a request's arrival to its answer", Unit: "seconds, histogram", Tags: "outcome, reason", Look: "`whole` grows when the service behind slows"},
+	GateLimit:       {Meaning: "learned limit of the upstream beside the daemon", Unit: "requests", Look: "falls below `-slots` when the upstream slows under load"},
+	GateRunning:     {Meaning: "requests that the upstream runs", Unit: "requests", Look: "at `gate_limit` the upstream is full"},
+	GateQueued:      {Meaning: "requests that wait for the upstream", Unit: "requests", Look: "above 0 for long: more demand than the upstream takes"},
+	GateRan:         {Meaning: "requests that the upstream ran", Unit: "count", Look: "goodput of this host"},
+	GateWaited:      {Meaning: "requests that had to wait", Unit: "count"},
+	GateRefused:     {Meaning: "requests refused since the queue had no place for them", Unit: "count", Look: "overload of this host"},
+	GateEvicted:     {Meaning: "requests pushed out of the queue by more important ones or by those owed more", Unit: "count", Look: "overload of this host"},
+	GateExpired:     {Meaning: "requests that waited for longer than `-queue-time` or their deadline allows", Unit: "count", Look: "overload of this host"},
+	GateShed:        {Meaning: "requests that the upstream itself refused to run", Unit: "count", Look: "compare `-slots` with what the upstream runs at once"},
+	DoorsClosing:    {Meaning: "pairs of organisation and operation that are refused in part at the door, since the chain below is overloaded", Unit: "pairs", Look: "above 0: look for the overloaded service deeper in the chain"},
+	Serving:         {Meaning: "1 while callers are taken, else 0", Unit: "none", Look: "0 for longer than a start takes: `standing` in `/statusz` tells why"},
+	ListVersion:     {Meaning: "version in force", Unit: "version", Tags: "list", Look: "differs between hosts for more than 3 s"},
+	MembersLeaving:  {Meaning: "hosts that get no new work since they said that they leave", Unit: "hosts", Look: "above 0 for 10 minutes: take them out of the hosts list"},
+	MembersSuspect:  {Meaning: "hosts that get no new work since they don't answer", Unit: "hosts", Look: "many at once on one side: a cut of the network"},
+	RateShards:      {Meaning: "rate shards whose home the daemon is", Unit: "shards", Look: "0 on a listed host: `rates` in `/statusz` tells why"},
+	RateTokensOut:   {Meaning: "tokens lent and not yet told of", Unit: "tokens"},
+	RateTokensLent:  {Meaning: "tokens lent since the start", Unit: "tokens"},
+	RateAsks:        {Meaning: "questions to homes since the start", Unit: "count"},
+	RateWaits:       {Meaning: "requests that found no token at hand and waited for homes to lend one", Unit: "count", Look: "grows faster than `overRate` answers: tokens arrive too late here"},
+	PeerConnections: {Meaning: "open connections with other daemons", Unit: "connections"},
+	PeerFaults:      {Meaning: "connections on the peer port closed for a fault", Unit: "count", Look: "grows: strangers on the port, or another `-fleet-secrets`; the log has their addresses"},
+	PeerBytesSent:   {Meaning: "bytes of frames sent to other daemons", Unit: "bytes", Tags: "message", Look: "control is `digest`, `fetch`, `lease`, `confirm` and `handover`; 4 KB/s are planned for"},
+	PeerBytesGot:    {Meaning: "bytes of frames received from other daemons", Unit: "bytes", Tags: "message"},
+}
+
+// Described returns every metric with its description.
+func Described() []Description {
+	all := descriptions
+	for i := range all {
+		all[i].Metric = Metric(i)
+	}
+	return all[:]
+}
--- a/internal/app/telemetry/metrics.go
+++ b/internal/app/telemetry/metrics.go
@@ -10,9 +10,31 @@
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
 
-// Metrics is a tally scope with the handler that shows it.
+// Prefix is before the name of every metric in /metrics.
+const Prefix = "foxtailhook"
+
+// Scope gives out the metrics that are described, all with the same tags.
+type Scope struct {
+	tally tally.Scope
+}
+
+// Counter returns the counter of that name.
+func (s Scope) Counter(m Metric) tally.Counter { return s.tally.Counter(m.String()) }
+
+// Gauge returns the gauge of that name.
+func (s Scope) Gauge(m Metric) tally.Gauge { return s.tally.Gauge(m.String()) }
+
+// Latencies returns the histogram of that name, with LatencyBuckets.
+func (s Scope) Latencies(m Metric) tally.Histogram {
+	return s.tally.Histogram(m.String(), LatencyBuckets())
+}
+
+// Tagged returns a scope with these tags besides.
+func (s Scope) Tagged(tags map[string]string) Scope { return Scope{tally: s.tally.Tagged(tags)} }
+
+// Metrics is a scope with the handler that shows it.
 type Metrics struct {
-	Scope   tally.Scope
+	Scope
 	Handler http.Handler
 	closer  io.Closer
 }
@@ -24,13 +46,13 @@
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "foxtailhook",
+		Prefix:          Prefix,
 		Tags:            map[string]string{"host": host, "zone": zone},
 		CachedReporter:  reporter,
 		Separator:       tallyprom.DefaultSeparator,
 		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
 	}, reportEvery)
-	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+	return &Metrics{Scope: Scope{tally: scope}, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
 // Close reports what is left and stops.
--- a/internal/ctl/command/reference.go
+++ b/internal/ctl/command/reference.go
@@ -12,13 +12,13 @@
 func (a *app) referenceCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name: "reference", FlagSet: a.flags("foxctl reference"),
-		ShortUsage: "foxctl reference settings|reasons",
-		ShortHelp:  "Prints every setting of the daemon, or every reason that it gives.",
-		LongHelp:   "Prints a table in Markdown: the daemon's settings with default, unit and bounds, or the reasons of its answers.\n\n" + exitCodes,
+		ShortUsage: "foxctl reference settings|reasons|metrics",
+		ShortHelp:  "Prints every setting of the daemon, every reason that it gives, or every metric.",
+		LongHelp:   "Prints a table in Markdown: the daemon's settings with default, unit and bounds, the reasons of its answers, or its metrics.\n\n" + exitCodes,
 		Exec: func(_ context.Context, args []string) error {
-			pages := map[string]func() string{"settings": reference.Settings, "reasons": reference.Reasons}
+			pages := map[string]func() string{"settings": reference.Settings, "reasons": reference.Reasons, "metrics": reference.Metrics}
 			if len(args) != 1 || pages[args[0]] == nil {
-				return usagef("name one of settings and reasons")
+				return usagef("name one of settings, reasons and metrics")
 			}
 			fmt.Fprint(a.Out, pages[args[0]]())
 			return nil
--- a/internal/ctl/command/status.go
+++ b/internal/ctl/command/status.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -21,11 +23,16 @@
 	asJSON := fs.Bool("json", false, "print one JSON object with hosts and concerns")
 	return &ffcli.Command{
 		Name: "status", FlagSet: fs,
-		ShortUsage: "foxctl status [flags] IP:PORT...",
+		ShortUsage: "foxctl status [flags] IP:PORT...|-",
 		ShortHelp:  "Shows lists in force, requests in flight and differences over hosts.",
 		LongHelp: "Asks the operators' address of each daemon, all at once, and prints a line for each host, then what needs a look:\n" +
-			"daemons that don't answer or aren't ready, rejected lists, and versions that differ over hosts.\n\n" + exitCodes,
+			"daemons that don't answer, aren't ready or are isolated, that can't reach others or lend no tokens of the rates, rejected lists,\n" +
+			"and versions that differ over hosts. A - in place of addresses reads them from standard input, separated by blanks.\n\n" + exitCodes,
 		Exec: func(ctx context.Context, args []string) error {
+			args, err := a.named(args)
+			if err != nil {
+				return err
+			}
 			operators, err := addresses(args)
 			if err != nil {
 				return err
@@ -43,6 +50,18 @@
 	}
 }
 
+// maxNamed bounds what is read of standard input, in bytes: thousands of addresses.
+const maxNamed = 1 << 20
+
+// named returns the arguments, or the words of standard input where - stands for them.
+func (a *app) named(args []string) ([]string, error) {
+	if len(args) != 1 || args[0] != "-" {
+		return args, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(a.In, maxNamed))
+	return strings.Fields(string(raw)), err
+}
+
 func addresses(args []string) ([]netip.AddrPort, error) {
 	if len(args) == 0 {
 		return nil, usagef("name the operators' address of at least one daemon, IP:port")
@@ -60,7 +79,7 @@
 
 func (a *app) fleet(f status.Fleet) {
 	table := tabwriter.NewWriter(a.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprint(table, "HOST\tSERVICE\tZONE\tSTATE\tIN FLIGHT")
+	fmt.Fprint(table, "HOST\tSERVICE\tZONE\tSTATE\tREADER\tIN FLIGHT\tSHARDS")
 	for k := range lists.Kinds {
 		fmt.Fprintf(table, "\t%s", lists.Kind(k))
 	}
@@ -70,7 +89,8 @@
 			fmt.Fprintf(table, "%s\t\t\tno answer\n", h.Operators)
 			continue
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d", h.Status.Host, h.Status.Service, h.Status.Zone, state(h), h.Status.InFlight)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d", h.Status.Host, h.Status.Service, h.Status.Zone, state(h), reader(h),
+			h.Status.InFlight, h.Status.Rates.Shards)
 		for k := range lists.Kinds {
 			fmt.Fprintf(table, "\t%d", h.Status.Lists[lists.Kind(k).String()].Version)
 		}
@@ -82,6 +102,13 @@
 	}
 }
 
+func reader(h status.Host) string {
+	if h.Status.Reader {
+		return "yes"
+	}
+	return "no"
+}
+
 func state(h status.Host) string {
 	switch {
 	case h.Status.Leaving:
--- a/internal/ctl/reference/doc.go
+++ b/internal/ctl/reference/doc.go
@@ -1,2 +1,2 @@
-// Package reference writes the tables of settings and reasons, so that the pages can't differ from the program.
+// Package reference writes the tables of settings, reasons and metrics, so that the pages can't differ from the program.
 package reference
--- a/internal/ctl/reference/reference.go
+++ b/internal/ctl/reference/reference.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/settings"
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/ctl/explain"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
@@ -52,6 +53,19 @@
 	return page.String()
 }
 
+// Metrics returns a Markdown page with every metric of the daemon, its unit and tags, and when it is worth a look.
+func Metrics() string {
+	var page strings.Builder
+	page.WriteString("# Metrics of the daemon\n\n" +
+		"`/metrics` on the operators' port, in Prometheus' form. Each has `host` and `zone`, and the tags named here.\n" +
+		"Counts begin at 0 with the process. This page is written by `make docs`.\n\n" +
+		"| metric | what | unit | tags | worth a look |\n| --- | --- | --- | --- | --- |\n")
+	for _, d := range telemetry.Described() {
+		fmt.Fprintf(&page, "| `%s_%s` | %s | %s | %s | %s |\n", telemetry.Prefix, d.Metric, cell(d.Meaning), d.Unit, d.Tags, cell(d.Look))
+	}
+	return page.String()
+}
+
 func yes(b bool) string {
 	if b {
 		return "yes"
--- a/internal/ctl/reference/reference_test.go
+++ b/internal/ctl/reference/reference_test.go
@@ -14,6 +14,7 @@
 	}{
 		{"../../../docs/SETTINGS.md", Settings()},
 		{"../../../docs/REASONS.md", Reasons()},
+		{"../../../docs/METRICS.md", Metrics()},
 	}
 	Convey("The pages are as the program would write them; make docs writes them anew", t, func() {
 		for _, p := range pages {
--- a/internal/ctl/status/status_test.go
+++ b/internal/ctl/status/status_test.go
@@ -17,7 +17,7 @@
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
-const sound = `{"host":"h1","ready":true,"lists":{"keys":{"version":4},"plans":{"version":2}}}`
+const sound = `{"host":"h1","ready":true,"standing":"serving","rates":{"mayLend":true,"hostsVersion":3},"lists":{"keys":{"version":4},"plans":{"version":2}}}`
 
 func TestFleet(t *testing.T) {
 	// A host that was cut off goes on with an older list: a key withdrawn
@@ -29,6 +29,30 @@
 		So(fleet.Concerns, ShouldBeEmpty)
 		So(fleet.Hosts[0].Status.Host, ShouldEqual, "h1")
 	})
+	Convey("A host that is alone, or keeps a part of the rates to itself, is named with what to look at", t, func() {
+		cases := []struct {
+			name  string
+			old   []string
+			wants string
+		}{
+			{"isolated", []string{`"ready":true,"standing":"serving"`, `"standing":"isolated"`}, "isolated, neither a peer nor the platform"},
+			{"starting", []string{`"ready":true,"standing":"serving"`, `"standing":"starting"`}, "not known to be current (starting)"},
+			{"no port yet", []string{`"ready":true,`, ``}, "waits for its part of the rates"},
+			{"suspects", []string{`"ready":true`, `"ready":true,"suspects":2`}, "can't reach 2 of the listed hosts"},
+			{"no quorum", []string{`"mayLend":true`, `"mayLend":false`}, "lends no tokens of its rate shards: it isn't in its hosts list (version 3)"},
+			{"fence", []string{`"mayLend":true`, `"mayLend":true,"fencedUntil":"2026-12-03T01:00:00Z"`}, "lie idle until 2026-12-03T01:00:00Z"},
+			{"leaving", []string{`"mayLend":true`, `"mayLend":false},"leaving":true,"x":{"y":0`}, ""},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				body := strings.NewReplacer(c.old...).Replace(sound)
+				fleet := New(Fetch(t.Context(), []netip.AddrPort{serve(t, sound), serve(t, body)}, time.Second))
+				all := strings.Join(fleet.Concerns, "\n")
+				So(all == "", ShouldEqual, c.wants == "")
+				So(all, ShouldContainSubstring, c.wants)
+			})
+		}
+	})
 	Convey("Hosts that differ, reject or don't answer are named", t, func() {
 		silent := netip.MustParseAddrPort("127.0.0.1:1")
 		fleet := New(Fetch(t.Context(), []netip.AddrPort{
--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -24,6 +24,8 @@
 	sent     uint64
 	received uint64
 	links    int
+	// listBytes and leaseBytes are the parts of sent for lists and membership, and for rates over the fleet.
+	listBytes, leaseBytes uint64
 }
 
 // clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
@@ -77,11 +79,16 @@
 		Sent     uint64 `json:"peerBytesSent"`
 		Received uint64 `json:"peerBytesReceived"`
 		Links    int    `json:"peerConnections"`
+		Messages map[string]struct {
+			Sent uint64 `json:"sent"`
+		} `json:"peerMessages"`
 	}
 	if err := json.Unmarshal(raw, &status); err != nil {
 		return errors.Wrap(err, "changes: status")
 	}
 	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
+	u.listBytes = status.Messages["digest"].Sent + status.Messages["fetch"].Sent
+	u.leaseBytes = status.Messages["lease"].Sent + status.Messages["confirm"].Sent + status.Messages["handover"].Sent
 	return nil
 }
 
@@ -106,6 +113,9 @@
 	// Sent and Received are bytes a second between peers, without TCP's own.
 	Sent     Range `json:"sentBytesPerS"`
 	Received Range `json:"receivedBytesPerS"`
+	// ListBytes and LeaseBytes are the parts of Sent for lists and membership, and for rates over the fleet.
+	ListBytes  Range `json:"listBytesPerS"`
+	LeaseBytes Range `json:"leaseBytesPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
 	// Peak is the most since the process began, in megabytes.
@@ -130,18 +140,21 @@
 }
 
 func spent(before, after []usage) Spent {
-	var cpu, sent, received, resident, peaks, links []float64
+	var cpu, sent, received, listBytes, leaseBytes, resident, peaks, links []float64
 	for i := range before {
 		length := after[i].at.Sub(before[i].at).Seconds()
 		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
 		sent = append(sent, float64(after[i].sent-before[i].sent)/length)
 		received = append(received, float64(after[i].received-before[i].received)/length)
+		listBytes = append(listBytes, float64(after[i].listBytes-before[i].listBytes)/length)
+		leaseBytes = append(leaseBytes, float64(after[i].leaseBytes-before[i].leaseBytes)/length)
 		resident = append(resident, float64(after[i].resident)/(1<<20))
 		peaks = append(peaks, float64(after[i].peak)/(1<<20))
 		links = append(links, float64(after[i].links))
 	}
 	return Spent{
 		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
+		ListBytes: rangeOf(listBytes), LeaseBytes: rangeOf(leaseBytes),
 		Peak: rangeOf(peaks), Links: rangeOf(links),
 	}
 }
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -25,3 +25,6 @@
 	// KindLegacy passes a leaving daemon's idempotency keys on.
 	KindLegacy // legacy
 )
+
+// Kinds is one more than the last kind; kind 0 is of no message.
+const Kinds = int(KindLegacy) + 1
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -53,7 +53,7 @@
 		return 0, err
 	}
 	l.queued += uint64(len(data))
-	l.node.sent.Add(uint64(len(data)))
+	l.node.countSent(data)
 	return l.queued, nil
 }
 
@@ -100,6 +100,7 @@
 
 // take handles one frame from the other side.
 func (l *link) take(f frame) {
+	l.node.counts[kindIndex(f.kind)].received.Add(uint64(lengthSize + headerSize + len(f.payload)))
 	switch f.form {
 	case formAnswer:
 		l.answer(f)
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -40,6 +40,7 @@
 
 	sent     atomic.Uint64
 	received atomic.Uint64
+	counts   [Kinds]byteCount
 
 	mu    sync.Mutex
 	links map[lane]*link
@@ -136,7 +137,13 @@
 }
 
 // Traffic returns the bytes sent and received since the start.
-func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
+func (n *Node) Traffic() Traffic {
+	t := Traffic{Bytes: Bytes{Sent: n.sent.Load(), Received: n.received.Load()}}
+	for k := range t.ByKind {
+		t.ByKind[k] = Bytes{Sent: n.counts[k].sent.Load(), Received: n.counts[k].received.Load()}
+	}
+	return t
+}
 
 // Connections returns the number of open connections.
 func (n *Node) Connections() int {
