--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
@@ -40,7 +41,7 @@
 		return token, wait, false
 	case rate.Dry:
 	}
-	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	r.daemon.metrics.Counter(telemetry.RateWaits).Inc(1)
 	s := r.join(organisation)
 	defer func() { s.leave() }()
 	for {
@@ -67,7 +68,7 @@
 // giveBack returns the token of a request that did not run; a chained request has none.
 func (r *rates) giveBack(a *admitted) {
 	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
-		r.daemon.metrics.Scope.Counter("rate_given_back").Inc(1)
+		r.daemon.metrics.Scope.Counter(telemetry.RateGivenBack).Inc(1)
 	}
 }
 
