Give tests addresses that nobody else takes

Cause: TestLargeCallGivenUpHalfway failed once in the whole check with 'address already in use', at a load of 90. Tests asked the kernel for a free port, closed it and opened it again; meanwhile it was the port of an outgoing connection of another process. Ruled out: another test of the package, which run one after another.

Tests of ports on which nobody listens use them too: a port closed before could be another's.

--- a/internal/load/latency/run_test.go
+++ b/internal/load/latency/run_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 func TestRun(t *testing.T) {
@@ -65,9 +67,8 @@
 		}
 	})
 	Convey("A port on which nobody listens", t, func() {
-		server := httptest.NewServer(http.NotFoundHandler())
-		server.Close()
-		results, err := Run(t.Context(), Plan{Ways: []Way{{"way", server.URL}}, Rate: 50, Length: 100 * time.Millisecond})
+		nobody := "http://" + loopback.Address().String()
+		results, err := Run(t.Context(), Plan{Ways: []Way{{"way", nobody}}, Rate: 50, Length: 100 * time.Millisecond})
 		So(err, ShouldBeNil)
 		So(results[0].Failures, ShouldResemble, map[string]int64{"connection refused": results[0].Failed})
 	})
--- /dev/null
+++ b/internal/proof/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback gives tests addresses that no other test or process uses.
+package loopback
--- a/internal/wire/httpd/server_test.go
+++ b/internal/wire/httpd/server_test.go
@@ -3,24 +3,19 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
-// start serves the handler on a free loopback port.
+// start serves the handler on an address of its own.
 func start(t *testing.T, handler http.HandlerFunc, opts ...Option) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := netip.MustParseAddrPort(l.Addr().String())
-	_ = l.Close()
+	address := loopback.Address()
 	s := New(address, handler, opts...)
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/wire/peer/bound_test.go
+++ b/internal/wire/peer/bound_test.go
@@ -7,12 +7,14 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 func echo(_ context.Context, _ netip.AddrPort, q question) question { return q }
 
 func startNode(t *testing.T, opts ...Option) (*Node, netip.AddrPort) {
-	at := freeAddress(t)
+	at := loopback.Address()
 	n := New(at, opts...)
 	Handle(n, KindCall, echo)
 	Handle(n, KindDigest, func(ctx context.Context, _ netip.AddrPort, q question) question {
--- a/internal/wire/peer/handshake_test.go
+++ b/internal/wire/peer/handshake_test.go
@@ -9,10 +9,12 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 func startWith(t *testing.T, opts ...Option) (*Node, netip.AddrPort) {
-	address := freeAddress(t)
+	address := loopback.Address()
 	n := New(address, opts...)
 	Handle(n, KindCall, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
 	if err := n.Start(); err != nil {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -10,27 +10,19 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 type question struct {
 	Text string `msgpack:"text"`
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question) (client *Node, server netip.AddrPort) {
-	server = freeAddress(t)
+	server = loopback.Address()
 	s := New(server)
 	Handle(s, KindCall, answer)
-	client = New(freeAddress(t))
+	client = New(loopback.Address())
 	for _, n := range []*Node{s, client} {
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
@@ -86,7 +78,7 @@
 func TestNobodyListens(t *testing.T) {
 	client, _ := startPair(t, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
 	Convey("A call that could not be sent says so", t, func() {
-		_, err := Call[question, question](t.Context(), client, freeAddress(t), KindCall, question{"x"})
+		_, err := Call[question, question](t.Context(), client, loopback.Address(), KindCall, question{"x"})
 		So(err, ShouldWrap, ErrNotSent)
 	})
 }
@@ -141,7 +133,7 @@
 		{"a large request that left whole", large, large, ErrLost},
 		{"a small request that was never read", 100, 0, ErrLost},
 	}
-	client := New(freeAddress(t))
+	client := New(loopback.Address())
 	if err := client.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 // startRaw answers the requests it reads, over all connections, with one of the
@@ -105,10 +106,7 @@
 			})
 		}
 		Convey("nobody listens", func() {
-			l, _ := net.Listen("tcp", "127.0.0.1:0")
-			address := netip.MustParseAddrPort(l.Addr().String())
-			_ = l.Close()
-			So(New(address).Do(t.Context(), request(http.MethodPost), "t").Reason, ShouldEqual, call.NoUpstream)
+			So(New(loopback.Address()).Do(t.Context(), request(http.MethodPost), "t").Reason, ShouldEqual, call.NoUpstream)
 		})
 	})
 }
