Let calls side by side draw what they need, and bench deep chains, fan-out and lent rates

Cause: a need that had risen fell by a sixteenth of its excess at each call and was rounded up, so that it stayed one too high for good. Four calls side by side with runs enough for all drew too much, the last waited for the first, and the services above held their slots for longer. TestNeedComesBack failed before (4 for 3, 2 for 1, 17 for 16).

foxtailbench has chains of 8 and 16 services and one with fan-out (-deployments), upstreams that repeat by themselves, answers lost at the deepest service alone (deepLossy), the most runs of one request, and the rates kept by the fleet's own code at the doors (-compare rates). Two faults of the model are mended with it: without a budget a draw still had a bound, and failed answers taught no need, which they do in the daemon; with that, nothing with fan-out ever finished. The default budget of the bench is the daemon's, 32.

TestRates holds lent rates too, with no excess; TestDeepChain is new.

--- a/cmd/foxtailbench/main.go
+++ b/cmd/foxtailbench/main.go
@@ -32,7 +32,7 @@
 // choices are the flags.
 type choices struct {
 	compare, limit, queue, placing string
-	loads, causes                  string
+	loads, causes, deployments     string
 	seed                           uint64
 	budget                         int
 	ceiling, rates                 float64
@@ -43,12 +43,13 @@
 func run(args []string) error {
 	var c choices
 	fs := flag.NewFlagSet("foxtailbench", flag.ContinueOnError)
-	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, limit, queue, placing, budget, doors, wait or ceiling")
+	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, limit, queue, placing, budget, doors, rates, wait or ceiling")
 	fs.StringVar(&c.limit, "limit", limit.Gradient.String(), "limit of ours: gradient, aimd or fixed")
 	fs.StringVar(&c.queue, "queue", queue.Fair.String(), "queue of ours: fair, fifo or lifo")
 	fs.StringVar(&c.placing, "placing", placing.TwoChoices.String(), "placing of ours: twoChoices, roundRobin or leastLatency")
 	fs.StringVar(&c.loads, "loads", "1,2,5,10", "multiples of load 1, or of the deepest service's time")
 	fs.StringVar(&c.causes, "causes", "surge,skew,slow,oneSlow,lossy", "causes of trouble to bring about")
+	fs.StringVar(&c.deployments, "deployments", "rejestr,desarrollos", "where to run: rejestr, desarrollos, deep8, deep8fan4 or deep16")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of all chance")
 	fs.IntVar(&c.budget, "budget", chain.Ours().Budget, "upstream runs of one request; 0 for three tries at each hop")
 	fs.Float64Var(&c.ceiling, "ceiling", chain.Ours().Ceiling, "highest limit in slots of an instance")
@@ -68,7 +69,11 @@
 	if err != nil {
 		return err
 	}
-	return c.print(runAll(c.experiments(policies, loads)))
+	all := c.experiments(policies, loads)
+	if len(all) == 0 {
+		return errors.New("nothing to run: no deployment or cause has such a name")
+	}
+	return c.print(runAll(all))
 }
 
 func (c *choices) ours() (chain.Policy, error) {
@@ -116,9 +121,14 @@
 			all = append(all, vary(k.String(), func(p *chain.Policy) { p.Placing = k }))
 		}
 	case "budget":
-		for _, n := range []int{0, 32, 16, 8, 4} {
+		for _, n := range []int{0, 64, 32, 16, 8, 4} {
 			all = append(all, vary("runs="+strconv.Itoa(n), func(p *chain.Policy) { p.Budget = n }))
 		}
+	case "rates":
+		for _, lent := range []bool{false, true} {
+			name := map[bool]string{false: "exact", true: "lent"}[lent]
+			all = append(all, vary(name, func(p *chain.Policy) { p.Lent = lent }))
+		}
 	case "wait":
 		for _, d := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, time.Second} {
 			all = append(all, vary(d.String(), func(p *chain.Policy) { p.Wait = d }))
@@ -151,10 +161,13 @@
 
 func (c *choices) experiments(policies []chain.Policy, loads []float64) []chain.Experiment {
 	var all []chain.Experiment
-	for _, d := range []chain.Deployment{chain.Rejestr(), chain.Desarrollos()} {
+	for _, d := range chain.Deployments() {
+		if !named(c.deployments, d.Name) {
+			continue
+		}
 		for cause := range chain.Causes {
 			for _, times := range loads {
-				if times == 1 && chain.Cause(cause) != chain.Surge || !c.wants(chain.Cause(cause)) {
+				if times == 1 && chain.Cause(cause) != chain.Surge || !named(c.causes, chain.Cause(cause).String()) {
 					continue
 				}
 				for _, p := range policies {
@@ -168,9 +181,7 @@
 	return all
 }
 
-func (c *choices) wants(cause chain.Cause) bool {
-	return slices.Contains(strings.Split(c.causes, ","), cause.String())
-}
+func named(list, name string) bool { return slices.Contains(strings.Split(list, ","), name) }
 
 // atOnce bounds the runs side by side.
 const atOnce = 4
@@ -197,14 +208,14 @@
 		return out.Encode(results)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight|tabwriter.Debug)
-	fmt.Fprintln(w, "deployment\tcause\ttimes\tchoice\tgoodput\trecovery s\tworst organisation\twrongful\tinteractive\tworst interactive\tp99 s\truns per whole\t")
+	fmt.Fprintln(w, "deployment\tcause\ttimes\tchoice\tgoodput\trecovery s\tworst organisation\twrongful\tinteractive\tworst interactive\tp99 s\truns per whole\tmost runs\t")
 	for _, r := range results {
 		recovery := "never"
 		if r.RecoverySeconds >= 0 {
 			recovery = fmt.Sprintf("%.2f", r.RecoverySeconds)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%.0f%%\t%s\t%.0f%%\t%.1f%%\t%.0f%%\t%.0f%%\t%.2f\t%.1f\t\n", r.Deployment, r.Cause, r.Times, r.Policy,
-			100*r.Goodput, recovery, 100*r.WorstOrganisation, 100*r.Wrongful, 100*r.Interactive, 100*r.WorstInteractive, r.SlowestSeconds, r.RunsPerWhole)
+		fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%.0f%%\t%s\t%.0f%%\t%.1f%%\t%.0f%%\t%.0f%%\t%.2f\t%.1f\t%d\t\n", r.Deployment, r.Cause, r.Times, r.Policy,
+			100*r.Goodput, recovery, 100*r.WorstOrganisation, 100*r.Wrongful, 100*r.Interactive, 100*r.WorstInteractive, r.SlowestSeconds, r.RunsPerWhole, r.MostRuns)
 	}
 	return w.Flush()
 }
--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -13,7 +13,11 @@
 const againWithin = 20 * time.Millisecond
 
 // Arrive lets a request of an organisation come in at a host.
-func (w *World) Arrive(h *Host, organisation string) {
+func (w *World) Arrive(h *Host, organisation string) { w.Decide(h, organisation, func(bool) {}) }
+
+// Decide lets a request come in at a host and tells once whether it was
+// admitted, at once or when its wait for tokens is over.
+func (w *World) Decide(h *Host, organisation string, decided func(admitted bool)) {
 	if !h.Alive() {
 		return
 	}
@@ -22,39 +26,40 @@
 		w.Counts.Inside++
 	}
 	if w.way != Lending {
-		w.settle(organisation, h.equal.spend(organisation, w.Now))
+		w.settle(organisation, h.equal.spend(organisation, w.Now), decided)
 		return
 	}
 	if s, ok := h.seeks[organisation]; ok {
-		w.join(h, organisation, s)
+		w.join(h, organisation, s, decided)
 		return
 	}
 	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.settle(organisation, true)
+		w.settle(organisation, true, decided)
 	case rate.Refused:
-		w.settle(organisation, false)
+		w.settle(organisation, false, decided)
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiters: 1, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
+		s := &seek{waiting: []func(bool){decided}, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
 }
 
-func (w *World) join(h *Host, organisation string, s *seek) {
+func (w *World) join(h *Host, organisation string, s *seek, decided func(bool)) {
 	w.Counts.Asked++
 	h.borrower.Arrived(organisation, w.Now)
-	s.waiters++
+	s.waiting = append(s.waiting, decided)
 }
 
-func (w *World) settle(organisation string, admitted bool) {
+func (w *World) settle(organisation string, admitted bool, decided func(bool)) {
 	if admitted {
 		w.Counts.Admitted++
 		w.Checker.Admit(organisation, w.Now)
-		return
+	} else {
+		w.Counts.Refused++
 	}
-	w.Counts.Refused++
+	decided(admitted)
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
@@ -73,7 +78,7 @@
 	}
 	next := func() {
 		w.serve(h, organisation, s)
-		if s.waiters > 0 {
+		if len(s.waiting) > 0 {
 			w.seek(h, organisation, s)
 			return
 		}
@@ -91,7 +96,7 @@
 	for len(s.homes) > 0 {
 		home := s.homes[0]
 		s.homes = s.homes[1:]
-		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, w.Now); ok {
+		if ask, ok := h.borrower.Urgent(organisation, home, len(s.waiting), w.Now); ok {
 			return ask, true
 		}
 	}
@@ -100,19 +105,17 @@
 
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
-	for s.waiters > 0 {
+	for len(s.waiting) > 0 {
 		if !h.borrower.Take(organisation, w.Now) {
 			return
 		}
-		s.waiters--
-		w.settle(organisation, true)
+		w.settle(organisation, true, s.next())
 	}
 }
 
 func (w *World) end(h *Host, organisation string, s *seek) {
-	for range s.waiters {
-		w.settle(organisation, false)
+	for len(s.waiting) > 0 {
+		w.settle(organisation, false, s.next())
 	}
-	s.waiters = 0
 	delete(h.seeks, organisation)
 }
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -96,13 +96,21 @@
 
 // seek is a chain of urgent questions with the requests that wait for it.
 type seek struct {
-	waiters int
+	// waiting are told whether they were admitted, first come, first served.
+	waiting []func(admitted bool)
 	homes   []rate.Member
 	again   bool
 	wait    time.Duration
 	ends    time.Time
 }
 
+// next takes the first of the waiting requests out.
+func (s *seek) next() func(admitted bool) {
+	first := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	return first
+}
+
 // Start is when virtual time begins.
 var Start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/internal/decide/budget/account_test.go
+++ b/internal/decide/budget/account_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -106,3 +107,21 @@
 		So(n.Expect("op", 0), ShouldEqual, 8)
 	})
 }
+
+// Calls of an operation need one run more for a while, then as many as before.
+// If the learned need stayed one too high, calls side by side would draw more
+// than they use, the last would wait for the first, and the services above would
+// hold their slots for twice as long: callers see refusals at a fleet that has room.
+func TestNeedComesBack(t *testing.T) {
+	cases := []struct{ used, after, calls int }{{3, 24, 200}, {1, 2, 100}, {16, 32, 200}}
+	for _, c := range cases {
+		Convey(fmt.Sprintf("A need of %d that rose to %d is %d again after %d calls", c.used, c.after, c.used, c.calls), t, func() {
+			n := NewNeeds()
+			n.Learn("op", c.after, c.after, true)
+			for range c.calls {
+				n.Learn("op", c.after, c.used, true)
+			}
+			So(n.Expect("op", 0), ShouldEqual, c.used)
+		})
+	}
+}
--- a/internal/decide/budget/needs.go
+++ b/internal/decide/budget/needs.go
@@ -17,6 +17,11 @@
 	// Needs rise fast, since a draw too small fails, and fall slowly.
 	needUp   = 0.5
 	needDown = 1.0 / 16
+	// settled is how near a falling need counts as arrived. It falls by a part of
+	// what it is too high and never gets there: rounded up alone, each call would
+	// draw one run too many for good, and of calls side by side the last would
+	// wait for the first although the request's runs are enough for all.
+	settled = 0.1
 )
 
 // NewNeeds returns needs that know nothing yet.
@@ -27,7 +32,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if need, ok := n.operations[operation]; ok {
-		return int(math.Ceil(need))
+		return max(int(math.Ceil(need-settled)), 1)
 	}
 	return max(MaxDepth-depth, 1)
 }
--- a/internal/load/chain/caller.go
+++ b/internal/load/chain/caller.go
@@ -52,7 +52,7 @@
 	if tries == callerTries {
 		c.tally.sent(c.organisation, o.Priority, begun)
 	}
-	r := request{operation: o, organisation: c.organisation, deadline: f.clock.now.Add(o.Timeout)}
+	r := request{operation: o, organisation: c.organisation, deadline: f.clock.now.Add(o.Timeout), runs: new(int)}
 	over := false
 	end := func(ok bool, back time.Duration) {
 		if over {
--- a/internal/load/chain/cause_string.go
+++ b/internal/load/chain/cause_string.go
@@ -13,11 +13,12 @@
 	_ = x[Slow-2]
 	_ = x[OneSlow-3]
 	_ = x[Lossy-4]
+	_ = x[DeepLossy-5]
 }
 
-const _Cause_name = "surgeskewslowoneSlowlossy"
+const _Cause_name = "surgeskewslowoneSlowlossydeepLossy"
 
-var _Cause_index = [...]uint8{0, 5, 9, 13, 20, 25}
+var _Cause_index = [...]uint8{0, 5, 9, 13, 20, 25, 34}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/internal/load/chain/chain_test.go
+++ b/internal/load/chain/chain_test.go
@@ -78,14 +78,37 @@
 	})
 }
 
+// One organisation sends five times its rate through every host, and the others
+// keep to theirs. If their tokens or their slots went to it, dealers within
+// their rate would be refused for a stranger's surge.
 func TestRates(t *testing.T) {
-	Convey("An organisation far beyond its rate costs the others nothing that is theirs", t, func() {
+	var all []Experiment
+	for _, lent := range []bool{false, true} {
 		p := Ours()
-		p.Rates = 1.2
+		p.Rates, p.Lent = 1.2, lent
 		for _, d := range []Deployment{Rejestr(), Desarrollos()} {
-			r := Experiment{Deployment: d, Policy: p, Cause: Skew, Times: 5, Seed: 7}.Run()
-			So(r.WorstOrganisation, ShouldBeGreaterThan, 0.95)
+			all = append(all, Experiment{Deployment: d, Policy: p, Cause: Skew, Times: 5, Seed: 7})
 		}
+	}
+	for i, r := range runAll(all) {
+		Convey(fmt.Sprintf("%s, rates lent %v: it costs the others nothing that is theirs", r.Deployment, all[i].Policy.Lent), t, func() {
+			So(r.WorstOrganisation, ShouldBeGreaterThan, 0.95)
+			So(r.Wrongful, ShouldBeLessThan, 0.01)
+			So(r.RateExcess, ShouldEqual, 0)
+		})
+	}
+}
+
+// The upstreams of a deep chain repeat by themselves what failed, and the
+// deepest loses four answers in ten. Unbounded, one request then runs hundreds of
+// times, and the fleet is busy with repeats after the loss has ended.
+func TestDeepChain(t *testing.T) {
+	deep := Experiment{Deployment: Deep(16, 1), Policy: Ours(), Cause: DeepLossy, Times: 5, Seed: 7}
+	Convey("No request runs more often than its budget, goodput is what the answers allow, and it recovers", t, func() {
+		r := deep.Run()
+		So(r.MostRuns, ShouldBeLessThanOrEqualTo, deep.Policy.Budget)
+		So(r.Goodput, ShouldBeGreaterThan, 0.9*1.25*0.6)
+		So(r.RecoverySeconds, ShouldBeBetweenOrEqual, 0, 2)
 	})
 }
 
--- a/internal/load/chain/deployment.go
+++ b/internal/load/chain/deployment.go
@@ -23,6 +23,17 @@
 	// Share is its part of all requests.
 	Share   float64
 	Timeout time.Duration
+	// Fan is how many calls side by side the service at FanAt in the path makes of the next; 0 and 1 mean one.
+	Fan   int
+	FanAt int
+}
+
+// width returns how many calls of one request reach the service at that place of the path.
+func (o *Operation) width(hop int) int {
+	if hop > o.FanAt {
+		return max(o.Fan, 1)
+	}
+	return 1
 }
 
 // Deployment is the sizes of one user's fleet.
@@ -32,6 +43,8 @@
 	Operations []Operation
 	// Demand is each organisation's part of all requests; a few are large.
 	Demand []float64
+	// Insist is how often an upstream repeats by itself a call of its own that failed.
+	Insist int
 }
 
 var demand = []float64{0.30, 0.25, 0.12, 0.10, 0.08, 0.06, 0.05, 0.04}
@@ -47,9 +60,9 @@
 			{"repairs", 3, 15, 200, 40 * time.Millisecond},
 		},
 		Operations: []Operation{
-			{"lookup.find", call.Interactive, []string{"lookup", "repairs"}, 0.5, time.Second},
-			{"dispatch.notice", call.Standard, []string{"dispatch", "lookup", "repairs"}, 0.3, time.Second},
-			{"campaigns.send", call.Background, []string{"campaigns", "dispatch", "lookup", "repairs"}, 0.2, 2 * time.Second},
+			{Name: "lookup.find", Priority: call.Interactive, Path: []string{"lookup", "repairs"}, Share: 0.5, Timeout: time.Second},
+			{Name: "dispatch.notice", Priority: call.Standard, Path: []string{"dispatch", "lookup", "repairs"}, Share: 0.3, Timeout: time.Second},
+			{Name: "campaigns.send", Priority: call.Background, Path: []string{"campaigns", "dispatch", "lookup", "repairs"}, Share: 0.2, Timeout: 2 * time.Second},
 		},
 		Demand: demand,
 	}
@@ -66,9 +79,9 @@
 			{"despacho", 3, 20, 250, 40 * time.Millisecond},
 		},
 		Operations: []Operation{
-			{"calendario.book", call.Interactive, []string{"calendario", "despacho"}, 0.4, time.Second},
-			{"cobranza.charge", call.Standard, []string{"cobranza", "calendario", "despacho"}, 0.3, time.Second},
-			{"foto.send", call.Background, []string{"archivo-foto", "cobranza", "despacho"}, 0.3, 2 * time.Second},
+			{Name: "calendario.book", Priority: call.Interactive, Path: []string{"calendario", "despacho"}, Share: 0.4, Timeout: time.Second},
+			{Name: "cobranza.charge", Priority: call.Standard, Path: []string{"cobranza", "calendario", "despacho"}, Share: 0.3, Timeout: time.Second},
+			{Name: "foto.send", Priority: call.Background, Path: []string{"archivo-foto", "cobranza", "despacho"}, Share: 0.3, Timeout: 2 * time.Second},
 		},
 		Demand: demand,
 	}
@@ -89,7 +102,7 @@
 		below := 0.0
 		for i := len(o.Path) - 1; i >= 0; i-- {
 			below += means[o.Path[i]].Seconds()
-			held[o.Path[i]] += o.Share * below
+			held[o.Path[i]] += o.Share * below * float64(o.width(i))
 		}
 	}
 	tightest := 0.0
--- a/internal/load/chain/experiment.go
+++ b/internal/load/chain/experiment.go
@@ -21,10 +21,12 @@
 	OneSlow // oneSlow
 	// Lossy means that one answer in 100 is lost on its way, times the multiple.
 	Lossy // lossy
+	// DeepLossy means that one answer in 10 of the deepest service is lost on its way, times the multiple less one.
+	DeepLossy // deepLossy
 )
 
 // Causes is the number of causes.
-const Causes = int(Lossy) + 1
+const Causes = int(DeepLossy) + 1
 
 // Experiment is one run: load 1, then the cause, then load 1 again.
 type Experiment struct {
@@ -59,6 +61,10 @@
 	SlowestSeconds float64 `json:"slowestSeconds"`
 	// RunsPerWhole is the upstream runs for each whole answer, over the whole run.
 	RunsPerWhole float64 `json:"runsPerWhole"`
+	// MostRuns is the most upstream runs that one request caused each time that a caller sent it.
+	MostRuns int `json:"mostRuns"`
+	// RateExcess is how many requests more than their rates allow organisations had admitted, where rates are lent.
+	RateExcess float64 `json:"rateExcess"`
 }
 
 // The phases of a run: ramp up, measure load 1, bring the cause about, and watch the recovery.
@@ -102,6 +108,8 @@
 		f.slow(f.hosts[e.Deployment.deepest()], factor)
 	case Lossy:
 		f.loss = (factor - 1) / 100
+	case DeepLossy:
+		f.deepLoss = (factor - 1) / 10
 	case OneSlow:
 		f.slow(f.hosts[e.Deployment.Operations[0].Path[0]][:1], factor)
 	}
@@ -157,6 +165,10 @@
 	if n := len(t.latencies); n > 0 {
 		r.SlowestSeconds = t.latencies[n*99/100].Seconds()
 	}
+	r.MostRuns = f.most
+	if f.lent != nil {
+		r.RateExcess = f.lent.world.Checker.Excess
+	}
 	r.RunsPerWhole = float64(f.runs) / (t.rate(0, finishAt) * finishAt.Seconds())
 	return r
 }
--- a/internal/load/chain/fleet.go
+++ b/internal/load/chain/fleet.go
@@ -25,9 +25,14 @@
 	weights    []int
 	turn       int
 	buckets    []bucket
+	lent       *lentRates
 	// loss is the part of all answers that are lost after the work was done.
 	loss float64
-	runs int
+	// deepLoss is the part of the deepest service's answers that are lost.
+	deepLoss float64
+	runs     int
+	// most is the most runs that one request at the door has caused.
+	most int
 }
 
 // weightScale turns an organisation's part of the demand into a whole weight.
@@ -53,6 +58,9 @@
 		f.weights = append(f.weights, int(math.Round(share*weightScale)))
 		f.buckets = append(f.buckets, bucket{rate: p.Rates * share * d.rate(), at: f.clock.now})
 	}
+	if p.Lent {
+		f.lent = f.newLentRates(seed)
+	}
 	return f
 }
 
@@ -63,8 +71,21 @@
 	}
 }
 
-// lost reports whether the next answer is lost.
-func (f *fleet) lost() bool { return f.loss > 0 && f.random.Float64() < f.loss }
+// lost reports whether the answer to the request is lost.
+func (f *fleet) lost(r request) bool {
+	loss := f.loss
+	if r.last() {
+		loss = max(loss, f.deepLoss)
+	}
+	return loss > 0 && f.random.Float64() < loss
+}
+
+// ran counts a run of the request.
+func (f *fleet) ran(r request) {
+	f.runs++
+	*r.runs++
+	f.most = max(f.most, *r.runs)
+}
 
 // bucket is an organisation's rate and burst, kept in one place; how hosts share it is no matter here.
 type bucket struct {
--- a/internal/load/chain/host.go
+++ b/internal/load/chain/host.go
@@ -15,6 +15,7 @@
 // host is an instance with the daemon's decisions beside it.
 type host struct {
 	fleet    *fleet
+	number   int
 	instance *instance
 	gate     *admission.Gate
 	placer   *placing.Placer
@@ -28,6 +29,8 @@
 	organisation int
 	hop          int
 	deadline     time.Time
+	// runs counts the upstream runs that the request has caused at all hops.
+	runs *int
 }
 
 func (r request) service() string { return r.operation.Path[r.hop] }
@@ -49,6 +52,7 @@
 func (f *fleet) newHost(s Service) *host {
 	h := &host{
 		fleet:    f,
+		number:   len(f.all),
 		instance: &instance{clock: &f.clock, random: f.random, service: s, slow: 1},
 		needs:    budget.NewNeeds(),
 		placer:   placing.New("", placing.WithKind(f.policy.Placing), placing.WithChoose(f.random.IntN)),
@@ -64,24 +68,32 @@
 	return h
 }
 
-// enter is a caller's request at the door.
+// enter is a caller's request at the door; its rate comes first.
 func (h *host) enter(r request, done func(answer)) {
-	organisation := h.fleet.names[r.organisation]
-	if !h.fleet.buckets[r.organisation].spend(h.fleet.clock.now) {
-		done(answer{notRun: true})
+	decided := func(admitted bool) {
+		if !admitted {
+			done(answer{notRun: true})
+			return
+		}
+		h.admit(r, done)
+	}
+	if h.fleet.lent != nil {
+		h.fleet.lent.spend(h, r.organisation, decided)
 		return
 	}
+	decided(h.fleet.buckets[r.organisation].spend(h.fleet.clock.now))
+}
+
+// admit puts a request within its rate through the door.
+func (h *host) admit(r request, done func(answer)) {
+	organisation := h.fleet.names[r.organisation]
 	if h.fleet.policy.Doors {
 		if back, ok := h.doors.Admit(h.fleet.clock.now, organisation, r.operation.Name); !ok {
 			done(answer{notRun: true, back: back})
 			return
 		}
 	}
-	runs := h.fleet.policy.Budget
-	if runs == 0 {
-		runs = 1 << 16
-	}
-	h.dispatch(r, budget.New(runs), func(a answer) {
+	h.dispatch(r, budget.New(h.fleet.policy.Budget), func(a answer) {
 		h.doors.Report(h.fleet.clock.now, organisation, r.operation.Name, a.pressure, a.back)
 		done(a)
 	})
@@ -98,6 +110,9 @@
 	done    func(answer)
 }
 
+// drawAgain is how often a call looks whether the calls made beside it gave back what it lacks.
+const drawAgain = time.Millisecond
+
 func (h *host) dispatch(r request, account *budget.Account, done func(answer)) {
 	a := &attempts{host: h, request: r, account: account, done: done, last: answer{notRun: true, pressure: 1}}
 	a.next()
@@ -109,7 +124,11 @@
 		a.finish()
 		return
 	}
-	runs, _ := a.account.Draw(a.host.needs.Expect(a.request.operation.Name+a.request.service(), a.request.hop))
+	runs, wait := a.draw()
+	if wait != nil {
+		f.clock.after(drawAgain, a.next)
+		return
+	}
 	if runs == 0 {
 		a.finish()
 		return
@@ -129,13 +148,24 @@
 	})
 }
 
+// draw takes runs for one attempt from the account; without a budget each attempt may cause any number.
+func (a *attempts) draw() (int, <-chan struct{}) {
+	if a.host.fleet.policy.Budget == 0 {
+		return unbounded, nil
+	}
+	return a.account.Draw(a.host.needs.Expect(a.request.operation.Name+a.request.service(), a.request.hop))
+}
+
+// unbounded is the runs of an attempt without a budget.
+const unbounded = 1 << 30
+
 func (a *attempts) settle(place placing.Placement, runs int, back answer) {
 	now := a.host.fleet.clock.now
 	name := a.request.operation.Name + a.request.service()
 	a.host.placer.Settle(now, place, name, back.ending(), back.load)
 	a.account.Settle(runs, back.left)
-	if back.ok {
-		a.host.needs.Learn(name, runs, runs-back.left, true)
+	if back.ok || back.failed {
+		a.host.needs.Learn(name, runs, runs-back.left, back.ok)
 	}
 	a.last = back
 	a.ran = a.ran || !back.notRun
@@ -222,25 +252,10 @@
 		v.refused(admission.Decision{})
 		return
 	}
-	f.runs++
+	f.ran(v.request)
 	f.clock.at(v.request.deadline, func() { v.end(answer{pressure: 1}) })
 }
 
-// deeper calls the next service of the path once the instance's own part is done.
-func (v *visit) deeper() {
-	if v.request.last() {
-		v.end(answer{ok: true, left: v.runs - 1})
-		return
-	}
-	f, next := v.host.fleet, v.request
-	next.hop++
-	account, begun := budget.New(v.runs-1), f.clock.now
-	v.host.dispatch(next, account, func(a answer) {
-		v.nested = f.clock.now.Sub(begun)
-		v.end(answer{ok: a.ok, failed: !a.ok, pressure: a.pressure, left: account.Close()})
-	})
-}
-
 // end settles the visit once, when its work is done or its deadline has passed, which cancels the work.
 func (v *visit) end(a answer) {
 	if v.over {
@@ -250,7 +265,7 @@
 	now := v.host.fleet.clock.now
 	v.host.instance.release(v.work)
 	v.host.gate.Settle(now, &v.ticket, admission.Result{Own: max(now.Sub(v.begun)-v.nested, 0)})
-	if v.host.fleet.lost() {
+	if v.host.fleet.lost(v.request) {
 		a = answer{}
 	}
 	a.load = v.host.gate.Load()
--- a/internal/load/chain/naive.go
+++ b/internal/load/chain/naive.go
@@ -32,7 +32,7 @@
 }
 
 func (f *fleet) naiveServe(i *instance, r request, done func(bool)) {
-	if f.lost() {
+	if f.lost(r) {
 		inner := done
 		done = func(bool) { inner(false) }
 	}
@@ -43,9 +43,7 @@
 			done(true)
 			return
 		}
-		next := r
-		next.hop++
-		f.naiveCall(next, triesPerHop, func(ok bool) {
+		f.naiveNested(r, func(ok bool) {
 			i.release(w)
 			done(ok)
 		})
@@ -54,5 +52,30 @@
 		done(false)
 		return
 	}
-	f.runs++
+	f.ran(r)
+}
+
+// naiveNested makes an upstream's own calls, side by side, each repeated by itself if it fails.
+func (f *fleet) naiveNested(r request, done func(bool)) {
+	open, all := 1, true
+	if r.hop == r.operation.FanAt {
+		open = max(r.operation.Fan, 1)
+	}
+	r.hop++
+	var one func(insist int)
+	one = func(insist int) {
+		f.naiveCall(r, triesPerHop, func(ok bool) {
+			if !ok && insist > 0 {
+				one(insist - 1)
+				return
+			}
+			all = all && ok
+			if open--; open == 0 {
+				done(all)
+			}
+		})
+	}
+	for range open {
+		one(f.deployment.Insist)
+	}
 }
--- a/internal/load/chain/policy.go
+++ b/internal/load/chain/policy.go
@@ -28,6 +28,8 @@
 	Wait time.Duration
 	// Rates is each organisation's rate, relative to what it sends at load 1; 0 for no rates.
 	Rates float64
+	// Lent keeps the rates with the fleet's own code, home and borrower at each host, in place of one exact bucket each.
+	Lent bool
 }
 
 // Ours returns the choices that the daemon makes by default.
@@ -38,8 +40,8 @@
 // Naive returns what the decisions are compared with.
 func Naive() Policy { return Policy{Name: "naive", Naive: true} }
 
-// defaultRuns is the budget of one request.
-const defaultRuns = 16
+// defaultRuns is the budget of one request, as the daemon has it by default.
+const defaultRuns = 32
 
 // triesPerHop is how many hosts one hop tries, with and without a budget.
 const triesPerHop = 3
