Keep spare runs for the calls made side by side later

Cause: a draw took spare runs as though it were a request's only call, so that of four calls side by side the last waited for the first. An account now knows what the calls of its request are likely to need in all (each owner learns it from what they used) and lends as spare only what is beyond that.

--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -18,6 +18,8 @@
 	gate     *admission.Gate
 	upstream *upstream.Client
 	chains   *chains
+	// below is what the upstream's own calls need for each operation.
+	below *budget.Needs
 }
 
 func newOwner(s settings.Settings, u *upstream.Client) *owner {
@@ -27,7 +29,7 @@
 		admission.WithWait(s.QueueTime),
 		admission.WithLength(s.QueueLength),
 	)
-	return &owner{gate: gate, upstream: u, chains: newChains()}
+	return &owner{gate: gate, upstream: u, chains: newChains(), below: budget.NewNeeds()}
 }
 
 // waiter hands the gate's decision to the goroutine that waits for it.
@@ -82,7 +84,8 @@
 
 // execute runs an admitted request; the gate is settled however it ends.
 func (o *owner) execute(ctx context.Context, r *call.Request, t *admission.Ticket) call.Answer {
-	account := budget.New(r.Budget - 1)
+	given := r.Budget - 1
+	account := budget.NewFor(given, o.below.Expect(r.Operation, r.Depth+1))
 	token, origin := o.chains.open(r, account)
 	begun := time.Now()
 	answer := o.upstream.Do(ctx, r, token)
@@ -90,7 +93,11 @@
 	now := time.Now()
 	waited, deeper := origin.waited(now)
 	o.gate.Settle(now, t, result(answer, max(now.Sub(begun)-waited, 0)))
-	answer = credible(r, answer, account.Close())
+	left := account.Close()
+	if answer.Outcome == call.Whole {
+		o.below.Learn(r.Operation, given, given-left, answer.Status < statusFault)
+	}
+	answer = credible(r, answer, left)
 	answer.Load = o.gate.Load()
 	if answer.Status >= statusFault {
 		answer.Load.Pressure = deeper
--- a/internal/decide/budget/account.go
+++ b/internal/decide/budget/account.go
@@ -9,9 +9,11 @@
 // run is drawn from what came in with the request, and what was handed to an
 // attempt whose answer got lost stays lost.
 type Account struct {
-	mu      sync.Mutex
-	left    int
-	out     int
+	mu   sync.Mutex
+	left int
+	out  int
+	// reserve is what calls not made yet are likely to need.
+	reserve int
 	closed  bool
 	changed chan struct{}
 }
@@ -23,6 +25,14 @@
 // New returns an account with the given number of runs.
 func New(runs int) *Account { return &Account{left: max(runs, 0)} }
 
+// NewFor returns an account whose calls are likely to need so many runs in all.
+//
+// An upstream may make several calls side by side. The first, which knows of no
+// other, would take the spare runs that the last one lacks.
+func NewFor(runs, expected int) *Account {
+	return &Account{left: max(runs, 0), reserve: max(expected, 0)}
+}
+
 // Left returns the runs not yet drawn.
 func (a *Account) Left() int {
 	a.mu.Lock()
@@ -54,7 +64,8 @@
 		}
 		return 0, a.changed
 	}
-	spare := max(a.left-need, 0)
+	spare := max(a.left-max(need, a.reserve), 0)
+	a.reserve = max(a.reserve-need, 0)
 	runs := min(a.left, need+min(need, spare/spareShare))
 	a.left -= runs
 	a.out++
--- a/internal/decide/budget/account_test.go
+++ b/internal/decide/budget/account_test.go
@@ -125,3 +125,30 @@
 		})
 	}
 }
+
+// An upstream makes four calls side by side, each needs three runs, and twelve
+// are there. If the first takes spare runs as though it were the only one, the
+// last waits until it is back, and the caller for twice as long.
+func TestSideBySide(t *testing.T) {
+	cases := []struct {
+		runs, expected, calls, need int
+		draws                       []int
+	}{
+		{12, 12, 4, 3, []int{3, 3, 3, 3}},
+		{20, 12, 4, 3, []int{5, 4, 4, 4}},
+		{20, 16, 1, 16, []int{17}},
+		// Nothing is known of the calls, or more is asked for than was expected.
+		{12, 0, 1, 3, []int{5}},
+		{12, 3, 2, 3, []int{5, 4}},
+	}
+	for _, c := range cases {
+		Convey(fmt.Sprintf("%d runs, %d expected, calls of %d", c.runs, c.expected, c.need), t, func() {
+			a := NewFor(c.runs, c.expected)
+			for _, want := range c.draws {
+				runs, wait := a.Draw(c.need)
+				So(wait, ShouldBeNil)
+				So(runs, ShouldEqual, want)
+			}
+		})
+	}
+}
--- a/internal/load/chain/clock.go
+++ b/internal/load/chain/clock.go
@@ -1,9 +1,6 @@
 package chain
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // clock runs events in the order of their virtual time.
 type clock struct {
@@ -13,48 +10,76 @@
 }
 
 type event struct {
-	at  time.Time
+	at  int64
 	seq uint64
 	do  func()
 }
 
-type events []event
+func (e event) before(o event) bool { return e.at < o.at || e.at == o.at && e.seq < o.seq }
 
-func (e events) Len() int { return len(e) }
+// events is a binary heap with the next event first. A run has millions of them,
+// which through container/heap would each be allocated.
+type events []event
 
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].seq < e[j].seq
+func (e *events) push(next event) {
+	all := append(*e, next)
+	i := len(all) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !next.before(all[parent]) {
+			break
+		}
+		all[i] = all[parent]
+		i = parent
 	}
-	return e[i].at.Before(e[j].at)
+	all[i] = next
+	*e = all
 }
 
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) pop() event {
+	all := *e
+	first, last := all[0], all[len(all)-1]
+	all[len(all)-1] = event{}
+	all = all[:len(all)-1]
+	if len(all) > 0 {
+		all.sink(last)
+	}
+	*e = all
+	return first
+}
 
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
-	return last
+// sink puts an event in the first place and moves it down to where it belongs.
+func (e events) sink(moved event) {
+	i := 0
+	for {
+		child := 2*i + 1
+		if child >= len(e) {
+			break
+		}
+		if child+1 < len(e) && e[child+1].before(e[child]) {
+			child++
+		}
+		if !e[child].before(moved) {
+			break
+		}
+		e[i] = e[child]
+		i = child
+	}
+	e[i] = moved
 }
 
 func (c *clock) after(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
 
 func (c *clock) at(t time.Time, do func()) {
 	c.seq++
-	heap.Push(&c.events, event{at: t, seq: c.seq, do: do})
+	c.events.push(event{at: t.UnixNano(), seq: c.seq, do: do})
 }
 
 // run executes all events up to a time.
 func (c *clock) run(until time.Time) {
-	for len(c.events) > 0 && !c.events[0].at.After(until) {
-		e := heap.Pop(&c.events).(event)
-		c.now = e.at
+	for len(c.events) > 0 && c.events[0].at <= until.UnixNano() {
+		e := c.events.pop()
+		c.now = time.Unix(0, e.at)
 		e.do()
 	}
 	c.now = until
--- a/internal/load/chain/host.go
+++ b/internal/load/chain/host.go
@@ -20,7 +20,9 @@
 	gate     *admission.Gate
 	placer   *placing.Placer
 	needs    *budget.Needs
-	doors    *pressure.Doors
+	// below is what the upstream's own calls need for each operation.
+	below *budget.Needs
+	doors *pressure.Doors
 }
 
 // request is one call at one hop of its path.
@@ -55,6 +57,7 @@
 		number:   len(f.all),
 		instance: &instance{clock: &f.clock, random: f.random, service: s, slow: 1},
 		needs:    budget.NewNeeds(),
+		below:    budget.NewNeeds(),
 		placer:   placing.New("", placing.WithKind(f.policy.Placing), placing.WithChoose(f.random.IntN)),
 		doors:    pressure.New(pressure.WithRand(f.random.Float64)),
 	}
--- a/internal/load/chain/nested.go
+++ b/internal/load/chain/nested.go
@@ -22,7 +22,8 @@
 		return
 	}
 	f, o := v.host.fleet, v.request.operation
-	n := &nested{visit: v, account: budget.New(v.runs - 1), begun: f.clock.now, open: 1, all: answer{ok: true}}
+	account := budget.NewFor(v.runs-1, v.host.below.Expect(o.Name, v.request.hop+1))
+	n := &nested{visit: v, account: account, begun: f.clock.now, open: 1, all: answer{ok: true}}
 	if v.request.hop == o.FanAt {
 		n.open = max(o.Fan, 1)
 	}
@@ -53,5 +54,7 @@
 	}
 	n.visit.nested = n.visit.host.fleet.clock.now.Sub(n.begun)
 	n.all.failed, n.all.left = !n.all.ok, n.account.Close()
+	given := n.visit.runs - 1
+	n.visit.host.below.Learn(n.visit.request.operation.Name, given, given-n.all.left, n.all.ok)
 	n.visit.end(n.all)
 }
