--- a/internal/decide/budget/account_test.go
+++ b/internal/decide/budget/account_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -106,3 +107,48 @@
 		So(n.Expect("op", 0), ShouldEqual, 8)
 	})
 }
+
+// Calls of an operation need one run more for a while, then as many as before.
+// If the learned need stayed one too high, calls side by side would draw more
+// than they use, the last would wait for the first, and the services above would
+// hold their slots for twice as long: callers see refusals at a fleet that has room.
+func TestNeedComesBack(t *testing.T) {
+	cases := []struct{ used, after, calls int }{{3, 24, 200}, {1, 2, 100}, {16, 32, 200}}
+	for _, c := range cases {
+		Convey(fmt.Sprintf("A need of %d that rose to %d is %d again after %d calls", c.used, c.after, c.used, c.calls), t, func() {
+			n := NewNeeds()
+			n.Learn("op", c.after, c.after, true)
+			for range c.calls {
+				n.Learn("op", c.after, c.used, true)
+			}
+			So(n.Expect("op", 0), ShouldEqual, c.used)
+		})
+	}
+}
+
+// An upstream makes four calls side by side, each needs three runs, and twelve
+// are there. If the first takes spare runs as though it were the only one, the
+// last waits until it is back, and the caller for twice as long.
+func TestSideBySide(t *testing.T) {
+	cases := []struct {
+		runs, expected, calls, need int
+		draws                       []int
+	}{
+		{12, 12, 4, 3, []int{3, 3, 3, 3}},
+		{20, 12, 4, 3, []int{5, 4, 4, 4}},
+		{20, 16, 1, 16, []int{17}},
+		// Nothing is known of the calls, or more is asked for than was expected.
+		{12, 0, 1, 3, []int{5}},
+		{12, 3, 2, 3, []int{5, 4}},
+	}
+	for _, c := range cases {
+		Convey(fmt.Sprintf("%d runs, %d expected, calls of %d", c.runs, c.expected, c.need), t, func() {
+			a := NewFor(c.runs, c.expected)
+			for _, want := range c.draws {
+				runs, wait := a.Draw(c.need)
+				So(wait, ShouldBeNil)
+				So(runs, ShouldEqual, want)
+			}
+		})
+	}
+}
