Measure rates on real daemons: wrongful refusals, bytes of leases, waits

Daemons count the bytes of each kind of message; -shards is there to compare, and the bench's borrowers have names as long as real ones.

--- a/cmd/foxtailload/main.go
+++ b/cmd/foxtailload/main.go
@@ -19,7 +19,7 @@
 
 func main() {
 	os.Exit(program.Run("foxtailload", "Drives traffic at a fleet and checks every answer.",
-		runCommand(), publishCommand(), readyCommand(), changesCommand(), latencyCommand()))
+		runCommand(), publishCommand(), readyCommand(), changesCommand(), demandCommand(), latencyCommand()))
 }
 
 func runCommand() *ffcli.Command {
--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -22,6 +22,8 @@
 	self     rate.Member
 	seeks    seeks
 	asked    atomic.Uint64
+	waits    atomic.Uint64
+	back     atomic.Uint64
 	mayLend  atomic.Bool
 	complete time.Time
 	ready    atomic.Bool
@@ -243,6 +245,9 @@
 	TokensLent    uint64 `json:"tokensLent"`
 	TokensHere    int    `json:"tokensHere"`
 	Asks          uint64 `json:"asks"`
+	LeaseBytes    uint64 `json:"leaseBytesSent"`
+	Waits         uint64 `json:"waits"`
+	GivenBack     uint64 `json:"givenBack"`
 	LendsUntil    string `json:"lendsUntil"`
 	FencedUntil   string `json:"fencedUntil"`
 }
@@ -254,6 +259,7 @@
 	return RateStatus{
 		MayLend: s.MayLend, HostsVersion: s.Version, Members: s.Members, Organisations: s.Organisations, Shards: s.Shards,
 		TokensOut: s.Lent, TokensLent: s.Tokens, TokensHere: here, Asks: r.asked.Load(),
+		LeaseBytes: r.daemon.peers.SentOf(peer.KindLease), Waits: r.waits.Load(), GivenBack: r.back.Load(),
 		LendsUntil: timeText(s.LendsUntil), FencedUntil: timeText(s.FencedUntil),
 	}
 }
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -41,6 +41,7 @@
 	case rate.Dry:
 	}
 	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	r.waits.Add(1)
 	s := r.join(organisation)
 	defer func() { s.leave() }()
 	for {
@@ -68,6 +69,7 @@
 func (r *rates) giveBack(a *admitted) {
 	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
 		r.daemon.metrics.Scope.Counter("rate_given_back").Inc(1)
+		r.back.Add(1)
 	}
 }
 
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -59,6 +59,7 @@
 	Advertise netip.AddrPort
 	Fence     time.Duration
 	Loan      time.Duration
+	Shards    int
 }
 
 // Problems lists every fault of the settings; as an error it has one line for each.
@@ -143,6 +144,7 @@
 	b.advertised(&s.Advertise, &s.Peers)
 	b.duration(&s.Fence, "fence", rate.DefaultFence, "time until the rate shards of a host that vanished are taken over; the same on all hosts", time.Second, 24*time.Hour)
 	b.duration(&s.Loan, "loan", rate.DefaultLoan, "time that lent tokens may be spent; the same on all hosts", 10*time.Millisecond, time.Minute)
+	b.count(&s.Shards, "shards", rate.DefaultShards, "pieces that each rate is cut into; the same on all hosts, changed only while all are stopped", 1, 64)
 	b.duration(&s.IsolationTime, "isolation-time", time.Minute, "time after which a daemon that neither a peer nor the platform answers takes no more callers; 0 is never", 0, 24*time.Hour)
 	s.Guards.bind(b)
 	b.level(&s.LogLevel, "log-level", "info", "error, warn, info (a line for each decision) or debug")
@@ -175,7 +177,7 @@
 // Limits returns the times that the fleet's rates rest on.
 func (s *Settings) Limits() rate.Limits {
 	l := rate.DefaultLimits()
-	l.Fence, l.Loan = s.Fence, s.Loan
+	l.Fence, l.Loan, l.Shards = s.Fence, s.Loan, s.Shards
 	return l
 }
 
--- a/internal/bench/rates/experiment.go
+++ b/internal/bench/rates/experiment.go
@@ -140,8 +140,8 @@
 // loadShare is the offered load as a share of each organisation's rate: inside it, so that all refusals are wrongful.
 const loadShare = 0.8
 
-// organisations returns eight plans, a few of them large.
-func organisations() []lists.Organisation {
+// Organisations returns eight plans, a few of them large.
+func Organisations() []lists.Organisation {
 	return []lists.Organisation{
 		{Organisation: "o1", Plan: "p", Rate: 200, Burst: 400},
 		{Organisation: "o2", Plan: "p", Rate: 100, Burst: 100},
@@ -159,7 +159,7 @@
 
 // Run takes a fleet through a case.
 func Run(v Variant, c Case, a Arrival, hosts int, seed uint64) Result {
-	w := NewWorld(seed, v.Way, v.Limits, organisations())
+	w := NewWorld(seed, v.Way, v.Limits, Organisations())
 	for range hosts {
 		w.AddHost()
 	}
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -154,7 +154,7 @@
 	h.deferred = nil
 	h.seeks = map[string]*seek{}
 	h.home = rate.NewHome(h.Member, h.incarnation, w.limits, w.Now, w.opts...)
-	h.borrower = rate.NewBorrower(h.Member.Host, h.incarnation, w.limits)
+	h.borrower = rate.NewBorrower(h.Member.Host+"@"+h.Member.Peer.String(), h.incarnation, w.limits)
 	h.borrower.SetOwn(h.Member)
 	h.equal = newEqual(map[string]lists.Organisation{})
 	w.givePlans(h)
--- a/internal/load/changes/plan.go
+++ b/internal/load/changes/plan.go
@@ -20,6 +20,7 @@
 	Zone      string         `json:"zone"`
 	Peer      netip.AddrPort `json:"peer"`
 	Operators netip.AddrPort `json:"operators"`
+	Callers   netip.AddrPort `json:"callers"`
 	PID       int            `json:"pid"`
 	Log       string         `json:"log"`
 }
@@ -36,6 +37,8 @@
 	// Idle is the length of the quiet part, Every the time between two changes.
 	Idle  time.Duration
 	Every time.Duration
+	// OneService makes all daemons hosts of one service.
+	OneService bool
 }
 
 // ReadFleet reads a JSON array of daemons.
@@ -51,11 +54,18 @@
 // services is the number of services over which listed hosts are spread.
 const services = 9
 
+func (p *Plan) services() int {
+	if p.OneService {
+		return 1
+	}
+	return services
+}
+
 func (p *Plan) hosts() lists.Hosts {
 	var list lists.Hosts
 	for i, d := range p.Daemons {
 		list.Hosts = append(list.Hosts, lists.Host{
-			Host: d.Host, Service: fmt.Sprintf("service-%d", i%services), Region: "default", Zone: d.Zone, Peer: d.Peer,
+			Host: d.Host, Service: fmt.Sprintf("service-%d", i%p.services()), Region: "default", Zone: d.Zone, Peer: d.Peer,
 		})
 	}
 	for i := len(p.Daemons); i < p.Listed; i++ {
--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -24,6 +24,9 @@
 	sent     uint64
 	received uint64
 	links    int
+	lease    uint64
+	asks     uint64
+	waits    uint64
 }
 
 // clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
@@ -77,11 +80,17 @@
 		Sent     uint64 `json:"peerBytesSent"`
 		Received uint64 `json:"peerBytesReceived"`
 		Links    int    `json:"peerConnections"`
+		Rates    struct {
+			Asks  uint64 `json:"asks"`
+			Bytes uint64 `json:"leaseBytesSent"`
+			Waits uint64 `json:"waits"`
+		} `json:"rates"`
 	}
 	if err := json.Unmarshal(raw, &status); err != nil {
 		return errors.Wrap(err, "changes: status")
 	}
 	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
+	u.lease, u.asks, u.waits = status.Rates.Bytes, status.Rates.Asks, status.Rates.Waits
 	return nil
 }
 
@@ -106,6 +115,11 @@
 	// Sent and Received are bytes a second between peers, without TCP's own.
 	Sent     Range `json:"sentBytesPerS"`
 	Received Range `json:"receivedBytesPerS"`
+	// Lease is the part of Sent that lends tokens, answers counted, and Asks are the questions of it a second.
+	Lease Range `json:"leaseBytesPerS"`
+	Asks  Range `json:"leaseAsksPerS"`
+	// Waits are requests a second that found no token in stock.
+	Waits Range `json:"waitsPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
 	// Peak is the most since the process began, in megabytes.
@@ -130,18 +144,21 @@
 }
 
 func spent(before, after []usage) Spent {
-	var cpu, sent, received, resident, peaks, links []float64
+	var cpu, sent, received, resident, peaks, links, lease, asks, waits []float64
 	for i := range before {
 		length := after[i].at.Sub(before[i].at).Seconds()
 		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
 		sent = append(sent, float64(after[i].sent-before[i].sent)/length)
 		received = append(received, float64(after[i].received-before[i].received)/length)
+		lease = append(lease, float64(after[i].lease-before[i].lease)/length)
+		asks = append(asks, float64(after[i].asks-before[i].asks)/length)
+		waits = append(waits, float64(after[i].waits-before[i].waits)/length)
 		resident = append(resident, float64(after[i].resident)/(1<<20))
 		peaks = append(peaks, float64(after[i].peak)/(1<<20))
 		links = append(links, float64(after[i].links))
 	}
 	return Spent{
 		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
-		Peak: rangeOf(peaks), Links: rangeOf(links),
+		Peak: rangeOf(peaks), Links: rangeOf(links), Lease: rangeOf(lease), Asks: rangeOf(asks), Waits: rangeOf(waits),
 	}
 }
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -50,7 +50,7 @@
 		return resp, err
 	}
 	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
-	end, err := l.write(request.encode())
+	end, err := l.send(&request)
 	if err != nil {
 		l.forget(id)
 		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
@@ -67,7 +67,7 @@
 	case <-ctx.Done():
 		l.forget(id)
 		stop := frame{form: formCancel, kind: kind, id: id}
-		_, _ = l.write(stop.encode())
+		_, _ = l.send(&stop)
 		return resp, ctx.Err()
 	}
 }
@@ -98,6 +98,6 @@
 		return err
 	}
 	out := frame{form: formOneWay, kind: kind, payload: payload}
-	_, err = l.write(out.encode())
+	_, err = l.send(&out)
 	return errors.Wrapf(err, "peer: write to %s", to)
 }
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// send writes a frame and counts its bytes for its kind.
+func (l *link) send(f *frame) (end uint64, err error) {
+	raw := f.encode()
+	l.node.sentOf[f.kind].Add(uint64(len(raw)))
+	return l.write(raw)
+}
+
 // write sends a frame and returns the stream offset at which it ends; an error
 // means that the frame was not sent whole, so the other side can't act on it.
 func (l *link) write(data []byte) (end uint64, err error) {
@@ -166,7 +173,7 @@
 	}
 	if f.form == formRequest {
 		reply := frame{form: formAnswer, kind: f.kind, id: f.id, payload: out}
-		_, _ = l.write(reply.encode())
+		_, _ = l.send(&reply)
 	}
 }
 
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -39,6 +39,7 @@
 
 	sent     atomic.Uint64
 	received atomic.Uint64
+	sentOf   [1 << 8]atomic.Uint64
 
 	mu    sync.Mutex
 	links map[lane]*link
@@ -136,6 +137,9 @@
 // Traffic returns the bytes sent and received since the start.
 func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
 
+// SentOf returns the bytes sent in messages of one kind since the start, answers counted.
+func (n *Node) SentOf(k Kind) uint64 { return n.sentOf[k].Load() }
+
 // Connections returns the number of open connections.
 func (n *Node) Connections() int {
 	n.mu.Lock()
--- a/scripts/measure/changes.sh
+++ b/scripts/measure/changes.sh
@@ -17,7 +17,7 @@
   "$work/foxtailhook" -host "host-$i" -service "service-$((i % 9))" -zone "zone-$((i % zones))" \
     -callers "$at:7000" -peers "$at:7001" -operators "$at:7002" -upstream "$at:8000" -platform "$platform" "$@" \
     2>"$work/host-$i.log" & pids+=($!)
-  echo "{\"host\":\"host-$i\",\"zone\":\"zone-$((i % zones))\",\"peer\":\"$at:7001\",\"operators\":\"$at:7002\",\"pid\":$!,\"log\":\"$work/host-$i.log\"}" >>"$work/fleet.lines"
+  echo "{\"host\":\"host-$i\",\"zone\":\"zone-$((i % zones))\",\"peer\":\"$at:7001\",\"callers\":\"$at:7000\",\"operators\":\"$at:7002\",\"pid\":$!,\"log\":\"$work/host-$i.log\"}" >>"$work/fleet.lines"
 done
 paste -sd, "$work/fleet.lines" | sed 's/^/[/; s/$/]/' >"$work/fleet.json"
 sleep 1
