--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -23,6 +23,8 @@
 	self     rate.Member
 	seeks    seeks
 	asked    atomic.Uint64
+	waits    atomic.Uint64
+	back     atomic.Uint64
 	mayLend  atomic.Bool
 	complete time.Time
 	// configured are the versions of the lists that were taken over.
@@ -259,6 +261,8 @@
 	TokensLent    uint64 `json:"tokensLent"`
 	TokensHere    int    `json:"tokensHere"`
 	Asks          uint64 `json:"asks"`
+	Waits         uint64 `json:"waits"`
+	GivenBack     uint64 `json:"givenBack"`
 	LendsUntil    string `json:"lendsUntil"`
 	FencedUntil   string `json:"fencedUntil"`
 }
@@ -270,6 +274,7 @@
 	return RateStatus{
 		MayLend: s.MayLend, HostsVersion: s.Version, Members: s.Members, Organisations: s.Organisations, Shards: s.Shards,
 		TokensOut: s.Lent, TokensLent: s.Tokens, TokensHere: here, Asks: r.asked.Load(),
+		Waits: r.waits.Load(), GivenBack: r.back.Load(),
 		LendsUntil: timeText(s.LendsUntil), FencedUntil: timeText(s.FencedUntil),
 	}
 }
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -42,6 +42,7 @@
 	case rate.Dry:
 	}
 	r.daemon.metrics.Counter(telemetry.RateWaits).Inc(1)
+	r.waits.Add(1)
 	s := r.join(organisation)
 	defer func() { s.leave() }()
 	for {
@@ -69,6 +70,7 @@
 func (r *rates) giveBack(a *admitted) {
 	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
 		r.daemon.metrics.Scope.Counter(telemetry.RateGivenBack).Inc(1)
+		r.back.Add(1)
 	}
 }
 
