Keep an earlier host list in mind until its majority is gone

Cause: where a platform replaces most hosts of a service while the old ones live on, cut off, both lists are confirmed by their own hosts, and after the window the new side forgot the old list. A key that ran on the one side ran again on the other. Nothing like it was tried before, since the model only changed lists gradually.

An earlier list now ends only when half of its hosts or more have said that they have a newer one; a daemon that missed lists takes them over from the others; hosts that the list has dropped are still asked. Ruled out: a time limit, which a longer cut passes, and stopping the old side without the platform's word, which stops all in an outage. Price: when most hosts of a list crash at once for good, their keys stay in doubt until the other daemons were restarted.

The memory is kept for -max-timeout longer than the window.

--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -27,15 +27,22 @@
 	history *ledger.History
 	window  time.Duration
 	passed  atomic.Bool
+
+	// addresses are those of the hosts that are asked, also of such that the list
+	// has dropped: only they can say that they have left the earlier list.
+	addresses atomic.Pointer[map[string]netip.AddrPort]
 }
 
 func newRepeats(d *Daemon) *repeats {
 	s := d.settings
+	// A repeat that was sent at the end of the window is still on its way for as
+	// long as a request may take. Forgotten meanwhile, it would run again.
+	window := s.RepeatWindow + s.MaxTimeout
 	r := &repeats{
 		daemon:  d,
-		ledger:  ledger.New(s.RepeatWindow, s.RepeatKeys, s.RepeatBytes, time.Now()),
-		history: ledger.NewHistory(s.RepeatWindow),
-		window:  s.RepeatWindow,
+		ledger:  ledger.New(window, s.RepeatKeys, s.RepeatBytes, time.Now()),
+		history: ledger.NewHistory(window),
+		window:  window,
 	}
 	peer.Handle(d.peers, peer.KindOnce, r.takeOnce)
 	peer.Handle(d.peers, peer.KindRecall, r.takeRecall)
@@ -46,6 +53,23 @@
 // observe notes the hosts of the daemon's own service; it runs on the control thread.
 func (r *repeats) observe(view *lists.View, now time.Time) {
 	r.history.Observe(view.Version(lists.KindHosts), holders(view, r.daemon.settings.Service), now)
+	r.remember(view, now)
+}
+
+// remember keeps the addresses of the hosts that may be asked.
+func (r *repeats) remember(view *lists.View, now time.Time) {
+	next := map[string]netip.AddrPort{}
+	if before := r.addresses.Load(); before != nil {
+		for _, name := range r.history.Everyone(now) {
+			if at, ok := (*before)[name]; ok {
+				next[name] = at
+			}
+		}
+	}
+	for _, h := range view.HostsOf(r.daemon.settings.Service) {
+		next[h.Host] = h.Peer
+	}
+	r.addresses.Store(&next)
 }
 
 // holders returns the hosts of a service among which keys are spread. A leaving
@@ -216,17 +240,20 @@
 func (r *repeats) recallAll(ctx context.Context, question recall, now time.Time) map[string]ledger.Memory {
 	ctx, cancel := context.WithTimeout(ctx, recallTime)
 	defer cancel()
-	view := r.daemon.view.Load()
+	var addresses map[string]netip.AddrPort
+	if known := r.addresses.Load(); known != nil {
+		addresses = *known
+	}
 	replies := map[string]ledger.Memory{}
 	var mu sync.Mutex
 	var asking sync.WaitGroup
 	for _, name := range r.history.Everyone(now) {
-		host, ok := view.Host(name)
+		to, ok := addresses[name]
 		if !ok || name == question.Asker {
 			continue
 		}
 		asking.Go(func() {
-			m, err := peer.Call[recall, ledger.Memory](ctx, r.daemon.peers, host.Peer, peer.KindRecall, question)
+			m, err := peer.Call[recall, ledger.Memory](ctx, r.daemon.peers, to, peer.KindRecall, question)
 			if err == nil {
 				mu.Lock()
 				replies[name] = m
@@ -235,11 +262,11 @@
 		})
 	}
 	asking.Wait()
-	others := make(map[string][]string, len(replies))
+	words := make(map[string]ledger.Word, len(replies))
 	for name, m := range replies {
-		others[name] = m.Hosts
+		words[name] = m.Word
 	}
-	r.history.Confirm(question.Asker, others, now)
+	r.history.Confirm(question.Asker, words, now)
 	return replies
 }
 
@@ -256,7 +283,7 @@
 		m = r.ledger.Recall(q.Key, q.Asker, now)
 		m.Required = r.history.Required(q.Key, now)
 	}
-	m.Hosts = r.history.Hosts()
+	m.Word = r.history.Word()
 	return m
 }
 
--- a/internal/fleet/ledger/recall.go
+++ b/internal/fleet/ledger/recall.go
@@ -23,8 +23,8 @@
 	Age time.Duration `msgpack:"age"`
 	// Legacies are the ages of the memories that others passed on to it.
 	Legacies map[string]time.Duration `msgpack:"legacies"`
-	// Hosts are those of the service in the daemon's newest list.
-	Hosts []string `msgpack:"hosts"`
+	// Word is what the daemon says of its lists.
+	Word Word `msgpack:"word"`
 	// Required are the daemons that may have held the key, as far as this one knows.
 	Required []string `msgpack:"required"`
 }
--- a/internal/proof/scenario/truth_test.go
+++ b/internal/proof/scenario/truth_test.go
@@ -25,6 +25,7 @@
 func truthCommands() map[string]command {
 	return map[string]command{
 		"newkey":  cmdNewKey,  // newkey NAME: set $NAME to an idempotency key that tells its time
+		"keyruns": cmdKeyRuns, // keyruns: print the number of idempotency keys that ran, and the most runs for one
 		"digest":  cmdDigest,  // digest NAME METHOD PATH [options as for send]: as send, but print whether the body came back whole
 		"load":    cmdLoad,    // load RATE METHOD PATH key=K: send requests at a steady rate to all hosts in turn, over kept connections
 		"loadend": cmdLoadEnd, // loadend: stop the load and print what became of it
@@ -217,3 +218,26 @@
 		l.counts["whole"], l.counts["notRun"], l.counts["outcomeUnknown"], l.counts["crossed"], l.counts["broken"], l.untrue(ts),
 		strings.Join(l.faults, "\n"))
 }
+
+// keyRuns returns the runs for each idempotency key over all upstreams, and the most for one.
+func keyRuns(ts *testscript.TestScript) (runs map[string]int, most int) {
+	f := fleetOf(ts)
+	runs = map[string]int{}
+	for _, name := range f.order {
+		res, err := http.Get(fmt.Sprintf("http://%s/standin/keys", f.address(f.hosts[name].number, upstreamPort)))
+		ts.Check(err)
+		one := map[string]int{}
+		ts.Check(json.NewDecoder(res.Body).Decode(&one))
+		_ = res.Body.Close()
+		for key, n := range one {
+			runs[key] += n
+			most = max(most, runs[key])
+		}
+	}
+	return runs, most
+}
+
+func cmdKeyRuns(ts *testscript.TestScript, _ bool, _ []string) {
+	runs, most := keyRuns(ts)
+	fmt.Fprintf(ts.Stdout(), "keys=%d most=%d\n", len(runs), most)
+}
