Put deep chains, hang-ups, deadlines and endless heads through real processes

chain_deep: a chain of 16 on a budget of 16 runs, one more, one without end; a caller that hangs up and one whose time is up while the work is three hops below. slow_heads: more connections than the daemon takes, whose heads trickle or never end, while other callers are served.

Found, not mended: what an operation needs is learned without its depth, so where it calls itself, a chain as deep as its whole budget got through at first and failed after shorter ones.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -46,6 +46,7 @@
 	fs.DurationVar(&c.Latency, "latency", 2*time.Millisecond, "time for one request")
 	fs.IntVar(&c.Retries, "retries", 0, "how often its own call is repeated when it fails")
 	fs.BoolVar(&c.Lossy, "lossy", false, "close the connection in place of each answer")
+	fs.BoolVar(&c.Countdown, "countdown", false, "take the body as the number of calls below, and pass on one less")
 	fs.BoolVar(&c.Trace, "trace", false, "keep each run with its time")
 	fs.StringVar(&c.Next, "next", "", "path that each request calls on through the daemon")
 	return &ffcli.Command{
--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -48,18 +48,20 @@
 		"resume":   signaller(syscall.SIGCONT, false),
 		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed, or an empty platform
 		// cut and heal take two hosts, or a host and platform.
-		"cut":     cutter(true),
-		"heal":    cutter(false),
-		"slow":    cmdSlow,    // slow NAME MILLISECONDS: the upstream's latency
-		"runs":    cmdRuns,    // runs: print the number of runs over all upstreams, and the most for one request
-		"status":  cmdStatus,  // status NAME: print /statusz
-		"garbage": cmdGarbage, // garbage NAME callers|peers TEXT: send raw bytes (Go escapes) and wait for the end
-		"forge":   cmdForge,   // forge NAME bare|guess ORGANISATION: hand a request on at the peers' port as a daemon would
-		"sleep":   cmdSleep,   // sleep DURATION
-		"flood":   cmdFlood,   // flood NAME KEY COUNT PATH...: POST to all paths at once and print the outcomes of each
-		"program": cmdProgram, // program CODE NAME ARGUMENT...: run a program to its end and expect its exit code; @HOST stands for an operators' address, %HOST for a log, @platform for the platform
-		"direct":  cmdDirect,  // direct NAME METHOD PATH [body=B]: send to the upstream past its daemon
-		"big":     cmdBig,     // big FILE: write a value of 2 MB, twice what the platform holds
+		"cut":      cutter(true),
+		"heal":     cutter(false),
+		"slow":     cmdSlow,     // slow NAME MILLISECONDS: the upstream's latency
+		"runs":     cmdRuns,     // runs: print the number of runs over all upstreams, and the most for one request
+		"status":   cmdStatus,   // status NAME: print /statusz
+		"garbage":  cmdGarbage,  // garbage NAME callers|peers TEXT: send raw bytes (Go escapes) and wait for the end
+		"forge":    cmdForge,    // forge NAME bare|guess ORGANISATION: hand a request on at the peers' port as a daemon would
+		"heads":    cmdHeads,    // heads NAME trickle|flood COUNT DURATION: open connections whose requests' heads never end
+		"headsend": cmdHeadsEnd, // headsend: wait for them and print how many were left open
+		"sleep":    cmdSleep,    // sleep DURATION
+		"flood":    cmdFlood,    // flood NAME KEY COUNT PATH...: POST to all paths at once and print the outcomes of each
+		"program":  cmdProgram,  // program CODE NAME ARGUMENT...: run a program to its end and expect its exit code; @HOST stands for an operators' address, %HOST for a log, @platform for the platform
+		"direct":   cmdDirect,   // direct NAME METHOD PATH [body=B]: send to the upstream past its daemon
+		"big":      cmdBig,      // big FILE: write a value of 2 MB, twice what the platform holds
 	}
 	maps.Copy(all, truthCommands())
 	return all
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -68,6 +68,7 @@
 	load     *load
 	keyed    *load
 	paced    *load
+	heads    *heads
 	begun    map[begunKey]*begun
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -26,6 +26,8 @@
 	Daemon netip.AddrPort
 	// Next is the path below the daemon that each request calls on, such as /repairs/notes; empty for none.
 	Next string
+	// Countdown takes the body as the number of calls below this one, and passes on one less.
+	Countdown bool
 	// Retries is how often it repeats its own call when that fails, as home-made retry loops do.
 	Retries int
 	// Lossy closes the connection in place of each answer.
@@ -127,8 +129,9 @@
 	if u.config.Lossy {
 		panic(http.ErrAbortHandler)
 	}
-	if u.config.Next != "" {
-		next, status, err := u.callOn(r.Context(), r.Header, body)
+	below, on := u.below(body)
+	if on {
+		next, status, err := u.callOn(r.Context(), r.Header, below)
 		if err != nil || status != http.StatusOK {
 			http.Error(w, fmt.Sprintf("next: status %d: %v", status, err), http.StatusBadGateway)
 			return
@@ -141,6 +144,15 @@
 	_, _ = w.Write(raw)
 }
 
+// below returns the body of the upstream's own call, or false if it makes none.
+func (u *Upstream) below(body []byte) ([]byte, bool) {
+	if u.config.Next == "" || !u.config.Countdown {
+		return body, u.config.Next != ""
+	}
+	left, _ := strconv.Atoi(string(body))
+	return []byte(strconv.Itoa(left - 1)), left > 0
+}
+
 // callOn makes the upstream's own call, and repeats it at once when it fails.
 func (u *Upstream) callOn(ctx context.Context, in http.Header, body []byte) (json.RawMessage, int, error) {
 	for try := 0; ; try++ {
