--- a/internal/app/daemon/memory.go
+++ b/internal/app/daemon/memory.go
@@ -11,7 +11,7 @@
 	// releaseDelay gathers the lists that come together, as at a start.
 	releaseDelay = 2 * time.Second
 	// releaseSpacing bounds what lists that change all the time cost: a collection takes as long as reading one of them.
-	releaseSpacing = 10 * time.Second
+	releaseSpacing = 5 * time.Second
 )
 
 // release gives memory back after a large list was read.
--- a/internal/app/settings/binder.go
+++ b/internal/app/settings/binder.go
@@ -160,12 +160,13 @@
 	})
 }
 
-// choice binds a flag that takes one of an enum's names.
+// choice binds a flag that takes one of an enum's names, which its help tells behind a colon.
 func choice[E fmt.Stringer](b *binder, into *E, name string, value E, help string, parse func(string) (E, bool)) {
+	_, names, _ := strings.Cut(help, ": ")
 	named := func(raw string) (E, error) {
 		e, ok := parse(raw)
 		if !ok {
-			return e, fmt.Errorf("%q is not one of its names", raw)
+			return e, fmt.Errorf("%q is not one of its names: %s", raw, names)
 		}
 		return e, nil
 	}
