--- a/internal/app/telemetry/metric.go
+++ b/internal/app/telemetry/metric.go
@@ -28,6 +28,7 @@
 	RateTokensLent                // rate_tokens_lent
 	RateAsks                      // rate_asks
 	RateWaits                     // rate_waits
+	RateGivenBack                 // rate_given_back
 	PeerConnections               // peer_connections
 	PeerFaults                    // peer_faults
 	PeerBytesSent                 // peer_bytes_sent
@@ -70,6 +71,7 @@
 	RateTokensLent:  {Meaning: "tokens lent since the start", Unit: "tokens"},
 	RateAsks:        {Meaning: "questions to homes since the start", Unit: "count"},
 	RateWaits:       {Meaning: "requests that found no token at hand and waited for homes to lend one", Unit: "count", Look: "grows faster than `overRate` answers: tokens arrive too late here"},
+	RateGivenBack:   {Meaning: "tokens of requests that were refused after all, given back", Unit: "count", Look: "grows with overload: callers inside their rate don't pay for its refusals"},
 	PeerConnections: {Meaning: "open connections with other daemons", Unit: "connections"},
 	PeerFaults:      {Meaning: "connections on the peer port closed for a fault", Unit: "count", Look: "grows: strangers on the port, or another `-fleet-secrets`; the log has their addresses"},
 	PeerBytesSent:   {Meaning: "bytes of frames sent to other daemons", Unit: "bytes", Tags: "message", Look: "control is `digest`, `fetch`, `lease`, `confirm` and `handover`; 4 KB/s are planned for"},
--- a/internal/wire/peer/traffic.go
+++ b/internal/wire/peer/traffic.go
@@ -21,14 +21,19 @@
 	sent, received atomic.Uint64
 }
 
-// countSent counts what went out, a frame by its kind.
+// countSent counts what went out, each frame of it by its kind.
 func (n *Node) countSent(data []byte) {
 	n.sent.Add(uint64(len(data)))
-	kind := Kind(0)
-	if len(data) >= lengthSize+headerSize && int(binary.BigEndian.Uint32(data)) == len(data)-lengthSize {
-		kind = Kind(data[lengthSize+1])
+	for len(data) > 0 {
+		kind, size := Kind(0), len(data)
+		if len(data) >= lengthSize+headerSize {
+			if frame := lengthSize + int(binary.BigEndian.Uint32(data)); frame <= len(data) {
+				kind, size = Kind(data[lengthSize+1]), frame
+			}
+		}
+		n.counts[kindIndex(kind)].sent.Add(uint64(size))
+		data = data[size:]
 	}
-	n.counts[kindIndex(kind)].sent.Add(uint64(len(data)))
 }
 
 // kindIndex returns the kind's place in the counts; a peer of another release may know kinds that this one doesn't.
