Hand large values out in turn

Cause: at the start of a fleet the first who has the lists is asked for whole megabytes by everyone at once, and copies each several times.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -33,6 +33,7 @@
 	reading    bool
 	releasing  bool
 	released   time.Time
+	handed     time.Time
 	viewed     time.Time
 
 	asks   chan func()
--- a/internal/app/daemon/spreading.go
+++ b/internal/app/daemon/spreading.go
@@ -112,14 +112,47 @@
 }
 
 // takeFetch answers a peer that asks for a list's value.
-func (d *Daemon) takeFetch(_ context.Context, _ netip.AddrPort, f spread.Fetch) spread.Packet {
+func (d *Daemon) takeFetch(ctx context.Context, _ netip.AddrPort, f spread.Fetch) spread.Packet {
 	var out spread.Packet
+	var wait time.Duration
 	if int(f.Kind) < lists.Kinds {
-		d.control.ask(func() { out = d.control.archive.Packet(f) })
+		d.control.ask(func() { out, wait = d.control.hand(f, time.Now()) })
+	}
+	if wait > 0 {
+		sleep(ctx, wait)
 	}
 	return out
 }
 
+const (
+	// handSpacing is the time between two large values that a daemon hands out whole.
+	handSpacing = 25 * time.Millisecond
+	// handWait bounds the wait for one's turn; a peer asks again after 400 ms, elsewhere if it can.
+	handWait = 300 * time.Millisecond
+)
+
+// hand returns what a peer asks for and how long to hold it back, or nothing if too many wait for a large value.
+//
+// When a zone starts, the first who has the lists is asked by everyone at once. A value of a megabyte is
+// copied several times on its way out, so that ten at a time take what the daemon may hold altogether.
+// Who gets nothing asks again a moment later, and by then others have the value too.
+func (c *control) hand(f spread.Fetch, now time.Time) (spread.Packet, time.Duration) {
+	out := c.archive.Packet(f)
+	if len(out.Whole) < largeValue {
+		return out, 0
+	}
+	next := c.handed.Add(handSpacing)
+	if next.Before(now) {
+		next = now
+	}
+	wait := next.Sub(now)
+	if wait > handWait {
+		return spread.Packet{}, 0
+	}
+	c.handed = next
+	return out, wait
+}
+
 // fetch gets a newer value from a peer, as splices onto the own one where they fit.
 func (c *control) fetch(from spread.Source) {
 	have := c.set.Value(from.Kind)
--- /dev/null
+++ b/internal/app/daemon/spreading_test.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/spread"
+)
+
+func TestLargeValuesAreHandedOutInTurn(t *testing.T) {
+	// A zone starts as a whole, and one daemon has the lists first. Forty peers ask it for a
+	// megabyte at once, and its host runs short of memory for the upstream.
+	Convey("Peers that ask for a large value at once get it one after another, and the last ones nothing", t, func() {
+		now := time.Unix(1_000_000, 0)
+		c := &control{archive: &spread.Archive{}}
+		c.archive.Store(lists.Value{Kind: lists.KindKeys, Version: 1, Raw: bytes.Repeat([]byte{' '}, 1<<20)})
+		c.archive.Store(lists.Value{Kind: lists.KindPlans, Version: 1, Raw: []byte(`{"organisations":[]}`)})
+		whole := 0
+		var longest time.Duration
+		for range 40 {
+			packet, wait := c.hand(spread.Fetch{Kind: lists.KindKeys}, now)
+			if len(packet.Whole) > 0 {
+				whole++
+			}
+			longest = max(longest, wait)
+		}
+		So(whole, ShouldEqual, int(handWait/handSpacing)+1)
+		So(longest, ShouldEqual, handWait)
+		_, wait := c.hand(spread.Fetch{Kind: lists.KindPlans}, now)
+		So(wait, ShouldEqual, 0)
+		packet, wait := c.hand(spread.Fetch{Kind: lists.KindKeys}, now.Add(handWait+handSpacing))
+		So(packet.Whole, ShouldHaveLength, 1<<20)
+		So(wait, ShouldEqual, 0)
+	})
+}
