Open one connection for all calls that wait for it

Cause: each call that found no link to a peer opened a connection of its own: 58 for 200 calls at once, of which one stayed. TestCallsInFlightTogether, which begins 200 calls at once, failed so; it now tells the error of each call.

TestManyCallsOpenOneConnection: 58 connections before, 1 now.

--- /dev/null
+++ b/internal/wire/peer/dial.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/lesismal/nbio"
+	"github.com/pkg/errors"
+)
+
+// dialing is a connection being opened, and its end for those who wait for it.
+type dialing struct {
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// dial returns the open link for messages of a kind to a peer, opening one if there is none.
+//
+// Hundreds of requests may want the same link when it has just been lost. Would each
+// open one, their handshakes would keep the other side so busy that some take
+// longer than they may, and requests are refused though it can be reached.
+func (n *Node) dial(to netip.AddrPort, k Kind) (*link, error) {
+	at := laneOf(to, k)
+	n.mu.Lock()
+	if l, ok := n.links[at]; ok {
+		n.mu.Unlock()
+		l.used.touch()
+		return l, nil
+	}
+	d, ok := n.dials[at]
+	if ok {
+		n.mu.Unlock()
+		<-d.done
+		return d.link, d.err
+	}
+	d = &dialing{done: make(chan struct{})}
+	n.dials[at] = d
+	n.mu.Unlock()
+	d.link, d.err = n.open(at)
+	n.mu.Lock()
+	delete(n.dials, at)
+	n.mu.Unlock()
+	close(d.done)
+	return d.link, d.err
+}
+
+// open opens a link, in place of another if there are too many.
+func (n *Node) open(at lane) (*link, error) {
+	n.makeRoom()
+	c, err := n.connect(at.to)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", at.to, err)
+	}
+	return n.adopt(at, c)
+}
+
+// connect dials from the node's own address, so that a host with several speaks with the one its peers know.
+func (n *Node) connect(to netip.AddrPort) (*nbio.Conn, error) {
+	dialer := net.Dialer{Timeout: n.dialTime, LocalAddr: source(n.address.Addr())}
+	c, err := dialer.Dial("tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	if err := greet(c, n.secrets[0], n.dialTime); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return nbio.NBConn(c)
+}
+
+// source returns the local end for connections from the address, nil for any.
+func source(a netip.Addr) net.Addr {
+	if !a.IsValid() || a.IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
+}
+
+// adopt makes a freshly dialed connection the link of its lane.
+func (n *Node) adopt(at lane, c *nbio.Conn) (*link, error) {
+	l := n.linkOf(c)
+	l.greet.done = true
+	if _, err := n.engine.AddConn(c); err != nil {
+		n.closed(c, err)
+		return nil, errors.Wrapf(ErrNotSent, "add %s: %v", at.to, err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.all[c] != l {
+		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", at.to)
+	}
+	l.dialed = at
+	l.used.touch()
+	n.links[at] = l
+	return l, nil
+}
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -43,6 +42,7 @@
 
 	mu    sync.Mutex
 	links map[lane]*link
+	dials map[lane]*dialing
 	all   map[*nbio.Conn]*link
 }
 
@@ -105,6 +105,7 @@
 		maxConns: defaultMaxConns,
 		handlers: map[Kind]handler{},
 		links:    map[lane]*link{},
+		dials:    map[lane]*dialing{},
 		all:      map[*nbio.Conn]*link{},
 	}
 	for _, opt := range opts {
@@ -203,66 +204,3 @@
 		l.fail()
 	}
 }
-
-// dial returns the open link for messages of a kind to a peer, opening one if there is none.
-func (n *Node) dial(to netip.AddrPort, k Kind) (*link, error) {
-	at := laneOf(to, k)
-	n.mu.Lock()
-	l, ok := n.links[at]
-	n.mu.Unlock()
-	if ok {
-		l.used.touch()
-		return l, nil
-	}
-	n.makeRoom()
-	c, err := n.connect(to)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, err)
-	}
-	return n.adopt(at, c)
-}
-
-// connect dials from the node's own address, so that a host with several speaks with the one its peers know.
-func (n *Node) connect(to netip.AddrPort) (*nbio.Conn, error) {
-	dialer := net.Dialer{Timeout: n.dialTime, LocalAddr: source(n.address.Addr())}
-	c, err := dialer.Dial("tcp", to.String())
-	if err != nil {
-		return nil, err
-	}
-	if err := greet(c, n.secrets[0], n.dialTime); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return nbio.NBConn(c)
-}
-
-// source returns the local end for connections from the address, nil for any.
-func source(a netip.Addr) net.Addr {
-	if !a.IsValid() || a.IsUnspecified() {
-		return nil
-	}
-	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
-}
-
-// adopt makes a freshly dialed connection the link of a lane; of two dialed at once one stays.
-func (n *Node) adopt(at lane, c *nbio.Conn) (*link, error) {
-	l := n.linkOf(c)
-	l.greet.done = true
-	if _, err := n.engine.AddConn(c); err != nil {
-		n.closed(c, err)
-		return nil, errors.Wrapf(ErrNotSent, "add %s: %v", at.to, err)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if other, ok := n.links[at]; ok {
-		_ = c.Close()
-		return other, nil
-	}
-	if n.all[c] != l {
-		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", at.to)
-	}
-	l.dialed = at
-	l.used.touch()
-	n.links[at] = l
-	return l, nil
-}
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,14 +18,24 @@
 	Text string `msgpack:"text"`
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// given are the addresses that tests have had. When most ports are taken by
+// connections that ended lately, the kernel names the same one again and again.
+var given sync.Map
+
+// freeAddress returns a loopback address that nothing listens on and no other test has had.
 func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Open until another one is found, so that the kernel can't name it again.
+		defer func() { _ = l.Close() }()
+		address := netip.MustParseAddrPort(l.Addr().String())
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question) (client *Node, server netip.AddrPort) {
@@ -55,16 +67,61 @@
 				all.Go(func() {
 					back, err := Call[question, question](t.Context(), client, server, KindCall, question{text})
 					if err != nil || back.Text != text {
-						crossed <- text + "/" + back.Text
+						crossed <- fmt.Sprintf("%s/%s: %v", text, back.Text, err)
 					}
 				})
 			}
 		}
 		all.Wait()
-		So(crossed, ShouldBeEmpty)
+		close(crossed)
+		for wrong := range crossed {
+			So(wrong, ShouldBeEmpty)
+		}
 	})
 }
 
+func TestManyCallsOpenOneConnection(t *testing.T) {
+	// A link to a host is lost while hundreds of requests for it come in. Each
+	// opens a connection of its own, the host is busy with their handshakes, and
+	// on a loaded machine some requests are refused because theirs took too long.
+	client, server := startPair(t, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
+	Convey("Calls that come while a connection is being opened wait for it", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		var opened atomic.Int64
+		go relay(l, server, &opened)
+		var all sync.WaitGroup
+		for range 200 {
+			all.Go(func() {
+				_, err := Call[question, question](t.Context(), client, netip.MustParseAddrPort(l.Addr().String()), KindCall, question{"x"})
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		So(opened.Load(), ShouldEqual, 1)
+	})
+}
+
+// relay passes connections on and counts them.
+func relay(l net.Listener, to netip.AddrPort, opened *atomic.Int64) {
+	for {
+		near, err := l.Accept()
+		if err != nil {
+			return
+		}
+		opened.Add(1)
+		far, err := net.Dial("tcp", to.String())
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(near, far) }()
+		go func() { _, _ = io.Copy(far, near) }()
+	}
+}
+
 func TestCancelledCallStopsTheHandler(t *testing.T) {
 	// A caller hangs up while its request waits at another host. Unless the
 	// word travels, that host goes on working for nobody.
