Wait for nbhttp's loops at the start, as for the peers'

Cause: each loop of nbio clears its stop mark when it begins, so that a stop before is forgotten; the loops then spin and take memory. The peers' port waited for its loops, nbhttp's engine did not.

--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -146,9 +146,13 @@
 // readSlack is room for a request's head beside its body.
 const readSlack = 1 << 20
 
-// Start listens and serves until Stop.
+// Start listens and serves until Stop. It returns once every event loop runs,
+// since a stop that comes before is forgotten: see loops.Engine.
 func (s *Server) Start() error {
-	return errors.Wrapf(s.engine.Start(), "http: listen on %s", s.address)
+	if err := s.engine.Start(); err != nil {
+		return errors.Wrapf(err, "http: listen on %s", s.address)
+	}
+	return loops.Await(s.engine.Engine, pollers)
 }
 
 // Stop closes the listener, waits until no connection has a request, closing those
--- a/internal/wire/httpd/stop_test.go
+++ b/internal/wire/httpd/stop_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"net/http"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,3 +58,27 @@
 		}()
 	}
 }
+
+func TestStopRightAfterStartOfTheServer(t *testing.T) {
+	// A daemon is told to stop in the moment it opens its port, on a machine so
+	// busy that its loops have not run yet. The stop was forgotten: the process
+	// never ended, and its loops spun and took memory.
+	Convey("A server that has started can be stopped at once", t, func() {
+		var all sync.WaitGroup
+		failed := make(chan error, 400)
+		for range 20 {
+			all.Go(func() {
+				for range 10 {
+					s := New(netip.MustParseAddrPort("127.0.0.1:0"), http.NotFoundHandler())
+					if err := s.Start(); err != nil {
+						failed <- err
+						return
+					}
+					s.engine.Stop()
+				}
+			})
+		}
+		all.Wait()
+		So(failed, ShouldBeEmpty)
+	})
+}
