--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -24,9 +25,11 @@
 	asked    atomic.Uint64
 	mayLend  atomic.Bool
 	complete time.Time
-	ready    atomic.Bool
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// configured are the versions of the lists that were taken over.
+	configured [2]uint64
+	ready      atomic.Bool
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 func newRates(d *Daemon) *rates {
@@ -34,10 +37,12 @@
 	incarnation := uint64(now.UnixNano())
 	limits := d.settings.Limits()
 	self := rate.Member{Host: d.settings.Host, Peer: d.settings.Advertise}
+	borrower := rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits)
+	borrower.SetOwn(self)
 	return &rates{
 		daemon: d, self: self,
 		home:     rate.NewHome(self, incarnation, limits, now),
-		borrower: rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits),
+		borrower: borrower,
 		seeks:    newSeeks(),
 		done:     make(chan struct{}),
 	}
@@ -52,14 +57,27 @@
 // configure takes over a new view; it runs on the control thread.
 func (r *rates) configure(view *lists.View) {
 	now := time.Now()
+	if versions := configuredBy(view); versions != r.configured {
+		r.configured = versions
+		r.setLists(view, now)
+	}
+	if view.Complete() && r.complete.IsZero() {
+		r.complete = now
+	}
+}
+
+// configuredBy returns the versions of the lists that rates depend on. Keys and uses
+// change without the rates of all organisations being gone through again.
+func configuredBy(view *lists.View) [2]uint64 {
+	return [2]uint64{view.Version(lists.KindHosts), view.Version(lists.KindPlans)}
+}
+
+func (r *rates) setLists(view *lists.View, now time.Time) {
 	members := rate.Members(view.Hosts())
 	r.home.SetList(view.Version(lists.KindHosts), members, now)
 	r.home.SetPlans(view.Organisations(), now)
 	r.borrower.SetList(view.Version(lists.KindHosts), members)
 	r.borrower.SetPlans(view.Organisations())
-	if view.Complete() && r.complete.IsZero() {
-		r.complete = now
-	}
 }
 
 // Times of the questions between daemons.
@@ -131,10 +149,10 @@
 		r.ready.Store(true)
 	}
 	scope := r.daemon.metrics.Scope
-	scope.Gauge("rate_shards").Update(float64(status.Shards))
-	scope.Gauge("rate_tokens_out").Update(float64(status.Lent))
-	scope.Gauge("rate_tokens_lent").Update(float64(status.Tokens))
-	scope.Gauge("rate_asks").Update(float64(r.asked.Load()))
+	scope.Gauge(telemetry.RateShards).Update(float64(status.Shards))
+	scope.Gauge(telemetry.RateTokensOut).Update(float64(status.Lent))
+	scope.Gauge(telemetry.RateTokensLent).Update(float64(status.Tokens))
+	scope.Gauge(telemetry.RateAsks).Update(float64(r.asked.Load()))
 }
 
 // confirmNext asks the next member what it knows of membership, and reports whether there was one to ask.
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
@@ -32,24 +33,24 @@
 
 // Spend takes a token of the organisation. If none is here it waits, bounded, for
 // homes to lend one; false comes with the time after which to come back.
-func (r *rates) Spend(ctx context.Context, organisation string) (time.Duration, bool) {
-	switch outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
+func (r *rates) Spend(ctx context.Context, organisation string) (rate.Token, time.Duration, bool) {
+	switch token, outcome, wait := r.borrower.Spend(organisation, time.Now()); outcome {
 	case rate.Spent:
-		return 0, true
+		return token, 0, true
 	case rate.Refused:
-		return wait, false
+		return token, wait, false
 	case rate.Dry:
 	}
-	r.daemon.metrics.Scope.Counter("rate_waits").Inc(1)
+	r.daemon.metrics.Counter(telemetry.RateWaits).Inc(1)
 	s := r.join(organisation)
 	defer func() { s.leave() }()
 	for {
 		changed, ended, dry, wait := s.look()
-		if r.borrower.Take(organisation, time.Now()) {
-			return 0, true
+		if token, ok := r.borrower.Take(organisation, time.Now()); ok {
+			return token, 0, true
 		}
 		if ended && dry {
-			return wait, false
+			return rate.Token{}, wait, false
 		}
 		if ended {
 			s.leave()
@@ -59,11 +60,18 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return time.Second, false
+			return rate.Token{}, time.Second, false
 		}
 	}
 }
 
+// giveBack returns the token of a request that did not run; a chained request has none.
+func (r *rates) giveBack(a *admitted) {
+	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
+		r.daemon.metrics.Scope.Counter(telemetry.RateGivenBack).Inc(1)
+	}
+}
+
 // join returns the search that is going on for the organisation, starting one if there is none.
 func (r *rates) join(organisation string) *seek {
 	r.seeks.mu.Lock()
@@ -95,12 +103,12 @@
 }
 
 // rounds asks all homes again while some have more than was asked for, since
-// requests join meanwhile, and once more when a token is about to come.
+// requests join meanwhile, and once more for the fractions that they hold.
 func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
-	again := false
+	need := rate.Waiting
 	for s.wanted() && ctx.Err() == nil {
 		var certain bool
-		wait, certain = r.round(ctx, organisation, s)
+		wait, certain = r.round(ctx, organisation, s, need)
 		if wait == 0 {
 			continue
 		}
@@ -108,17 +116,19 @@
 			time.Sleep(unsettledPause)
 			continue
 		}
-		if again || wait > againWithin {
+		if need == rate.Gathering {
 			return wait, true
 		}
-		again = true
-		time.Sleep(wait)
+		need = rate.Gathering
+		if wait <= againWithin {
+			time.Sleep(wait)
+		}
 	}
 	return wait, ctx.Err() != nil
 }
 
-// againWithin is how soon a home must expect a token for the homes to be asked
-// once more: a caller inside its rate should not be refused for a few milliseconds,
+// againWithin is how soon a home must expect a token for it to be waited for
+// before the homes are asked once more: a caller inside its rate should not be refused for a few milliseconds,
 // and one far over it should hear so at once.
 const againWithin = 20 * time.Millisecond
 
@@ -127,13 +137,13 @@
 
 // round asks each home once, as long as requests wait, and returns the
 // shortest time until one has a token, and whether any could tell.
-func (r *rates) round(ctx context.Context, organisation string, s *seek) (wait time.Duration, certain bool) {
+func (r *rates) round(ctx context.Context, organisation string, s *seek, need rate.Need) (wait time.Duration, certain bool) {
 	wait = rate.UnsettledWait
 	for _, home := range r.borrower.Homes(organisation, time.Now()) {
 		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
-		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), time.Now()); ok {
+		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), need, time.Now()); ok {
 			told := r.lease(ctx, ask)
 			switch {
 			case told == rate.UnsettledWait:
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -1,6 +1,7 @@
 package rates
 
 import (
+	"bytes"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -40,17 +41,21 @@
 type World struct {
 	Now     time.Time
 	Network Network
-	Checker *Checker
-	Counts  Counts
-
-	ideal  *Checker
-	way    Way
-	limits rate.Limits
-	opts   []rate.MembershipOption
-	rng    *rand.Rand
-	events events
-	serial uint64
-	plans  []lists.Organisation
+	// Overload is the share of requests with a token that are turned away before they run.
+	Overload float64
+	Checker  *Checker
+	Counts   Counts
+
+	ideal   *Checker
+	tallies map[string]*Tally
+	wire    bytes.Buffer
+	way     Way
+	limits  rate.Limits
+	opts    []rate.MembershipOption
+	rng     *rand.Rand
+	events  events
+	serial  uint64
+	plans   []lists.Organisation
 	// planVersion counts the changes of the plans.
 	planVersion int
 
@@ -69,6 +74,11 @@
 	Inside   int `json:"inside"`
 	Asked    int `json:"asked"`
 	Messages int `json:"messages"`
+	// TurnedAway had a token and did not run; of these the tokens of GivenBack came back.
+	TurnedAway int `json:"turnedAway"`
+	GivenBack  int `json:"givenBack"`
+	// Bytes are those of lease messages between hosts, frames counted.
+	Bytes int `json:"bytes"`
 }
 
 // Wrongful returns how many requests were refused that one global bucket would have admitted.
@@ -98,9 +108,11 @@
 type seek struct {
 	waiters int
 	homes   []rate.Member
-	again   bool
+	need    rate.Need
 	wait    time.Duration
 	ends    time.Time
+	// settled is set once a home could tell when it has a token.
+	settled bool
 }
 
 // Start is when virtual time begins.
@@ -109,7 +121,8 @@
 // NewWorld returns a world without hosts.
 func NewWorld(seed uint64, way Way, l rate.Limits, plans []lists.Organisation, opts ...rate.MembershipOption) *World {
 	w := &World{
-		Now: Start, way: way, limits: l, opts: opts, plans: plans, byName: map[rate.Member]*Host{},
+		tallies: map[string]*Tally{},
+		Now:     Start, way: way, limits: l, opts: opts, plans: plans, byName: map[rate.Member]*Host{},
 		rng: rand.New(rand.NewPCG(seed, seed)), Checker: NewChecker(plans, Start), ideal: NewChecker(plans, Start),
 		cut: func(*Host, *Host) bool { return false },
 	}
@@ -142,6 +155,7 @@
 	h.seeks = map[string]*seek{}
 	h.home = rate.NewHome(h.Member, h.incarnation, w.limits, w.Now, w.opts...)
 	h.borrower = rate.NewBorrower(h.Member.Host, h.incarnation, w.limits)
+	h.borrower.SetOwn(h.Member)
 	h.equal = newEqual(map[string]lists.Organisation{})
 	w.givePlans(h)
 	if h.stale {
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -108,7 +108,7 @@
 		return 0, err
 	}
 	l.queued.Store(queued)
-	l.node.sent.Add(uint64(len(data)))
+	l.node.countSent(data)
 	return queued, nil
 }
 
@@ -162,6 +162,7 @@
 
 // take handles one frame from the other side.
 func (l *link) take(f frame) {
+	l.node.counts[kindIndex(f.kind)].received.Add(uint64(lengthSize + headerSize + len(f.payload)))
 	switch f.form {
 	case formAnswer:
 		l.answer(f)
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -12,37 +12,19 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 type question struct {
 	Text string `msgpack:"text"`
 }
 
-// given are the addresses that tests have had. When most ports are taken by
-// connections that ended lately, the kernel names the same one again and again.
-var given sync.Map
-
-// freeAddress returns a loopback address that nothing listens on and no other test has had.
-func freeAddress(t *testing.T) netip.AddrPort {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		// Open until another one is found, so that the kernel can't name it again.
-		defer func() { _ = l.Close() }()
-		address := netip.MustParseAddrPort(l.Addr().String())
-		if _, taken := given.LoadOrStore(address, true); !taken {
-			return address
-		}
-	}
-}
-
 func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question) (client *Node, server netip.AddrPort) {
-	server = freeAddress(t)
+	server = loopback.Address()
 	s := New(server)
 	Handle(s, KindCall, answer)
-	client = New(freeAddress(t))
+	client = New(loopback.Address())
 	for _, n := range []*Node{s, client} {
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
@@ -143,7 +125,7 @@
 func TestNobodyListens(t *testing.T) {
 	client, _ := startPair(t, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
 	Convey("A call that could not be sent says so", t, func() {
-		_, err := Call[question, question](t.Context(), client, freeAddress(t), KindCall, question{"x"})
+		_, err := Call[question, question](t.Context(), client, loopback.Address(), KindCall, question{"x"})
 		So(err, ShouldWrap, ErrNotSent)
 	})
 }
@@ -198,7 +180,7 @@
 		{"a large request that left whole", large, large, ErrLost},
 		{"a small request that was never read", 100, 0, ErrLost},
 	}
-	client := New(freeAddress(t))
+	client := New(loopback.Address())
 	if err := client.Start(); err != nil {
 		t.Fatal(err)
 	}
