Refuse waiting requests early enough for the refusal to be heard

A notice that waited for a slot until its time was up was refused there, unrun, 5 ms before the deadline; the answer came later than that, and the daemon that had handed it on said outcomeUnknown. True, but a user has to look for a notice that never ran. Ruled out: a run of it (the count of runs was right).

A queue now gives a request up a tenth of its time, 20 ms at most, before the deadline; a run still has all the time there is. TestRefusedWhileTheCallerStillListens fails without it (0s left).

--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -42,7 +42,8 @@
 // wait it asks still whether the request may still run; nil means that it may.
 func (o *owner) run(ctx context.Context, r *call.Request, still func() bool) call.Answer {
 	t := &admission.Ticket{
-		Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority, Deadline: r.Deadline,
+		Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority,
+		Deadline: r.Deadline.Add(-toTell(r.Remaining(time.Now()))),
 	}
 	if d := o.enter(ctx, t); d.Verdict != admission.Run {
 		return o.refused(r, d)
@@ -54,6 +55,18 @@
 	return o.execute(ctx, r, t)
 }
 
+const (
+	tellShare = 10
+	tellTime  = 20 * time.Millisecond
+)
+
+// toTell returns the time that a refusal from the queue needs to be heard before the request's time is up.
+//
+// On busy hosts, where requests wait, threads do so too. A booking that left
+// the queue in its last milliseconds would be called unknown by the daemon that
+// handed it on, and its caller sent to look for something that never ran.
+func toTell(left time.Duration) time.Duration { return min(left/tellShare, tellTime) }
+
 func (o *owner) enter(ctx context.Context, t *admission.Ticket) admission.Decision {
 	decided := make(waiter, 1)
 	t.Waiter = decided
--- a/internal/app/daemon/owner_test.go
+++ b/internal/app/daemon/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -40,3 +41,32 @@
 		So(o.gate.Load().InFlight, ShouldEqual, 0)
 	})
 }
+
+// A booking waits in the queue until its time is nearly up. Told in the last instant, the daemon that handed
+// it on would have given up on the answer, and called a booking unknown that never ran.
+func TestRefusedWhileTheCallerStillListens(t *testing.T) {
+	cases := []struct {
+		timeout, left time.Duration
+	}{
+		{50 * time.Millisecond, 5 * time.Millisecond},
+		{time.Second, tellTime},
+		{10 * time.Second, tellTime},
+	}
+	for _, c := range cases {
+		Convey("With a timeout of "+c.timeout.String(), t, func() {
+			synctest.Test(t, func(t *testing.T) {
+				s := settings.Default()
+				s.Slots = 1
+				s.QueueTime = time.Minute
+				o := newOwner(s, upstream.New(netip.MustParseAddrPort("127.0.0.1:1")))
+				holds := &admission.Ticket{Organisation: "other", Operation: "op", Deadline: time.Now().Add(time.Hour)}
+				o.gate.Arrive(time.Now(), holds)
+				r := &call.Request{Organisation: "dealer", Operation: "op", Deadline: time.Now().Add(c.timeout), Budget: 4}
+				a := o.run(t.Context(), r, nil)
+				if left := time.Until(r.Deadline); a.Outcome != call.NotRun || left != c.left {
+					t.Errorf("%v with %s left, not %s", a.Outcome, left, c.left)
+				}
+			})
+		})
+	}
+}
