--- a/internal/decide/limit/aimd.go
+++ b/internal/decide/limit/aimd.go
@@ -43,7 +43,7 @@
 	switch {
 	case a.window.sheds > 0 || a.window.ratio() > tolerance:
 		a.limit *= aimdCut
-	case float64(a.window.peak) >= a.limit*busyShare:
+	case a.window.busy(a.Limit()):
 		a.limit++
 	}
 	a.limit = min(max(a.limit, a.floor), a.ceiling)
--- a/internal/decide/limit/gradient.go
+++ b/internal/decide/limit/gradient.go
@@ -115,7 +115,7 @@
 		if !now.Before(g.trial.notBefore) {
 			g.cut(ratio)
 		}
-	case float64(w.peak) >= g.limit*busyShare:
+	case w.busy(g.Limit()):
 		g.grow(now)
 	}
 	g.smooth += (ratio - g.smooth) * smoothing
@@ -133,7 +133,7 @@
 func (g *GradientLearner) faster(ratio float64) {
 	g.bases.scale(ratio)
 	g.smooth = 1
-	if float64(g.window.peak) >= g.limit*busyShare {
+	if g.window.busy(g.Limit()) {
 		g.cut(1)
 	}
 }
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -122,3 +123,21 @@
 		So(l.Limit(), ShouldEqual, 6)
 	})
 }
+
+// A deep service is ten times as slow for a while, and its limit falls to few
+// runs at once and a part of one. If the part counted when the learner looks
+// whether the limit is in use, it would never be, and the instance would stay at
+// one run at once for good while callers are refused for its sake.
+func TestGrowthFromFew(t *testing.T) {
+	for _, from := range []float64{1, 1.2, 1.5, 1.99, 2.502, 2.9, 3.3} {
+		gradient, aimd := NewGradient(12), NewAIMD(12)
+		gradient.limit, gradient.ramping, aimd.limit = from, false, from
+		for _, l := range []Learner{gradient, aimd} {
+			Convey(fmt.Sprintf("%T at %g comes back to the ceiling once runs are quick", l, from), t, func() {
+				m := model{slots: 12, own: steady(20 * time.Millisecond)}
+				_, last, _ := m.drive(l, time.Unix(0, 0), 20*time.Second)
+				So(last, ShouldBeGreaterThanOrEqualTo, 10)
+			})
+		}
+	}
+}
--- a/internal/decide/limit/window.go
+++ b/internal/decide/limit/window.go
@@ -34,6 +34,11 @@
 	w.ratios += ratio
 }
 
+// busy reports whether the limit was nearly used up. It is the whole number that
+// may run at once: measured against a part more, a limit of 2.6 that lets
+// two run would never count as used, and an upstream would stay at it for good.
+func (w *window) busy(limit int) bool { return float64(w.peak) >= float64(limit)*busyShare }
+
 func (w *window) ended(now time.Time, samples int) bool {
 	if w.begun.IsZero() {
 		w.begun = now
