--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -9,7 +9,7 @@
 // seekBound is how long a request waits for tokens before it is refused.
 const seekBound = 200 * time.Millisecond
 
-// againWithin is how soon a home must expect a token for all to be asked once more.
+// againWithin is how soon a home must expect a token for it to be waited for before all are asked once more.
 const againWithin = 20 * time.Millisecond
 
 // Arrive lets a request of an organisation come in at a host.
@@ -22,25 +22,30 @@
 		return
 	}
 	w.Counts.Arrivals++
+	w.tally(organisation).Arrivals++
 	if w.ideal.Inside(organisation, w.Now) {
 		w.Counts.Inside++
+		w.tally(organisation).Inside++
 	}
 	if w.way != Lending {
-		w.settle(organisation, h.equal.spend(organisation, w.Now), decided)
+		w.arriveEqual(h, organisation, decided)
 		return
 	}
 	if s, ok := h.seeks[organisation]; ok {
 		w.join(h, organisation, s, decided)
 		return
 	}
-	switch outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
+	switch t, outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.settle(organisation, true, decided)
+		w.spent(h, organisation, t, decided)
 	case rate.Refused:
-		w.settle(organisation, false, decided)
+		w.refuse(organisation, w.blame(organisation, false), decided)
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiting: []func(bool){decided}, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
+		s := &seek{
+			waiting: []func(bool){decided}, need: rate.Waiting, wait: time.Hour,
+			ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now),
+		}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
@@ -52,21 +57,56 @@
 	s.waiting = append(s.waiting, decided)
 }
 
-func (w *World) settle(organisation string, admitted bool, decided func(bool)) {
-	if admitted {
-		w.Counts.Admitted++
-		w.Checker.Admit(organisation, w.Now)
-	} else {
-		w.Counts.Refused++
+func (w *World) arriveEqual(h *Host, organisation string, decided func(bool)) {
+	if h.equal.spend(organisation, w.Now) {
+		w.admit(organisation, decided)
+		return
+	}
+	w.refuse(organisation, Elsewhere, decided)
+}
+
+// turnedAwayWithin is how long a request waits at most before an overloaded service turns it away.
+const turnedAwayWithin = 400 * time.Millisecond
+
+// spent lets a request run that has a token, or be turned away without having run.
+func (w *World) spent(h *Host, organisation string, t rate.Token, decided func(bool)) {
+	if w.Overload == 0 || w.rng.Float64() >= w.Overload {
+		w.admit(organisation, decided)
+		return
 	}
-	decided(admitted)
+	w.Counts.TurnedAway++
+	decided(true)
+	w.process(h, h.incarnation, w.rngTime(turnedAwayWithin), func() {
+		if h.borrower.GiveBack(organisation, t, w.Now) {
+			w.Counts.GivenBack++
+		}
+	})
+}
+
+func (w *World) admit(organisation string, decided func(bool)) {
+	w.Counts.Admitted++
+	w.tally(organisation).Admitted++
+	w.Checker.Admit(organisation, w.Now)
+	decided(true)
+}
+
+func (w *World) refuse(organisation string, c Cause, decided func(bool)) {
+	w.Counts.Refused++
+	w.tally(organisation).Refusals[c.String()]++
+	decided(false)
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
 	ask, ok := w.nextAsk(h, organisation, s)
-	if !ok && s.wait <= againWithin && !s.again && w.Now.Before(s.ends) {
+	if !ok && s.need < rate.Gathering && w.Now.Before(s.ends) {
 		wait := s.wait
-		s.again, s.wait = wait > 0, time.Hour
+		if wait > againWithin {
+			wait = 0
+		}
+		if s.wait > 0 {
+			s.need = rate.Gathering
+		}
+		s.wait = time.Hour
 		s.homes = h.borrower.Homes(organisation, w.Now)
 		w.process(h, h.incarnation, wait, func() { w.seek(h, organisation, s) })
 		return
@@ -88,6 +128,7 @@
 		for _, g := range r.Items {
 			s.wait = min(s.wait, g.Wait)
 		}
+		s.settled = s.settled || settled(r)
 		next()
 	}, next)
 }
@@ -96,7 +137,7 @@
 	for len(s.homes) > 0 {
 		home := s.homes[0]
 		s.homes = s.homes[1:]
-		if ask, ok := h.borrower.Urgent(organisation, home, len(s.waiting), w.Now); ok {
+		if ask, ok := h.borrower.Urgent(organisation, home, len(s.waiting), s.need, w.Now); ok {
 			return ask, true
 		}
 	}
@@ -106,16 +147,17 @@
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
 	for len(s.waiting) > 0 {
-		if !h.borrower.Take(organisation, w.Now) {
+		t, ok := h.borrower.Take(organisation, w.Now)
+		if !ok {
 			return
 		}
-		w.settle(organisation, true, s.next())
+		w.spent(h, organisation, t, s.next())
 	}
 }
 
 func (w *World) end(h *Host, organisation string, s *seek) {
 	for len(s.waiting) > 0 {
-		w.settle(organisation, false, s.next())
+		w.refuse(organisation, w.blame(organisation, !s.settled), s.next())
 	}
 	delete(h.seeks, organisation)
 }
--- a/internal/bench/rates/experiment.go
+++ b/internal/bench/rates/experiment.go
@@ -129,15 +129,19 @@
 	Asking  float64 `json:"askedPercent"`
 	// Messages are sent per host and second, answers counted.
 	Messages float64 `json:"messagesPerHostSecond"`
+	// Bytes are those of lease messages, sent per host and second.
+	Bytes float64 `json:"leaseBytesPerHostSecond"`
 	// Excess is how many tokens the invariant was broken by, 0 if it held.
 	Excess float64 `json:"excess"`
+	// Organisations tells the same of each organisation.
+	Organisations []Tally `json:"organisations"`
 }
 
 // loadShare is the offered load as a share of each organisation's rate: inside it, so that all refusals are wrongful.
 const loadShare = 0.8
 
-// organisations returns eight plans, a few of them large.
-func organisations() []lists.Organisation {
+// Organisations returns eight plans, a few of them large.
+func Organisations() []lists.Organisation {
 	return []lists.Organisation{
 		{Organisation: "o1", Plan: "p", Rate: 200, Burst: 400},
 		{Organisation: "o2", Plan: "p", Rate: 100, Burst: 100},
@@ -155,7 +159,7 @@
 
 // Run takes a fleet through a case.
 func Run(v Variant, c Case, a Arrival, hosts int, seed uint64) Result {
-	w := NewWorld(seed, v.Way, v.Limits, organisations())
+	w := NewWorld(seed, v.Way, v.Limits, Organisations())
 	for range hosts {
 		w.AddHost()
 	}
@@ -165,13 +169,14 @@
 		w.offer(o, i, a, hosts)
 	}
 	w.Run(settleTime)
-	w.Counts = Counts{}
+	w.Reset()
 	c.Fault(w)
 	w.Run(c.Length)
-	r := Result{Variant: v.Name, Case: c.Name, Arrival: a.String(), Hosts: hosts, Counts: w.Counts, Excess: w.Checker.Excess}
+	r := Result{Variant: v.Name, Case: c.Name, Arrival: a.String(), Hosts: hosts, Counts: w.Counts, Excess: w.Checker.Excess, Organisations: w.Tallies()}
 	r.Percent = 100 * float64(w.Counts.Wrongful()) / float64(max(w.Counts.Inside, 1))
 	r.Asking = 100 * float64(w.Counts.Asked) / float64(max(w.Counts.Arrivals, 1))
 	r.Messages = float64(w.Counts.Messages) / float64(hosts) / c.Length.Seconds()
+	r.Bytes = float64(w.Counts.Bytes) / float64(hosts) / c.Length.Seconds()
 	return r
 }
 
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -67,6 +67,8 @@
 	relays   *relays
 	load     *load
 	keyed    *load
+	paced    *load
+	heads    *heads
 	begun    map[begunKey]*begun
 }
 
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 
@@ -8,6 +9,20 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// encode writes integers as short as they are: by default each takes nine bytes, which
+// would be most of a message that is sent many times a second.
+func encode(value any) ([]byte, error) {
+	out := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(out)
+	var buf bytes.Buffer
+	out.Reset(&buf)
+	out.UseCompactInts(true)
+	if err := out.Encode(value); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return buf.Bytes(), nil
+}
+
 // Handle sets the function that answers messages of one kind; it is called before Start.
 func Handle[Req, Resp any](n *Node, kind Kind, answer func(ctx context.Context, from netip.AddrPort, req Req) Resp) {
 	n.handlers[kind] = func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error) {
@@ -15,7 +30,7 @@
 		if err := msgpack.Unmarshal(payload, &req); err != nil {
 			return nil, errors.Wrapf(err, "peer: unreadable %s", kind)
 		}
-		out, err := msgpack.Marshal(answer(ctx, from, req))
+		out, err := encode(answer(ctx, from, req))
 		return out, errors.Wrapf(err, "peer: encode answer to %s", kind)
 	}
 }
@@ -23,7 +38,7 @@
 // Call sends a request and waits for its answer; the error is ErrNotSent, ErrLost, or the context's when it ended first.
 func Call[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req) (Resp, error) {
 	var resp Resp
-	payload, err := msgpack.Marshal(req)
+	payload, err := encode(req)
 	if err != nil {
 		return resp, errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
@@ -35,14 +50,14 @@
 		return resp, err
 	}
 	request := frame{form: formRequest, kind: kind, id: id, payload: payload}
-	end, err := l.write(request.encode())
+	left, err := l.send(request)
 	if err != nil {
 		l.forget(id)
 		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
 	}
 	select {
 	case f, ok := <-answer:
-		if !ok && l.cutOff(end) {
+		if !ok && l.cutOff(left) {
 			return resp, errors.Wrapf(ErrNotSent, "connection to %s closed before the whole request left", to)
 		}
 		if !ok {
@@ -51,8 +66,7 @@
 		return resp, errors.Wrapf(msgpack.Unmarshal(f.payload, &resp), "peer: unreadable answer to %s", kind)
 	case <-ctx.Done():
 		l.forget(id)
-		stop := frame{form: formCancel, kind: kind, id: id}
-		_, _ = l.write(stop.encode())
+		l.abandon(request, left)
 		return resp, ctx.Err()
 	}
 }
@@ -74,7 +88,7 @@
 
 // Send sends a message that has no answer; an error means it may not have arrived.
 func Send[Msg any](n *Node, to netip.AddrPort, kind Kind, msg Msg) error {
-	payload, err := msgpack.Marshal(msg)
+	payload, err := encode(msg)
 	if err != nil {
 		return errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
@@ -83,6 +97,6 @@
 		return err
 	}
 	out := frame{form: formOneWay, kind: kind, payload: payload}
-	_, err = l.write(out.encode())
+	_, err = l.send(out)
 	return errors.Wrapf(err, "peer: write to %s", to)
 }
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -36,12 +35,15 @@
 	secrets  []string
 	maxConns int
 	handlers map[Kind]handler
+	workers  loops.Workers
 
 	sent     atomic.Uint64
 	received atomic.Uint64
+	counts   [Kinds]byteCount
 
 	mu    sync.Mutex
 	links map[lane]*link
+	dials map[lane]*dialing
 	all   map[*nbio.Conn]*link
 }
 
@@ -104,6 +106,7 @@
 		maxConns: defaultMaxConns,
 		handlers: map[Kind]handler{},
 		links:    map[lane]*link{},
+		dials:    map[lane]*dialing{},
 		all:      map[*nbio.Conn]*link{},
 	}
 	for _, opt := range opts {
@@ -131,10 +134,17 @@
 func (n *Node) Stop() {
 	close(n.stopped)
 	n.engine.Stop()
+	n.workers.Close()
 }
 
 // Traffic returns the bytes sent and received since the start.
-func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
+func (n *Node) Traffic() Traffic {
+	t := Traffic{Bytes: Bytes{Sent: n.sent.Load(), Received: n.received.Load()}}
+	for k := range t.ByKind {
+		t.ByKind[k] = Bytes{Sent: n.counts[k].sent.Load(), Received: n.counts[k].received.Load()}
+	}
+	return t
+}
 
 // Connections returns the number of open connections.
 func (n *Node) Connections() int {
@@ -158,10 +168,10 @@
 
 var errTooMany = errors.New("peer: too many connections")
 
-// written counts what went to the kernel; it runs under the connection's lock.
+// written hears of what went to the kernel; it runs under the connection's lock.
 func written(c *nbio.Conn, _ []byte, bytes int) {
 	if l, ok := c.Session().(*link); ok {
-		l.written.Add(uint64(bytes))
+		l.wrote(bytes)
 	}
 }
 
@@ -186,6 +196,7 @@
 		n.logger(l.remote, err)
 		_ = c.CloseWithError(err)
 	}
+	loops.Yield()
 }
 
 func (n *Node) closed(c *nbio.Conn, _ error) {
@@ -200,66 +211,3 @@
 		l.fail()
 	}
 }
-
-// dial returns the open link for messages of a kind to a peer, opening one if there is none.
-func (n *Node) dial(to netip.AddrPort, k Kind) (*link, error) {
-	at := laneOf(to, k)
-	n.mu.Lock()
-	l, ok := n.links[at]
-	n.mu.Unlock()
-	if ok {
-		l.used.touch()
-		return l, nil
-	}
-	n.makeRoom()
-	c, err := n.connect(to)
-	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, err)
-	}
-	return n.adopt(at, c)
-}
-
-// connect dials from the node's own address, so that a host with several speaks with the one its peers know.
-func (n *Node) connect(to netip.AddrPort) (*nbio.Conn, error) {
-	dialer := net.Dialer{Timeout: n.dialTime, LocalAddr: source(n.address.Addr())}
-	c, err := dialer.Dial("tcp", to.String())
-	if err != nil {
-		return nil, err
-	}
-	if err := greet(c, n.secrets[0], n.dialTime); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return nbio.NBConn(c)
-}
-
-// source returns the local end for connections from the address, nil for any.
-func source(a netip.Addr) net.Addr {
-	if !a.IsValid() || a.IsUnspecified() {
-		return nil
-	}
-	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(a, 0))
-}
-
-// adopt makes a freshly dialed connection the link of a lane; of two dialed at once one stays.
-func (n *Node) adopt(at lane, c *nbio.Conn) (*link, error) {
-	l := n.linkOf(c)
-	l.greet.done = true
-	if _, err := n.engine.AddConn(c); err != nil {
-		n.closed(c, err)
-		return nil, errors.Wrapf(ErrNotSent, "add %s: %v", at.to, err)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if other, ok := n.links[at]; ok {
-		_ = c.Close()
-		return other, nil
-	}
-	if n.all[c] != l {
-		return nil, errors.Wrapf(ErrNotSent, "connection to %s closed", at.to)
-	}
-	l.dialed = at
-	l.used.touch()
-	n.links[at] = l
-	return l, nil
-}
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -2,35 +2,29 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 type question struct {
 	Text string `msgpack:"text"`
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question) (client *Node, server netip.AddrPort) {
-	server = freeAddress(t)
+	server = loopback.Address()
 	s := New(server)
 	Handle(s, KindCall, answer)
-	client = New(freeAddress(t))
+	client = New(loopback.Address())
 	for _, n := range []*Node{s, client} {
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
@@ -55,16 +49,61 @@
 				all.Go(func() {
 					back, err := Call[question, question](t.Context(), client, server, KindCall, question{text})
 					if err != nil || back.Text != text {
-						crossed <- text + "/" + back.Text
+						crossed <- fmt.Sprintf("%s/%s: %v", text, back.Text, err)
 					}
 				})
 			}
 		}
 		all.Wait()
-		So(crossed, ShouldBeEmpty)
+		close(crossed)
+		for wrong := range crossed {
+			So(wrong, ShouldBeEmpty)
+		}
 	})
 }
 
+func TestManyCallsOpenOneConnection(t *testing.T) {
+	// A link to a host is lost while hundreds of requests for it come in. Each
+	// opens a connection of its own, the host is busy with their handshakes, and
+	// on a loaded machine some requests are refused because theirs took too long.
+	client, server := startPair(t, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
+	Convey("Calls that come while a connection is being opened wait for it", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		var opened atomic.Int64
+		go relay(l, server, &opened)
+		var all sync.WaitGroup
+		for range 200 {
+			all.Go(func() {
+				_, err := Call[question, question](t.Context(), client, netip.MustParseAddrPort(l.Addr().String()), KindCall, question{"x"})
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		all.Wait()
+		So(opened.Load(), ShouldEqual, 1)
+	})
+}
+
+// relay passes connections on and counts them.
+func relay(l net.Listener, to netip.AddrPort, opened *atomic.Int64) {
+	for {
+		near, err := l.Accept()
+		if err != nil {
+			return
+		}
+		opened.Add(1)
+		far, err := net.Dial("tcp", to.String())
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(near, far) }()
+		go func() { _, _ = io.Copy(far, near) }()
+	}
+}
+
 func TestCancelledCallStopsTheHandler(t *testing.T) {
 	// A caller hangs up while its request waits at another host. Unless the
 	// word travels, that host goes on working for nobody.
@@ -86,7 +125,7 @@
 func TestNobodyListens(t *testing.T) {
 	client, _ := startPair(t, func(_ context.Context, _ netip.AddrPort, q question) question { return q })
 	Convey("A call that could not be sent says so", t, func() {
-		_, err := Call[question, question](t.Context(), client, freeAddress(t), KindCall, question{"x"})
+		_, err := Call[question, question](t.Context(), client, loopback.Address(), KindCall, question{"x"})
 		So(err, ShouldWrap, ErrNotSent)
 	})
 }
@@ -141,7 +180,7 @@
 		{"a large request that left whole", large, large, ErrLost},
 		{"a small request that was never read", 100, 0, ErrLost},
 	}
-	client := New(freeAddress(t))
+	client := New(loopback.Address())
 	if err := client.Start(); err != nil {
 		t.Fatal(err)
 	}
