--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -13,7 +13,11 @@
 const againWithin = 20 * time.Millisecond
 
 // Arrive lets a request of an organisation come in at a host.
-func (w *World) Arrive(h *Host, organisation string) {
+func (w *World) Arrive(h *Host, organisation string) { w.Decide(h, organisation, func(bool) {}) }
+
+// Decide lets a request come in at a host and tells once whether it was
+// admitted, at once or when its wait for tokens is over.
+func (w *World) Decide(h *Host, organisation string, decided func(admitted bool)) {
 	if !h.Alive() {
 		return
 	}
@@ -24,50 +28,54 @@
 		w.tally(organisation).Inside++
 	}
 	if w.way != Lending {
-		w.arriveEqual(h, organisation)
+		w.arriveEqual(h, organisation, decided)
 		return
 	}
 	if s, ok := h.seeks[organisation]; ok {
-		w.join(h, organisation, s)
+		w.join(h, organisation, s, decided)
 		return
 	}
 	switch t, outcome, _ := h.borrower.Spend(organisation, w.Now); outcome {
 	case rate.Spent:
-		w.spent(h, organisation, t)
+		w.spent(h, organisation, t, decided)
 	case rate.Refused:
-		w.refuse(organisation, w.blame(organisation, false))
+		w.refuse(organisation, w.blame(organisation, false), decided)
 	case rate.Dry:
 		w.Counts.Asked++
-		s := &seek{waiters: 1, need: rate.Waiting, wait: time.Hour, ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now)}
+		s := &seek{
+			waiting: []func(bool){decided}, need: rate.Waiting, wait: time.Hour,
+			ends: w.Now.Add(seekBound), homes: h.borrower.Homes(organisation, w.Now),
+		}
 		h.seeks[organisation] = s
 		w.seek(h, organisation, s)
 	}
 }
 
-func (w *World) join(h *Host, organisation string, s *seek) {
+func (w *World) join(h *Host, organisation string, s *seek, decided func(bool)) {
 	w.Counts.Asked++
 	h.borrower.Arrived(organisation, w.Now)
-	s.waiters++
+	s.waiting = append(s.waiting, decided)
 }
 
-func (w *World) arriveEqual(h *Host, organisation string) {
+func (w *World) arriveEqual(h *Host, organisation string, decided func(bool)) {
 	if h.equal.spend(organisation, w.Now) {
-		w.admit(organisation)
+		w.admit(organisation, decided)
 		return
 	}
-	w.refuse(organisation, Elsewhere)
+	w.refuse(organisation, Elsewhere, decided)
 }
 
 // turnedAwayWithin is how long a request waits at most before an overloaded service turns it away.
 const turnedAwayWithin = 400 * time.Millisecond
 
 // spent lets a request run that has a token, or be turned away without having run.
-func (w *World) spent(h *Host, organisation string, t rate.Token) {
+func (w *World) spent(h *Host, organisation string, t rate.Token, decided func(bool)) {
 	if w.Overload == 0 || w.rng.Float64() >= w.Overload {
-		w.admit(organisation)
+		w.admit(organisation, decided)
 		return
 	}
 	w.Counts.TurnedAway++
+	decided(true)
 	w.process(h, h.incarnation, w.rngTime(turnedAwayWithin), func() {
 		if h.borrower.GiveBack(organisation, t, w.Now) {
 			w.Counts.GivenBack++
@@ -75,15 +83,17 @@
 	})
 }
 
-func (w *World) admit(organisation string) {
+func (w *World) admit(organisation string, decided func(bool)) {
 	w.Counts.Admitted++
 	w.tally(organisation).Admitted++
 	w.Checker.Admit(organisation, w.Now)
+	decided(true)
 }
 
-func (w *World) refuse(organisation string, c Cause) {
+func (w *World) refuse(organisation string, c Cause, decided func(bool)) {
 	w.Counts.Refused++
 	w.tally(organisation).Refusals[c.String()]++
+	decided(false)
 }
 
 func (w *World) seek(h *Host, organisation string, s *seek) {
@@ -108,7 +118,7 @@
 	}
 	next := func() {
 		w.serve(h, organisation, s)
-		if s.waiters > 0 {
+		if len(s.waiting) > 0 {
 			w.seek(h, organisation, s)
 			return
 		}
@@ -127,7 +137,7 @@
 	for len(s.homes) > 0 {
 		home := s.homes[0]
 		s.homes = s.homes[1:]
-		if ask, ok := h.borrower.Urgent(organisation, home, s.waiters, s.need, w.Now); ok {
+		if ask, ok := h.borrower.Urgent(organisation, home, len(s.waiting), s.need, w.Now); ok {
 			return ask, true
 		}
 	}
@@ -136,20 +146,18 @@
 
 // serve lets waiting requests spend what has come.
 func (w *World) serve(h *Host, organisation string, s *seek) {
-	for s.waiters > 0 {
+	for len(s.waiting) > 0 {
 		t, ok := h.borrower.Take(organisation, w.Now)
 		if !ok {
 			return
 		}
-		s.waiters--
-		w.spent(h, organisation, t)
+		w.spent(h, organisation, t, s.next())
 	}
 }
 
 func (w *World) end(h *Host, organisation string, s *seek) {
-	for range s.waiters {
-		w.refuse(organisation, w.blame(organisation, !s.settled))
+	for len(s.waiting) > 0 {
+		w.refuse(organisation, w.blame(organisation, !s.settled), s.next())
 	}
-	s.waiters = 0
 	delete(h.seeks, organisation)
 }
--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -26,6 +26,8 @@
 	links    int
 	// listBytes and leaseBytes are the parts of sent for lists and membership, and for rates over the fleet.
 	listBytes, leaseBytes uint64
+	asks                  uint64
+	waits                 uint64
 }
 
 // clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
@@ -82,6 +84,10 @@
 		Messages map[string]struct {
 			Sent uint64 `json:"sent"`
 		} `json:"peerMessages"`
+		Rates struct {
+			Asks  uint64 `json:"asks"`
+			Waits uint64 `json:"waits"`
+		} `json:"rates"`
 	}
 	if err := json.Unmarshal(raw, &status); err != nil {
 		return errors.Wrap(err, "changes: status")
@@ -89,6 +95,7 @@
 	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
 	u.listBytes = status.Messages["digest"].Sent + status.Messages["fetch"].Sent
 	u.leaseBytes = status.Messages["lease"].Sent + status.Messages["confirm"].Sent + status.Messages["handover"].Sent
+	u.asks, u.waits = status.Rates.Asks, status.Rates.Waits
 	return nil
 }
 
@@ -116,6 +123,10 @@
 	// ListBytes and LeaseBytes are the parts of Sent for lists and membership, and for rates over the fleet.
 	ListBytes  Range `json:"listBytesPerS"`
 	LeaseBytes Range `json:"leaseBytesPerS"`
+	// Asks are questions to homes a second.
+	Asks Range `json:"leaseAsksPerS"`
+	// Waits are requests a second that found no token in stock.
+	Waits Range `json:"waitsPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
 	// Peak is the most since the process began, in megabytes.
@@ -140,7 +151,7 @@
 }
 
 func spent(before, after []usage) Spent {
-	var cpu, sent, received, listBytes, leaseBytes, resident, peaks, links []float64
+	var cpu, sent, received, listBytes, leaseBytes, resident, peaks, links, asks, waits []float64
 	for i := range before {
 		length := after[i].at.Sub(before[i].at).Seconds()
 		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
@@ -148,6 +159,8 @@
 		received = append(received, float64(after[i].received-before[i].received)/length)
 		listBytes = append(listBytes, float64(after[i].listBytes-before[i].listBytes)/length)
 		leaseBytes = append(leaseBytes, float64(after[i].leaseBytes-before[i].leaseBytes)/length)
+		asks = append(asks, float64(after[i].asks-before[i].asks)/length)
+		waits = append(waits, float64(after[i].waits-before[i].waits)/length)
 		resident = append(resident, float64(after[i].resident)/(1<<20))
 		peaks = append(peaks, float64(after[i].peak)/(1<<20))
 		links = append(links, float64(after[i].links))
@@ -155,6 +168,6 @@
 	return Spent{
 		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
 		ListBytes: rangeOf(listBytes), LeaseBytes: rangeOf(leaseBytes),
-		Peak: rangeOf(peaks), Links: rangeOf(links),
+		Peak: rangeOf(peaks), Links: rangeOf(links), Asks: rangeOf(asks), Waits: rangeOf(waits),
 	}
 }
