--- a/internal/bench/rates/world_test.go
+++ b/internal/bench/rates/world_test.go
@@ -181,3 +181,28 @@
 		})
 	}
 }
+
+// The whole fleet starts at once, with empty buckets since nobody can tell what was
+// spent before. A caller of a small organisation should wait for the rate's own
+// time for a token, not for that of each of its shards.
+func TestColdStart(t *testing.T) {
+	plans := []lists.Organisation{{Organisation: "small", Plan: "p", Rate: 1, Burst: 8}}
+	Convey("the first token is there soon after the homes may lend", t, func() {
+		w := populate(NewWorld(1, Lending, rate.DefaultLimits(), plans), 15)
+		var ask func()
+		ask = func() {
+			w.Arrive(w.hosts[w.rng.IntN(len(w.hosts))], "small")
+			w.After(100*time.Millisecond, ask)
+		}
+		w.After(0, ask)
+		for w.Counts.Admitted == 0 && w.Now.Sub(Start) < time.Minute {
+			w.Run(100 * time.Millisecond)
+		}
+		first := w.Now.Sub(Start)
+		w.Run(10 * time.Second)
+		t.Logf("first token after %s, then %d in 10 s", first, w.Counts.Admitted)
+		So(first, ShouldBeLessThan, 3500*time.Millisecond)
+		So(w.Counts.Admitted, ShouldBeBetweenOrEqual, 8, 12)
+		So(w.Checker.Excess, ShouldEqual, 0)
+	})
+}
