--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -74,7 +74,7 @@
 	a.account = budget.New(a.request.Budget)
 	token, wait, ok := d.rates.Spend(r.Context(), organisation)
 	if !ok {
-		return refuse(call.OverRate, wait)
+		return refuse(call.OverRate, d.rates.borrower.ComeBack(organisation, wait, time.Now()))
 	}
 	a.token = token
 	if back, ok := d.doors.Admit(now, organisation, a.request.Operation); !ok {
--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
@@ -26,9 +27,11 @@
 	back     atomic.Uint64
 	mayLend  atomic.Bool
 	complete time.Time
-	ready    atomic.Bool
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// configured are the versions of the lists that were taken over.
+	configured [2]uint64
+	ready      atomic.Bool
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 func newRates(d *Daemon) *rates {
@@ -56,14 +59,27 @@
 // configure takes over a new view; it runs on the control thread.
 func (r *rates) configure(view *lists.View) {
 	now := time.Now()
+	if versions := configuredBy(view); versions != r.configured {
+		r.configured = versions
+		r.setLists(view, now)
+	}
+	if view.Complete() && r.complete.IsZero() {
+		r.complete = now
+	}
+}
+
+// configuredBy returns the versions of the lists that rates depend on. Keys and uses
+// change without the rates of all organisations being gone through again.
+func configuredBy(view *lists.View) [2]uint64 {
+	return [2]uint64{view.Version(lists.KindHosts), view.Version(lists.KindPlans)}
+}
+
+func (r *rates) setLists(view *lists.View, now time.Time) {
 	members := rate.Members(view.Hosts())
 	r.home.SetList(view.Version(lists.KindHosts), members, now)
 	r.home.SetPlans(view.Organisations(), now)
 	r.borrower.SetList(view.Version(lists.KindHosts), members)
 	r.borrower.SetPlans(view.Organisations())
-	if view.Complete() && r.complete.IsZero() {
-		r.complete = now
-	}
 }
 
 // Times of the questions between daemons.
@@ -135,10 +151,10 @@
 		r.ready.Store(true)
 	}
 	scope := r.daemon.metrics.Scope
-	scope.Gauge("rate_shards").Update(float64(status.Shards))
-	scope.Gauge("rate_tokens_out").Update(float64(status.Lent))
-	scope.Gauge("rate_tokens_lent").Update(float64(status.Tokens))
-	scope.Gauge("rate_asks").Update(float64(r.asked.Load()))
+	scope.Gauge(telemetry.RateShards).Update(float64(status.Shards))
+	scope.Gauge(telemetry.RateTokensOut).Update(float64(status.Lent))
+	scope.Gauge(telemetry.RateTokensLent).Update(float64(status.Tokens))
+	scope.Gauge(telemetry.RateAsks).Update(float64(r.asked.Load()))
 }
 
 // confirmNext asks the next member what it knows of membership, and reports whether there was one to ask.
@@ -245,7 +261,6 @@
 	TokensLent    uint64 `json:"tokensLent"`
 	TokensHere    int    `json:"tokensHere"`
 	Asks          uint64 `json:"asks"`
-	LeaseBytes    uint64 `json:"leaseBytesSent"`
 	Waits         uint64 `json:"waits"`
 	GivenBack     uint64 `json:"givenBack"`
 	LendsUntil    string `json:"lendsUntil"`
@@ -259,7 +274,7 @@
 	return RateStatus{
 		MayLend: s.MayLend, HostsVersion: s.Version, Members: s.Members, Organisations: s.Organisations, Shards: s.Shards,
 		TokensOut: s.Lent, TokensLent: s.Tokens, TokensHere: here, Asks: r.asked.Load(),
-		LeaseBytes: r.daemon.peers.SentOf(peer.KindLease), Waits: r.waits.Load(), GivenBack: r.back.Load(),
+		Waits: r.waits.Load(), GivenBack: r.back.Load(),
 		LendsUntil: timeText(s.LendsUntil), FencedUntil: timeText(s.FencedUntil),
 	}
 }
--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -24,9 +24,10 @@
 	sent     uint64
 	received uint64
 	links    int
-	lease    uint64
 	asks     uint64
 	waits    uint64
+	// listBytes and leaseBytes are the parts of sent for lists and membership, and for rates over the fleet.
+	listBytes, leaseBytes uint64
 }
 
 // clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
@@ -82,15 +83,19 @@
 		Links    int    `json:"peerConnections"`
 		Rates    struct {
 			Asks  uint64 `json:"asks"`
-			Bytes uint64 `json:"leaseBytesSent"`
 			Waits uint64 `json:"waits"`
 		} `json:"rates"`
+		Messages map[string]struct {
+			Sent uint64 `json:"sent"`
+		} `json:"peerMessages"`
 	}
 	if err := json.Unmarshal(raw, &status); err != nil {
 		return errors.Wrap(err, "changes: status")
 	}
 	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
-	u.lease, u.asks, u.waits = status.Rates.Bytes, status.Rates.Asks, status.Rates.Waits
+	u.asks, u.waits = status.Rates.Asks, status.Rates.Waits
+	u.listBytes = status.Messages["digest"].Sent + status.Messages["fetch"].Sent
+	u.leaseBytes = status.Messages["lease"].Sent + status.Messages["confirm"].Sent + status.Messages["handover"].Sent
 	return nil
 }
 
@@ -115,10 +120,11 @@
 	// Sent and Received are bytes a second between peers, without TCP's own.
 	Sent     Range `json:"sentBytesPerS"`
 	Received Range `json:"receivedBytesPerS"`
-	// Lease is the part of Sent that lends tokens, answers counted, and Asks are the questions of it a second.
-	Lease Range `json:"leaseBytesPerS"`
+	// ListBytes and LeaseBytes are the parts of Sent for lists and membership, and for rates over the fleet.
+	ListBytes  Range `json:"listBytesPerS"`
+	LeaseBytes Range `json:"leaseBytesPerS"`
+	// Asks are questions for tokens a second, Waits requests a second that found none in stock.
 	Asks  Range `json:"leaseAsksPerS"`
-	// Waits are requests a second that found no token in stock.
 	Waits Range `json:"waitsPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
@@ -144,13 +150,14 @@
 }
 
 func spent(before, after []usage) Spent {
-	var cpu, sent, received, resident, peaks, links, lease, asks, waits []float64
+	var cpu, sent, received, listBytes, leaseBytes, resident, peaks, links, asks, waits []float64
 	for i := range before {
 		length := after[i].at.Sub(before[i].at).Seconds()
 		cpu = append(cpu, 100*(after[i].cpu-before[i].cpu).Seconds()/length)
 		sent = append(sent, float64(after[i].sent-before[i].sent)/length)
 		received = append(received, float64(after[i].received-before[i].received)/length)
-		lease = append(lease, float64(after[i].lease-before[i].lease)/length)
+		listBytes = append(listBytes, float64(after[i].listBytes-before[i].listBytes)/length)
+		leaseBytes = append(leaseBytes, float64(after[i].leaseBytes-before[i].leaseBytes)/length)
 		asks = append(asks, float64(after[i].asks-before[i].asks)/length)
 		waits = append(waits, float64(after[i].waits-before[i].waits)/length)
 		resident = append(resident, float64(after[i].resident)/(1<<20))
@@ -159,6 +166,7 @@
 	}
 	return Spent{
 		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
-		Peak: rangeOf(peaks), Links: rangeOf(links), Lease: rangeOf(lease), Asks: rangeOf(asks), Waits: rangeOf(waits),
+		ListBytes: rangeOf(listBytes), LeaseBytes: rangeOf(leaseBytes), Asks: rangeOf(asks), Waits: rangeOf(waits),
+		Peak: rangeOf(peaks), Links: rangeOf(links),
 	}
 }
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -36,10 +36,11 @@
 	secrets  []string
 	maxConns int
 	handlers map[Kind]handler
+	workers  loops.Workers
 
 	sent     atomic.Uint64
 	received atomic.Uint64
-	sentOf   [1 << 8]atomic.Uint64
+	counts   [Kinds]byteCount
 
 	mu    sync.Mutex
 	links map[lane]*link
@@ -132,13 +133,17 @@
 func (n *Node) Stop() {
 	close(n.stopped)
 	n.engine.Stop()
+	n.workers.Close()
 }
 
 // Traffic returns the bytes sent and received since the start.
-func (n *Node) Traffic() (sent, received uint64) { return n.sent.Load(), n.received.Load() }
-
-// SentOf returns the bytes sent in messages of one kind since the start, answers counted.
-func (n *Node) SentOf(k Kind) uint64 { return n.sentOf[k].Load() }
+func (n *Node) Traffic() Traffic {
+	t := Traffic{Bytes: Bytes{Sent: n.sent.Load(), Received: n.received.Load()}}
+	for k := range t.ByKind {
+		t.ByKind[k] = Bytes{Sent: n.counts[k].sent.Load(), Received: n.counts[k].received.Load()}
+	}
+	return t
+}
 
 // Connections returns the number of open connections.
 func (n *Node) Connections() int {
@@ -162,10 +167,10 @@
 
 var errTooMany = errors.New("peer: too many connections")
 
-// written counts what went to the kernel; it runs under the connection's lock.
+// written hears of what went to the kernel; it runs under the connection's lock.
 func written(c *nbio.Conn, _ []byte, bytes int) {
 	if l, ok := c.Session().(*link); ok {
-		l.written.Add(uint64(bytes))
+		l.wrote(bytes)
 	}
 }
 
@@ -190,6 +195,7 @@
 		n.logger(l.remote, err)
 		_ = c.CloseWithError(err)
 	}
+	loops.Yield()
 }
 
 func (n *Node) closed(c *nbio.Conn, _ error) {
