--- a/internal/load/changes/usage.go
+++ b/internal/load/changes/usage.go
@@ -24,10 +24,10 @@
 	sent     uint64
 	received uint64
 	links    int
-	asks     uint64
-	waits    uint64
 	// listBytes and leaseBytes are the parts of sent for lists and membership, and for rates over the fleet.
 	listBytes, leaseBytes uint64
+	asks                  uint64
+	waits                 uint64
 }
 
 // clockTick is the unit of CPU times in /proc, USER_HZ, which Linux fixes at 100.
@@ -81,21 +81,21 @@
 		Sent     uint64 `json:"peerBytesSent"`
 		Received uint64 `json:"peerBytesReceived"`
 		Links    int    `json:"peerConnections"`
-		Rates    struct {
-			Asks  uint64 `json:"asks"`
-			Waits uint64 `json:"waits"`
-		} `json:"rates"`
 		Messages map[string]struct {
 			Sent uint64 `json:"sent"`
 		} `json:"peerMessages"`
+		Rates struct {
+			Asks  uint64 `json:"asks"`
+			Waits uint64 `json:"waits"`
+		} `json:"rates"`
 	}
 	if err := json.Unmarshal(raw, &status); err != nil {
 		return errors.Wrap(err, "changes: status")
 	}
 	u.sent, u.received, u.links = status.Sent, status.Received, status.Links
-	u.asks, u.waits = status.Rates.Asks, status.Rates.Waits
 	u.listBytes = status.Messages["digest"].Sent + status.Messages["fetch"].Sent
 	u.leaseBytes = status.Messages["lease"].Sent + status.Messages["confirm"].Sent + status.Messages["handover"].Sent
+	u.asks, u.waits = status.Rates.Asks, status.Rates.Waits
 	return nil
 }
 
@@ -123,8 +123,9 @@
 	// ListBytes and LeaseBytes are the parts of Sent for lists and membership, and for rates over the fleet.
 	ListBytes  Range `json:"listBytesPerS"`
 	LeaseBytes Range `json:"leaseBytesPerS"`
-	// Asks are questions for tokens a second, Waits requests a second that found none in stock.
-	Asks  Range `json:"leaseAsksPerS"`
+	// Asks are questions to homes a second.
+	Asks Range `json:"leaseAsksPerS"`
+	// Waits are requests a second that found no token in stock.
 	Waits Range `json:"waitsPerS"`
 	// Resident is in megabytes at the end of the part.
 	Resident Range `json:"residentMB"`
@@ -166,7 +167,7 @@
 	}
 	return Spent{
 		CPU: rangeOf(cpu), Sent: rangeOf(sent), Received: rangeOf(received), Resident: rangeOf(resident),
-		ListBytes: rangeOf(listBytes), LeaseBytes: rangeOf(leaseBytes), Asks: rangeOf(asks), Waits: rangeOf(waits),
-		Peak: rangeOf(peaks), Links: rangeOf(links),
+		ListBytes: rangeOf(listBytes), LeaseBytes: rangeOf(leaseBytes),
+		Peak: rangeOf(peaks), Links: rangeOf(links), Asks: rangeOf(asks), Waits: rangeOf(waits),
 	}
 }
