--- a/internal/bench/rates/arrive.go
+++ b/internal/bench/rates/arrive.go
@@ -65,9 +65,6 @@
 	w.refuse(organisation, Elsewhere, decided)
 }
 
-// turnedAwayWithin is how long a request waits at most before an overloaded service turns it away.
-const turnedAwayWithin = 400 * time.Millisecond
-
 // spent lets a request run that has a token, or be turned away without having run.
 func (w *World) spent(h *Host, organisation string, t rate.Token, decided func(bool)) {
 	if w.Overload == 0 || w.rng.Float64() >= w.Overload {
@@ -76,7 +73,7 @@
 	}
 	w.Counts.TurnedAway++
 	decided(true)
-	w.process(h, h.incarnation, w.rngTime(turnedAwayWithin), func() {
+	w.process(h, h.incarnation, w.rngTime(w.OverloadBy), func() {
 		if h.borrower.GiveBack(organisation, t, w.Now) {
 			w.Counts.GivenBack++
 		}
--- a/internal/bench/rates/schedule_test.go
+++ b/internal/bench/rates/schedule_test.go
@@ -39,6 +39,7 @@
 		Late:    rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "late"), LateBy: 3 * time.Second,
 	}
 	w.Overload = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "overload")
+	w.OverloadBy = 400 * time.Millisecond
 	for range scheduleHosts {
 		w.AddHost()
 	}
--- a/internal/bench/rates/world.go
+++ b/internal/bench/rates/world.go
@@ -43,8 +43,10 @@
 	Network Network
 	// Overload is the share of requests with a token that are turned away before they run.
 	Overload float64
-	Checker  *Checker
-	Counts   Counts
+	// OverloadBy is how long such a request waits at most before it is told so.
+	OverloadBy time.Duration
+	Checker    *Checker
+	Counts     Counts
 
 	ideal   *Checker
 	tallies map[string]*Tally
--- a/internal/bench/rates/world_test.go
+++ b/internal/bench/rates/world_test.go
@@ -206,3 +206,33 @@
 		So(w.Checker.Excess, ShouldEqual, 0)
 	})
 }
+
+// An overloaded service turns three in ten requests away after they had their token,
+// at the door or after a wait in a queue. Were all those tokens lost, a caller inside its rate
+// would pay for the service's trouble.
+func TestTurnedAway(t *testing.T) {
+	cases := []struct {
+		name  string
+		by    time.Duration
+		least float64
+	}{
+		{"at the door, all come back", time.Millisecond, 0.95},
+		{"after up to 400 ms in a queue, those that no question has told of", 400 * time.Millisecond, 0.15},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			w := populate(NewWorld(1, Lending, rate.DefaultLimits(), Organisations()), 15)
+			w.Overload, w.OverloadBy = 0.3, c.by
+			w.Run(10 * time.Second)
+			for i, o := range w.plans {
+				w.offer(o, i, Uniform, 15)
+			}
+			w.Run(20 * time.Second)
+			w.Reset()
+			w.Run(time.Minute)
+			t.Logf("%+v", w.Counts)
+			So(float64(w.Counts.GivenBack)/float64(w.Counts.TurnedAway), ShouldBeGreaterThan, c.least)
+			So(w.Checker.Excess, ShouldEqual, 0)
+		})
+	}
+}
--- a/internal/fleet/rate/purse.go
+++ b/internal/fleet/rate/purse.go
@@ -80,17 +80,17 @@
 
 // spend takes a token, from one home's account if it can.
 func (p *purse) spend(now time.Time) (Token, bool) {
-	if p.left(now) < perToken {
-		return Token{}, false
-	}
-	p.dries = 0
-	p.spends++
 	for _, a := range p.accounts {
 		if a.left(now) >= perToken {
 			a.spend(perToken, now)
+			p.admitted()
 			return Token{account: a, seq: a.seq}, true
 		}
 	}
+	if p.left(now) < perToken {
+		return Token{}, false
+	}
+	p.admitted()
 	missing := perToken
 	for _, a := range p.accounts {
 		missing -= a.spend(min(missing, a.left(now)), now)
@@ -98,6 +98,12 @@
 	return Token{}, true
 }
 
+// admitted counts a request that got its token.
+func (p *purse) admitted() {
+	p.dries = 0
+	p.spends++
+}
+
 func (a *account) spend(n Parts, now time.Time) Parts {
 	if n > 0 && a.spent == a.told {
 		a.untold = now
