--- a/internal/bench/rates/world_test.go
+++ b/internal/bench/rates/world_test.go
@@ -181,3 +181,58 @@
 		})
 	}
 }
+
+// The whole fleet starts at once, with empty buckets since nobody can tell what was
+// spent before. A caller of a small organisation should wait for the rate's own
+// time for a token, not for that of each of its shards.
+func TestColdStart(t *testing.T) {
+	plans := []lists.Organisation{{Organisation: "small", Plan: "p", Rate: 1, Burst: 8}}
+	Convey("the first token is there soon after the homes may lend", t, func() {
+		w := populate(NewWorld(1, Lending, rate.DefaultLimits(), plans), 15)
+		var ask func()
+		ask = func() {
+			w.Arrive(w.hosts[w.rng.IntN(len(w.hosts))], "small")
+			w.After(100*time.Millisecond, ask)
+		}
+		w.After(0, ask)
+		for w.Counts.Admitted == 0 && w.Now.Sub(Start) < time.Minute {
+			w.Run(100 * time.Millisecond)
+		}
+		first := w.Now.Sub(Start)
+		w.Run(10 * time.Second)
+		t.Logf("first token after %s, then %d in 10 s", first, w.Counts.Admitted)
+		So(first, ShouldBeLessThan, 3500*time.Millisecond)
+		So(w.Counts.Admitted, ShouldBeBetweenOrEqual, 8, 12)
+		So(w.Checker.Excess, ShouldEqual, 0)
+	})
+}
+
+// An overloaded service turns three in ten requests away after they had their token,
+// at the door or after a wait in a queue. Were all those tokens lost, a caller inside its rate
+// would pay for the service's trouble.
+func TestTurnedAway(t *testing.T) {
+	cases := []struct {
+		name  string
+		by    time.Duration
+		least float64
+	}{
+		{"at the door, all come back", time.Millisecond, 0.95},
+		{"after up to 400 ms in a queue, those that no question has told of", 400 * time.Millisecond, 0.15},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			w := populate(NewWorld(1, Lending, rate.DefaultLimits(), Organisations()), 15)
+			w.Overload, w.OverloadBy = 0.3, c.by
+			w.Run(10 * time.Second)
+			for i, o := range w.plans {
+				w.offer(o, i, Uniform, 15)
+			}
+			w.Run(20 * time.Second)
+			w.Reset()
+			w.Run(time.Minute)
+			t.Logf("%+v", w.Counts)
+			So(float64(w.Counts.GivenBack)/float64(w.Counts.TurnedAway), ShouldBeGreaterThan, c.least)
+			So(w.Checker.Excess, ShouldEqual, 0)
+		})
+	}
+}
