Tell all faults of the settings beside an unknown flag, and log a placing that finds no host

An unknown flag ended the reading of settings, so that every other fault was told only at the next start: -slot 9 -slots 0 told of -slot alone. Unknown flags are now taken out before the others are read, and told with them.

A request for which no host was left, or no run, had no line in the log, though each placing decision is to have one. Both have a 'place' line without a host now.

--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -50,6 +50,9 @@
 		}
 		next, host, ok := d.attempt(ctx, a, tried)
 		if !ok {
+			if len(tried) == 0 {
+				d.tellPlacing(&a.request, lists.Host{}, 0, answer, time.Now())
+			}
 			break
 		}
 		tried = append(tried, host)
@@ -80,11 +83,13 @@
 
 // attempt sends the request to one more host and returns its answer and name; false if there is no other host.
 func (d *Daemon) attempt(ctx context.Context, a admitted, tried []string) (call.Answer, string, bool) {
-	r := a.request
+	r, begun := a.request, time.Now()
 	if r.Budget = d.draw(ctx, a); r.Budget == 0 {
-		return unfunded(ctx), "", true
+		refusal := unfunded(ctx)
+		d.tellPlacing(&r, lists.Host{}, len(tried), refusal, begun)
+		return refusal, "", true
 	}
-	begun := time.Now()
+	begun = time.Now()
 	place, ok := d.placer.Pick(begun, r.Service, d.candidates(r.Service), tried)
 	if !ok {
 		a.account.Settle(r.Budget, r.Budget)
@@ -99,12 +104,17 @@
 	if answer.Outcome == call.Whole {
 		d.needs.Learn(r.Operation, r.Budget, r.Budget-answer.BudgetLeft, answer.Status < statusFault)
 	}
+	d.tellPlacing(&r, host, len(tried), answer, begun)
+	return answer, host.Host, true
+}
+
+// tellPlacing logs one placing decision and what became of it; the host is empty where none was taken.
+func (d *Daemon) tellPlacing(r *call.Request, host lists.Host, tried int, answer call.Answer, begun time.Time) {
 	d.log.WithFields(logrus.Fields{
 		"decision": "place", "requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
-		"service": r.Service, "host": host.Host, "zone": host.Zone, "attempt": len(tried) + 1, "depth": r.Depth, "budget": r.Budget,
-		"outcome": answer.Outcome.String(), "reason": answer.Reason.String(), "durationUs": now.Sub(begun).Microseconds(),
+		"service": r.Service, "host": host.Host, "zone": host.Zone, "attempt": tried + 1, "depth": r.Depth, "budget": r.Budget,
+		"outcome": answer.Outcome.String(), "reason": answer.Reason.String(), "durationUs": time.Since(begun).Microseconds(),
 	}).Info("route")
-	return answer, host.Host, true
 }
 
 // unfunded is the answer for an attempt without budget, which may have waited for some until its time was up.
--- a/internal/app/settings/flags.go
+++ b/internal/app/settings/flags.go
@@ -33,3 +33,41 @@
 func envName(name string) string {
 	return EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
 }
+
+// sift takes unknown flags out of the arguments, with the value that follows
+// each. The flag package stops at the first, and an operator who mistyped one
+// name would hear of every other fault only at the next start.
+func sift(fs *flag.FlagSet, args []string) (known, unknown []string) {
+	for i := 0; i < len(args); i++ {
+		name, hasValue := flagName(args[i])
+		if name == "" {
+			return append(known, args[i:]...), unknown
+		}
+		end := i + 1
+		if !hasValue && end < len(args) && !isHelp(name) {
+			end++
+		}
+		if fs.Lookup(name) != nil || isHelp(name) {
+			known = append(known, args[i:end]...)
+		} else {
+			unknown = append(unknown, "-"+name)
+			if end == i+2 && strings.HasPrefix(args[i+1], "-") {
+				end--
+			}
+		}
+		i = end - 1
+	}
+	return known, unknown
+}
+
+// flagName returns the name of a flag and whether its value stands with it; empty where the argument ends the flags.
+func flagName(arg string) (name string, hasValue bool) {
+	trimmed := strings.TrimPrefix(strings.TrimPrefix(arg, "-"), "-")
+	if trimmed == arg || trimmed == "" {
+		return "", false
+	}
+	name, _, hasValue = strings.Cut(trimmed, "=")
+	return name, hasValue
+}
+
+func isHelp(name string) bool { return name == "h" || name == "help" }
--- a/internal/app/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -76,11 +76,15 @@
 	fs.Usage = func() { usage(fs, help) }
 	b := &binder{fs: fs}
 	s.bind(b)
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+	known, unknown := sift(fs, args)
+	for _, name := range unknown {
+		b.fault("%s is not a setting; -h lists them", name)
+	}
+	if err := ff.Parse(fs, known, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return s, flag.ErrHelp
 		}
-		return s, Problems{err.Error()}
+		return s, append(b.problems, err.Error())
 	}
 	if rest := fs.Args(); len(rest) > 0 {
 		b.fault("unexpected argument %q", rest[0])
--- a/internal/app/settings/settings_test.go
+++ b/internal/app/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,23 @@
 		So(ok, ShouldBeTrue)
 		So(problems, ShouldHaveLength, 5)
 	})
+	Convey("An unknown flag hides no other fault", t, func() {
+		cases := []struct {
+			args   []string
+			faults int
+		}{
+			{[]string{"-slot", "9", "-slots", "0"}, 2},
+			{[]string{"-slot=9", "--slots=0", "-wacht", "1s"}, 3},
+			{[]string{"-slot", "-slots", "0"}, 2},
+			{[]string{"-slots", "0", "-unknown"}, 2},
+			{[]string{"-slots", "9", "rest", "-slot", "1"}, 1},
+			{[]string{"-slots"}, 1},
+		}
+		for _, c := range cases {
+			_, err := Parse(append(slices.Clone(least), c.args...), &bytes.Buffer{})
+			So(err, ShouldHaveLength, c.faults)
+		}
+	})
 	Convey("Choices are taken by name, and others are refused", t, func() {
 		s, err := Parse(append(least, "-limit", "aimd", "-queue", "lifo"), &bytes.Buffer{})
 		So(err, ShouldBeNil)
