Ask for a lost change again after 300 ms, six times before the wait grows

Cause: TestReadsOfAFleetThatStarts failed in the whole check under the race detector: with a twentieth of all messages lost for good one daemon of 3,400 lacked a change after 3 s. The order of maps makes each run another schedule. A fetch loses its question or answer one time in ten, and after three such losses of 400 ms each the wait doubled: over 20 changes some daemon always had that.

A daemon without the list waits for up to a megabyte rather than for some hundred bytes, so there the wait grows from the second try on. The test stays as strict as it was.

--- a/internal/fleet/spread/core.go
+++ b/internal/fleet/spread/core.go
@@ -59,10 +59,12 @@
 	askWidth = 3
 	// fetchTime is the wait for a value before it is asked for once more. A peer that dies
 	// while it answers would else use up the time in which a change is to be in force.
-	// From the fetch after fetchTries on it doubles, fetchDoublings times at most: over a slow link a value
-	// of a megabyte takes seconds, and asked for again and again it would take longer each time.
-	fetchTime      = 400 * time.Millisecond
-	fetchTries     = 3
+	// From the fetch after fetchTries on it doubles, fetchDoublings times at most. A change is some hundred bytes, so its
+	// answer is there at once or lost; a daemon without the list waits for a megabyte, which asked for again
+	// and again over a slow link would take longer each time, so there firstTries counts.
+	fetchTime      = 300 * time.Millisecond
+	fetchTries     = 6
+	firstTries     = 1
 	fetchDoublings = 3
 	// hearsayTime is how long a starting daemon holds out for a version that it heard of and can't
 	// get: the only peer that had it may be gone for good.
@@ -271,7 +273,11 @@
 
 // patience returns how long the next fetch of the list may take.
 func (c *Core) patience(k lists.Kind) time.Duration {
-	return fetchTime << min(max(c.slow[k]-fetchTries+1, 0), fetchDoublings)
+	tries := fetchTries
+	if c.versions[k] == 0 {
+		tries = firstTries
+	}
+	return fetchTime << min(max(c.slow[k]-tries+1, 0), fetchDoublings)
 }
 
 // Fetched notes that a fetch has ended, with or without a value.
