--- a/cmd/foxtailload/demand.go
+++ b/cmd/foxtailload/demand.go
@@ -7,13 +7,20 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/load/changes"
 )
 
+// Names of where callers come in.
+const (
+	uniform = "uniform"
+	skewed  = "skewed"
+)
+
 func demandCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("foxtailload demand", flag.ExitOnError)
-	arrival := fs.String("arrival", "uniform", "where callers come in: uniform or skewed")
+	arrival := fs.String("arrival", uniform, "where callers come in: uniform or skewed")
 	var fleet fleetFlags
 	fleet.bind(fs)
 	var p changes.Demand
@@ -24,7 +31,10 @@
 		Name: "demand", ShortUsage: "foxtailload demand -fleet FILE", FlagSet: fs,
 		ShortHelp: "Sends eight organisations' traffic at a fleet and counts wrongful refusals and what leases cost; one JSON line on standard output.",
 		Exec: func(ctx context.Context, _ []string) error {
-			p.Skewed = *arrival == "skewed"
+			if *arrival != uniform && *arrival != skewed {
+				return errors.Errorf("-arrival: %q is not %s or %s", *arrival, uniform, skewed)
+			}
+			p.Skewed = *arrival == skewed
 			return fleet.measure(ctx, &p.Plan, func(ctx context.Context) (any, error) {
 				return changes.RunDemand(ctx, p, os.Stderr)
 			})
