End a call with its context while its connection is still being opened

Cause: a call waited for its connection whatever its context said, up to 500 ms for the connection and as long for the handshake. A request that finds no token asks its homes one after another, 50 ms each; a home behind a link that drops packets took all of the 500 ms that the request may wait, and its caller was refused as over its rate though the next home had tokens. Found by reading.

The link is opened beside the calls that wait for it, and each gives up with its own context, as not sent, which is true. TestCallGivesUpOnAHangingConnection took 60 s, the dial's own bound, and failed before; now it takes 20 ms.

--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -45,7 +45,7 @@
 	if headerSize+len(payload) > n.maxFrame {
 		return resp, errors.Wrapf(ErrNotSent, "%s of %d bytes is over the frame bound", kind, len(payload))
 	}
-	l, id, answer, err := n.begin(to, kind)
+	l, id, answer, err := n.begin(ctx, to, kind)
 	if err != nil {
 		return resp, err
 	}
@@ -73,9 +73,9 @@
 
 // begin registers a call on the link to a peer. A link that was closed as idle
 // just now is replaced once, since no byte of the call has left.
-func (n *Node) begin(to netip.AddrPort, kind Kind) (*link, uint64, chan frame, error) {
+func (n *Node) begin(ctx context.Context, to netip.AddrPort, kind Kind) (*link, uint64, chan frame, error) {
 	for range 2 {
-		l, err := n.dial(to, kind)
+		l, err := n.dial(ctx, to, kind)
 		if err != nil {
 			return nil, 0, nil, err
 		}
@@ -92,7 +92,7 @@
 	if err != nil {
 		return errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
 	}
-	l, err := n.dial(to, kind)
+	l, err := n.dial(context.Background(), to, kind)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/peer/dial.go
+++ b/internal/wire/peer/dial.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"net/netip"
 
@@ -15,12 +16,15 @@
 	err  error
 }
 
-// dial returns the open link for messages of a kind to a peer, opening one if there is none.
+// dial returns the open link for messages of a kind to a peer, opening one if
+// there is none; the error is ErrNotSent, also when the context ends first.
 //
 // Hundreds of requests may want the same link when it has just been lost. Would each
 // open one, their handshakes would keep the other side so busy that some take
-// longer than they may, and requests are refused though it can be reached.
-func (n *Node) dial(to netip.AddrPort, k Kind) (*link, error) {
+// longer than they may, and requests are refused though it can be reached. And a
+// host that is cut off lets a connection hang for longer than a request may wait
+// for it: one that can ask elsewhere goes on, while the link is still being opened.
+func (n *Node) dial(ctx context.Context, to netip.AddrPort, k Kind) (*link, error) {
 	at := laneOf(to, k)
 	n.mu.Lock()
 	if l, ok := n.links[at]; ok {
@@ -29,20 +33,27 @@
 		return l, nil
 	}
 	d, ok := n.dials[at]
-	if ok {
-		n.mu.Unlock()
-		<-d.done
-		return d.link, d.err
+	if !ok {
+		d = &dialing{done: make(chan struct{})}
+		n.dials[at] = d
+		go n.finish(at, d)
 	}
-	d = &dialing{done: make(chan struct{})}
-	n.dials[at] = d
 	n.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.link, d.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", to, ctx.Err())
+	}
+}
+
+// finish opens the link and tells those who wait for it.
+func (n *Node) finish(at lane, d *dialing) {
 	d.link, d.err = n.open(at)
 	n.mu.Lock()
 	delete(n.dials, at)
 	n.mu.Unlock()
 	close(d.done)
-	return d.link, d.err
 }
 
 // open opens a link, in place of another if there are too many.
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -196,3 +196,22 @@
 		}
 	})
 }
+
+// A host is cut off in such a way that connections to it hang. A request that
+// asks it for a token could ask the next home, but waits until the connection is given up,
+// and its caller is refused although it is inside its rate.
+func TestCallGivesUpOnAHangingConnection(t *testing.T) {
+	Convey("A call ends with its context while the connection is still being opened", t, func() {
+		l, err := net.Listen("tcp", loopback.Address().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = l.Close() }()
+		client := New(loopback.Address(), WithDialTimeout(time.Minute))
+		So(client.Start(), ShouldBeNil)
+		defer client.Stop()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		_, err = Call[question, question](ctx, client, netip.MustParseAddrPort(l.Addr().String()), KindLease, question{"a"})
+		So(err, ShouldWrap, ErrNotSent)
+		So(err.Error(), ShouldContainSubstring, context.DeadlineExceeded.Error())
+	})
+}
