Work out the time kept for an answer in one place

The queue's refusals and handed-on requests each kept a tenth of the time left, up to a bound of their own, by the same arithmetic twice. The bounds stay. A counter of the rates is taken the way all others are. Behaviour is unchanged.

--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -58,7 +58,10 @@
 // forAnswer takes the time that an answer needs on its way back from the time
 // left. A booking whose time runs out in the other host's queue is refused there
 // in time; told a moment too late, it would be called unknown though nothing ran.
-func forAnswer(left time.Duration) time.Duration { return left - min(left/answerShare, answerTime) }
+func forAnswer(left time.Duration) time.Duration { return left - setAside(left, answerTime) }
+
+// setAside returns the part of the time left that is kept for an answer, at most so much.
+func setAside(left, most time.Duration) time.Duration { return min(left/answerShare, most) }
 
 func (h *handoff) request(now time.Time) *call.Request {
 	return &call.Request{
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -55,17 +55,14 @@
 	return o.execute(ctx, r, t)
 }
 
-const (
-	tellShare = 10
-	tellTime  = 20 * time.Millisecond
-)
+const tellTime = 20 * time.Millisecond
 
 // toTell returns the time that a refusal from the queue needs to be heard before the request's time is up.
 //
 // On busy hosts, where requests wait, threads do so too. A booking that left
 // the queue in its last milliseconds would be called unknown by the daemon that
 // handed it on, and its caller sent to look for something that never ran.
-func toTell(left time.Duration) time.Duration { return min(left/tellShare, tellTime) }
+func toTell(left time.Duration) time.Duration { return setAside(left, tellTime) }
 
 func (o *owner) enter(ctx context.Context, t *admission.Ticket) admission.Decision {
 	decided := make(waiter, 1)
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -69,7 +69,7 @@
 // giveBack returns the token of a request that did not run; a chained request has none.
 func (r *rates) giveBack(a *admitted) {
 	if r.borrower.GiveBack(a.request.Organisation, a.token, time.Now()) {
-		r.daemon.metrics.Scope.Counter(telemetry.RateGivenBack).Inc(1)
+		r.daemon.metrics.Counter(telemetry.RateGivenBack).Inc(1)
 		r.back.Add(1)
 	}
 }
