Cut no request that a shutting-down daemon is taking in or answering

What can end a caller's connection without an answer, found by reading the stop path: - A request that is still arriving did not count: a body that took more than 500 ms to come in was cut at the end of a leave. - A request stopped counting, and the clock that closes its connection ran, when its handler had returned; nbhttp writes a small answer only after that. A thread that stands still for 500 ms in between loses a finished answer. - An idle connection was closed without a word, so a request sent in that instant had an unknown outcome. - nbio catches a handler's panic without a word (no answer, process goes on). The first and third need a pause of 500 ms at the caller, the second one at the daemon. Ruled out: the read deadlines and the 5 s for a head (stopped when a request is whole), reuse of a descriptor (nbio reads under its lock), the filter of the closing port (its connections pass all but SYN).

Now a connection counts as idle only with no request at work, in part, or unwritten, for 2 s in place of 0.5 s; it is told 408 notRun before it ends, and nothing that follows is run; a panic ends the process and says where. The load of the scenarios tells of a broken request when it was sent, when it failed and how long its connection had been idle.

A shutdown waits up to 2 s longer for idle callers.

--- a/internal/app/daemon/faults.go
+++ b/internal/app/daemon/faults.go
@@ -18,6 +18,9 @@
 		refusal = call.Refuse(call.TooLarge, 0)
 	case httpd.Full:
 		refusal = call.Refuse(call.Overloaded, time.Second)
+	case httpd.Closing:
+		refusal = call.Refuse(call.Draining, time.Second)
+		refusal.Status = http.StatusRequestTimeout
 	case httpd.Malformed:
 	}
 	header := http.Header{}
--- a/internal/proof/scenario/truth_test.go
+++ b/internal/proof/scenario/truth_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"regexp"
 	"strconv"
 	"strings"
@@ -145,17 +146,38 @@
 		req.Header.Set("Authorization", "Bearer "+key)
 		req.Header.Set(upstream.HeaderTimeout, strconv.FormatInt(loadTimeout.Milliseconds(), 10))
 		l.sending(number)
+		req, way := traced(req)
 		out, err := exchange(req)
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
 			continue
 		}
-		l.note(number, out, err)
+		l.note(number, out, errors.Join(err, way.fault(err)))
 		return
 	}
 	l.note(number, "", errors.New("no host can be connected to"))
 }
 
+// way is what a request's connection went through, told beside its fault.
+type way struct {
+	begun time.Time
+	conn  httptrace.GotConnInfo
+}
+
+func traced(req *http.Request) (*http.Request, *way) {
+	w := &way{begun: time.Now()}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { w.conn = info }}
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), w
+}
+
+func (w *way) fault(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("sent at %s, failed after %s, connection reused=%v idle=%s",
+		w.begun.Format(time.StampMilli), time.Since(w.begun), w.conn.Reused, w.conn.IdleTime)
+}
+
 // plainBody keeps the client from sending a request again by itself.
 type plainBody struct{ io.Reader }
 
--- a/internal/wire/httpd/fault.go
+++ b/internal/wire/httpd/fault.go
@@ -19,6 +19,8 @@
 	BodyTooLarge // bodyTooLarge
 	// Full means that the bodies held leave no room for this one now.
 	Full // full
+	// Closing means that the connection ends with the server: what comes on it any more isn't run.
+	Closing // closing
 )
 
 // Refuser makes the answer for a fault.
@@ -30,6 +32,7 @@
 		HeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 		BodyTooLarge: http.StatusRequestEntityTooLarge,
 		Full:         http.StatusServiceUnavailable,
+		Closing:      http.StatusRequestTimeout,
 	}
 	return statuses[f], http.Header{}, []byte(f.String() + "\n")
 }
--- a/internal/wire/httpd/fault_string.go
+++ b/internal/wire/httpd/fault_string.go
@@ -12,11 +12,12 @@
 	_ = x[HeadTooLarge-1]
 	_ = x[BodyTooLarge-2]
 	_ = x[Full-3]
+	_ = x[Closing-4]
 }
 
-const _Fault_name = "malformedheadTooLargebodyTooLargefull"
+const _Fault_name = "malformedheadTooLargebodyTooLargefullclosing"
 
-var _Fault_index = [...]uint8{0, 9, 21, 33, 37}
+var _Fault_index = [...]uint8{0, 9, 21, 33, 37, 44}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -193,7 +193,7 @@
 	g.Processor.OnComplete(p)
 }
 
-// serve marks the next whole request as begun; the function that it returns ends it and gives its bytes back.
+// serve marks the next whole request as begun; the function that it returns gives its bytes back.
 func (g *guard) serve() (done func()) {
 	// A request at work has a deadline of its own; the connection's would cut it.
 	_ = g.conn.SetReadDeadline(time.Time{})
@@ -204,13 +204,15 @@
 		bytes = g.taken[0]
 		g.taken = g.taken[1:]
 	}
-	return func() {
-		g.server.held.give(bytes)
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.active--
-		g.quiet = time.Now()
-	}
+	return func() { g.server.held.give(bytes) }
+}
+
+// answered ends a request once its answer is written.
+func (g *guard) answered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	g.quiet = time.Now()
 }
 
 func (g *guard) running() int {
@@ -219,13 +221,29 @@
 	return g.active
 }
 
-// idleSince returns since when the connection has had no request, or false while it has one.
-func (g *guard) idleSince() (time.Time, bool) {
+// quietSince returns since when the connection has had no request at work, or false while it has one.
+func (g *guard) quietSince() (time.Time, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.quiet, g.active == 0
 }
 
+// end closes a connection that has had no request for a while, also none in part.
+//
+// A caller may send its next request in the same instant. A connection that
+// just ended would leave it without word of what became of that request, so it
+// is told that nothing more is run here. 408 is the one answer that HTTP lets a
+// server send unasked: a caller that has nothing under way drops the connection.
+func (g *guard) end(now time.Time) {
+	g.parsing.Lock()
+	defer g.parsing.Unlock()
+	since, quiet := g.quietSince()
+	if !quiet || g.begun || g.dropping || now.Sub(since) < idleEnough {
+		return
+	}
+	g.refuse(Closing)
+}
+
 // refuse answers behind the requests that came before on the connection, and closes it a little later.
 func (g *guard) refuse(f Fault) {
 	g.dropping = true
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -155,15 +155,15 @@
 	return loops.Await(s.engine.Engine, pollers)
 }
 
-// Stop closes the listener, waits until no connection has a request, closing those
-// that have had none for a while, and then closes what is left; ctx bounds the wait.
+// Stop closes the listener and waits until no connection is left, ending those
+// that have had no request for a while; ctx bounds the wait.
 //
-// Closing at once would cut answers still on their way out, and requests that a
-// caller sends on a connection that it believes to be open.
+// Closing at once would cut requests still on their way in, answers still on
+// their way out, and what a caller sends on a connection that it believes to be open.
 func (s *Server) Stop(ctx context.Context) error {
 	unsettled := s.listener.end()
 	// A connection accepted last has no guard yet, and its request may be on the way.
-	least := time.Now().Add(idleEnough)
+	least := time.Now().Add(acceptTime)
 	tick := time.NewTicker(stopLook)
 	defer tick.Stop()
 	for ctx.Err() == nil && (!s.closeIdle(time.Now()) || time.Now().Before(least)) {
@@ -193,22 +193,18 @@
 const (
 	stopLook = 20 * time.Millisecond
 	lastWait = time.Second
-	// idleEnough is longer than an answer takes to leave and its caller to see that it should connect elsewhere.
-	idleEnough = 500 * time.Millisecond
+	// acceptTime is longer than a connection taken last needs to get its guard.
+	acceptTime = 500 * time.Millisecond
+	// idleEnough is longer than callers in steady use leave a connection idle, so that few of them meet its end.
+	idleEnough = 2 * time.Second
 )
 
-// closeIdle closes connections without a request and reports whether none is left.
+// closeIdle ends connections without a request and reports whether none is left.
 func (s *Server) closeIdle(now time.Time) bool {
 	none := true
 	s.guards.Range(func(_, value any) bool {
-		g := value.(*guard)
-		since, idle := g.idleSince()
-		switch {
-		case idle && now.Sub(since) >= idleEnough:
-			_ = g.conn.Close()
-		default:
-			none = false
-		}
+		value.(*guard).end(now)
+		none = false
 		return true
 	})
 	return none
--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -1,7 +1,9 @@
 package httpd
 
 import (
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -16,17 +18,39 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if g, ok := s.guardOf(conn); ok {
+		g, guarded := s.guardOf(conn)
+		if guarded {
 			defer g.serve()()
 		}
 		out := &closer{ResponseWriter: w, server: s, asked: r.Close}
 		// nbhttp would close the connection with the answer still in its send queue.
 		r.Close = false
+		defer stopOnPanic()
+		// nbhttp writes a small answer when the handler has returned, and the
+		// connection runs this behind it. On a busy machine the time between is
+		// long enough for a clock started before to close the connection first.
+		defer conn.MustExecute(func() {
+			if guarded {
+				g.answered()
+			}
+			out.finish(conn)
+		})
 		next.ServeHTTP(out, r)
-		out.finish(conn)
 	})
 }
 
+// stopOnPanic ends the process when a handler has panicked.
+//
+// nbio catches panics and goes on without a word: the caller would wait for an
+// answer that nobody writes, and the process would go on with broken state.
+func stopOnPanic() {
+	if what := recover(); what != nil {
+		where := debug.Stack()
+		go panic(fmt.Sprintf("http: handler: %v\n%s", what, where))
+		select {}
+	}
+}
+
 // closer tells the caller that the connection ends with this answer, and ends it when the answer has had time to leave.
 type closer struct {
 	http.ResponseWriter
@@ -34,6 +58,7 @@
 	asked  bool
 	closes bool
 	begun  bool
+	size   int
 }
 
 // Unwrap returns the writer below.
@@ -45,6 +70,7 @@
 	if c.asked || c.server.closing() {
 		c.closes = true
 		c.Header().Set("Connection", "close")
+		c.size, _ = strconv.Atoi(c.Header().Get("Content-Length"))
 	}
 	c.ResponseWriter.WriteHeader(status)
 }
@@ -62,6 +88,5 @@
 	if !c.closes {
 		return
 	}
-	size, _ := strconv.Atoi(c.Header().Get("Content-Length"))
-	time.AfterFunc(linger+time.Duration(size/leastRate)*time.Second, func() { _ = conn.Close() })
+	time.AfterFunc(linger+time.Duration(c.size/leastRate)*time.Second, func() { _ = conn.Close() })
 }
