Fail a scenario when one of its processes crashes

A daemon that crashed while it was leaving passed for one that had shut down: its callers in flight saw an EOF, the rest went elsewhere, and the scenario told only of one broken request. Now shutdown fails unless the process ended with status 0, and each scenario's end reads its logs for panics and race reports.

--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -219,8 +219,12 @@
 		need(ts, args, 1, "NAME, NAME.upstream or platform")
 		p := processOf(ts, args[0])
 		ts.Check(p.signal(s))
-		if ends {
-			<-p.done
+		if !ends {
+			return
+		}
+		<-p.done
+		if s == syscall.SIGTERM && p.err != nil {
+			ts.Fatalf("%s did not shut down: %v", args[0], p.err)
 		}
 	}
 }
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -253,3 +254,22 @@
 	f.platform.end()
 	f.relays.end()
 }
+
+var crashed = regexp.MustCompile(`(?m)^(panic: |fatal error: |WARNING: DATA RACE)`)
+
+// crash returns what a process wrote as it crashed; a crash in the middle of a leave passes for its end.
+func (f *fleet) crash() string {
+	logs, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, log := range logs {
+		raw, err := os.ReadFile(log)
+		if err != nil {
+			continue
+		}
+		if at := crashed.FindIndex(raw); at != nil {
+			return filepath.Base(log) + ": " + string(raw[at[0]:min(at[0]+crashSize, len(raw))])
+		}
+	}
+	return ""
+}
+
+const crashSize = 4000
--- a/internal/proof/scenario/scenario_test.go
+++ b/internal/proof/scenario/scenario_test.go
@@ -20,7 +20,11 @@
 		os.Exit(1)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "../../../cmd/...")
+	args := []string{"build", "-o", dir + "/"}
+	if os.Getenv("SCENARIO_RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../../../cmd/...")...)
 	build.Stdout, build.Stderr = os.Stdout, os.Stderr
 	code := 1
 	if err := build.Run(); err == nil {
@@ -46,7 +50,12 @@
 func setup(env *testscript.Env) error {
 	f := newFleet(binaries, env.WorkDir)
 	env.Values[fleetKey{}] = f
-	env.Defer(f.end)
+	env.Defer(func() {
+		f.end()
+		if crash := f.crash(); crash != "" {
+			env.T().Fatal(crash)
+		}
+	})
 	for name, text := range shared {
 		if err := os.WriteFile(env.WorkDir+"/"+name, []byte(text), 0o644); err != nil {
 			return err
