Let callers wait while a daemon that wakes has its lists confirmed

Such a request now waits until the lists are confirmed, at most 2 s (the spreading's grace) and half of the caller's timeout, counted from when they stopped to count as current; a daemon that is isolated, or has been unconfirmed for longer, refuses at once as before.

--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -45,7 +45,7 @@
 }
 
 func (d *Daemon) admitCaller(r *http.Request, body []byte, now time.Time) (admitted, call.Answer, bool) {
-	if !d.takes(now) {
+	if !d.awaitTakes(r, now) {
 		return refuse(call.NotReady, time.Second)
 	}
 	// Loaded after the question whether the lists are current: a thread that was
--- a/internal/app/daemon/door_test.go
+++ b/internal/app/daemon/door_test.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/hex"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -78,3 +81,48 @@
 		})
 	}
 }
+
+func TestCallersOfADaemonThatWakes(t *testing.T) {
+	// A daemon's process stands still and wakes with callers' requests in its
+	// buffers. Until peers have confirmed its lists it may take none, but the
+	// callers were inside their rate and can wait a moment.
+	long, short := settings.Default().DefaultTimeout, 100*time.Millisecond
+	cases := []struct {
+		name      string
+		standing  spread.Standing
+		since     time.Duration
+		confirmed time.Duration
+		timeout   time.Duration
+		takes     bool
+		after     time.Duration
+	}{
+		{"confirmed in time", spread.Waking, 0, 28 * time.Millisecond, long, true, 30 * time.Millisecond},
+		{"the control thread has not looked yet", spread.Serving, -time.Hour, 28 * time.Millisecond, long, true, 30 * time.Millisecond},
+		{"not confirmed", spread.Waking, 0, time.Hour, long, false, confirmWait},
+		{"not confirmed in half of the caller's time", spread.Waking, 0, time.Hour, short, false, short / 2},
+		{"unconfirmed for long", spread.Starting, -time.Minute, time.Hour, long, false, 0},
+		{"cut off", spread.Isolated, 0, time.Hour, long, false, 0},
+	}
+	Convey("A request waits for the lists as long as that helps", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				d := doorDaemon(false, time.Now())
+				var takes bool
+				var after time.Duration
+				synctest.Test(t, func(*testing.T) {
+					begun := time.Now()
+					d.standing.Store(&standing{Standing: c.standing, looked: begun.Add(-time.Hour), since: begun.Add(c.since)})
+					time.AfterFunc(c.confirmed, func() {
+						d.standing.Store(&standing{Standing: spread.Serving, looked: time.Now(), since: time.Now()})
+					})
+					r := httptest.NewRequest(http.MethodGet, "/lookup/", nil)
+					r.Header.Set(headerTimeout, strconv.FormatInt(c.timeout.Milliseconds(), 10))
+					takes = d.awaitTakes(r, begun)
+					after = time.Since(begun)
+				})
+				So(takes, ShouldEqual, c.takes)
+				So(after, ShouldEqual, c.after)
+			})
+		}
+	})
+}
