Count the wait for a token from the last token that came

Cause: requests that wait for a token share one search, which goes on as long as any waits. Its 500 ms counted from its beginning, so a search that followed requests coming without a pause ended as dry although its homes had answered each question with tokens: those that had joined it just now were refused as overRate, and those of the next 20 ms without asking. A waiter was also not woken when tokens came by a question ahead of need.

--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -22,6 +22,8 @@
 	borrower *rate.Borrower
 	self     rate.Member
 	seeks    seeks
+	// lend asks a home for tokens and returns the time until it has one.
+	lend     func(context.Context, rate.Ask) time.Duration
 	asked    atomic.Uint64
 	waits    atomic.Uint64
 	back     atomic.Uint64
@@ -41,13 +43,15 @@
 	self := rate.Member{Host: d.settings.Host, Peer: d.settings.Advertise}
 	borrower := rate.NewBorrower(self.Host+"@"+self.Peer.String(), incarnation, limits)
 	borrower.SetOwn(self)
-	return &rates{
+	r := &rates{
 		daemon: d, self: self,
 		home:     rate.NewHome(self, incarnation, limits, now),
 		borrower: borrower,
 		seeks:    newSeeks(),
 		done:     make(chan struct{}),
 	}
+	r.lend = r.lease
+	return r
 }
 
 func (r *rates) handle(n *peer.Node) {
--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -9,7 +9,9 @@
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 )
 
-// seekBound is how long a request waits for tokens while no home can say how it stands; when they can, it is refused at once.
+// seekBound is how long requests wait for tokens while no home can say how it stands and none of them
+// gets one; when homes can, they are refused at once. It counts from the last token and not from the search's
+// beginning: one search follows requests that come without a pause for as long as they come.
 const seekBound = 500 * time.Millisecond
 
 // seeks are the searches for tokens that requests wait for, one for each organisation.
@@ -29,6 +31,8 @@
 	ended   bool
 	dry     bool
 	wait    time.Duration
+	// lent is when the search began, or when one of those that wait last got a token.
+	lent time.Time
 }
 
 // Spend takes a token of the organisation. If none is here it waits, bounded, for
@@ -48,6 +52,7 @@
 	for {
 		changed, ended, dry, wait := s.look()
 		if token, ok := r.borrower.Take(organisation, time.Now()); ok {
+			s.took(time.Now())
 			return token, 0, true
 		}
 		if ended && dry {
@@ -80,7 +85,7 @@
 	defer r.seeks.mu.Unlock()
 	s, ok := r.seeks.going[organisation]
 	if !ok {
-		s = &seek{changed: make(chan struct{}), wait: time.Second}
+		s = &seek{changed: make(chan struct{}), wait: time.Second, lent: time.Now()}
 		r.seeks.going[organisation] = s
 		go r.seek(organisation, s)
 	}
@@ -91,10 +96,7 @@
 }
 
 func (r *rates) seek(organisation string, s *seek) {
-	ends := time.Now().Add(seekBound)
-	ctx, cancel := context.WithDeadline(context.Background(), ends)
-	defer cancel()
-	wait, dry := r.rounds(ctx, organisation, s)
+	wait, dry := r.rounds(organisation, s)
 	r.seeks.mu.Lock()
 	delete(r.seeks.going, organisation)
 	r.seeks.mu.Unlock()
@@ -106,11 +108,19 @@
 
 // rounds asks all homes again while some have more than was asked for, since
 // requests join meanwhile, and once more for the fractions that they hold.
-func (r *rates) rounds(ctx context.Context, organisation string, s *seek) (wait time.Duration, dry bool) {
+func (r *rates) rounds(organisation string, s *seek) (wait time.Duration, dry bool) {
 	need := rate.Waiting
-	for s.wanted() && ctx.Err() == nil {
+	for s.wanted() {
 		var certain bool
-		wait, certain = r.round(ctx, organisation, s, need)
+		ends := s.ends()
+		if !time.Now().Before(ends) {
+			return wait, true
+		}
+		wait, certain = r.round(ends, organisation, s, need)
+		if r.borrower.Stock(organisation, time.Now()) > 0 {
+			// What was asked for ahead of need may have come too, and nobody else tells of it.
+			s.tell()
+		}
 		if wait == 0 {
 			continue
 		}
@@ -126,7 +136,7 @@
 			time.Sleep(wait)
 		}
 	}
-	return wait, ctx.Err() != nil
+	return wait, false
 }
 
 // againWithin is how soon a home must expect a token for it to be waited for
@@ -137,16 +147,18 @@
 // unsettledPause stands between rounds in which no home could say how it stands.
 const unsettledPause = 10 * time.Millisecond
 
-// round asks each home once, as long as requests wait, and returns the
+// round asks each home once, as long as requests wait and the time is not up, and returns the
 // shortest time until one has a token, and whether any could tell.
-func (r *rates) round(ctx context.Context, organisation string, s *seek, need rate.Need) (wait time.Duration, certain bool) {
+func (r *rates) round(ends time.Time, organisation string, s *seek, need rate.Need) (wait time.Duration, certain bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
 	wait = rate.UnsettledWait
 	for _, home := range r.borrower.Homes(organisation, time.Now()) {
 		if !s.wanted() || ctx.Err() != nil {
 			break
 		}
 		if ask, ok := r.borrower.Urgent(organisation, home, s.waiting(), need, time.Now()); ok {
-			told := r.lease(ctx, ask)
+			told := r.lend(ctx, ask)
 			switch {
 			case told == rate.UnsettledWait:
 			case certain:
@@ -166,6 +178,20 @@
 	return s.changed, s.ended, s.dry, s.wait
 }
 
+// took notes that one of those that wait got a token.
+func (s *seek) took(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lent = now
+}
+
+// ends returns when the search ends unless somebody gets a token before.
+func (s *seek) ends() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lent.Add(seekBound)
+}
+
 func (s *seek) leave() {
 	s.mu.Lock()
 	s.waiters--
