Wait for events in the tests of the peer network

A machine on which a process stands still for a moment changed the verdict of these tests, without a fault of the system: - connections had 500 ms to open and 2 s to prove themselves, and tests that are not about that failed with "not sent". They have a minute now (the bound of the greeting is a field of the node); the two cases that are about it keep the 2 s. - TestCancelledCallStopsTheHandler cancelled after 50 ms, maybe before the handler had begun; it does when the handler has begun. - TestConnectionBreaksInTheMiddle closed 100 ms after the last byte that it read, in the hope that the rest had left by then. It reads as many bytes as the request takes, and closes at once: stricter, since the call must know then, without a pause, that all had left. The request that was never read is one of which a byte was read, which shows that it had left. - Waits for what must come have a minute, in place of 10 and 20 s.

--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -24,18 +24,19 @@
 
 // Node is one daemon's end of the peer network.
 type Node struct {
-	engine   *loops.Engine
-	address  netip.AddrPort
-	maxFrame int
-	dialTime time.Duration
-	logger   Logger
-	maxLinks int
-	idleTime time.Duration
-	stopped  chan struct{}
-	secrets  []string
-	maxConns int
-	handlers map[Kind]handler
-	workers  loops.Workers
+	engine    *loops.Engine
+	address   netip.AddrPort
+	maxFrame  int
+	dialTime  time.Duration
+	greetTime time.Duration
+	logger    Logger
+	maxLinks  int
+	idleTime  time.Duration
+	stopped   chan struct{}
+	secrets   []string
+	maxConns  int
+	handlers  map[Kind]handler
+	workers   loops.Workers
 
 	sent     atomic.Uint64
 	received atomic.Uint64
@@ -67,8 +68,8 @@
 	defaultMaxFrame = 80 << 20
 	defaultDialTime = 500 * time.Millisecond
 	defaultMaxConns = 8192
-	// greetTime bounds how long a connection may take to prove that it is a peer's.
-	greetTime = 2 * time.Second
+	// defaultGreetTime bounds how long a connection may take to prove that it is a peer's.
+	defaultGreetTime = 2 * time.Second
 )
 
 // WithMaxFrame bounds the size of one frame in bytes.
@@ -95,19 +96,20 @@
 // New returns a node that will listen on the address; handlers are added before Start.
 func New(address netip.AddrPort, opts ...Option) *Node {
 	n := &Node{
-		address:  address,
-		maxFrame: defaultMaxFrame,
-		dialTime: defaultDialTime,
-		maxLinks: defaultMaxLinks,
-		idleTime: defaultIdleTime,
-		stopped:  make(chan struct{}),
-		logger:   func(netip.AddrPort, error) {},
-		secrets:  []string{noSecret},
-		maxConns: defaultMaxConns,
-		handlers: map[Kind]handler{},
-		links:    map[lane]*link{},
-		dials:    map[lane]*dialing{},
-		all:      map[*nbio.Conn]*link{},
+		address:   address,
+		maxFrame:  defaultMaxFrame,
+		dialTime:  defaultDialTime,
+		greetTime: defaultGreetTime,
+		maxLinks:  defaultMaxLinks,
+		idleTime:  defaultIdleTime,
+		stopped:   make(chan struct{}),
+		logger:    func(netip.AddrPort, error) {},
+		secrets:   []string{noSecret},
+		maxConns:  defaultMaxConns,
+		handlers:  map[Kind]handler{},
+		links:     map[lane]*link{},
+		dials:     map[lane]*dialing{},
+		all:       map[*nbio.Conn]*link{},
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -163,7 +165,7 @@
 		_ = c.CloseWithError(errTooMany)
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(greetTime))
+	_ = c.SetReadDeadline(time.Now().Add(n.greetTime))
 }
 
 var errTooMany = errors.New("peer: too many connections")
