Send the second request on the first one's connection, in the test too

TestNoRequestIsSentTwice is about a reused connection that fails. Its upstream took the end of the first POST's chunked body for a request and closed the connection, so the second POST went over a new one: 3 connections for the 2 methods. The body is read now, and the test counts connections. Nor does it wait 20 ms for the connection to become idle: net/http puts it back before the end of an answer's body is read. The requests of these tests have a minute in place of 2 s.

--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,35 +16,41 @@
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
+// counts are the requests and connections that an upstream has seen.
+type counts struct{ requests, conns atomic.Int32 }
+
 // startRaw answers the requests it reads, over all connections, with one of the
 // answers each and closes the connection when none is left; it counts them.
-func startRaw(t *testing.T, answers ...string) (netip.AddrPort, *atomic.Int32) {
+func startRaw(t *testing.T, answers ...string) (netip.AddrPort, *counts) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	seen := &atomic.Int32{}
+	seen := &counts{}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
+			seen.conns.Add(1)
 			go serveRaw(conn, answers, seen)
 		}
 	}()
 	return netip.MustParseAddrPort(l.Addr().String()), seen
 }
 
-func serveRaw(conn net.Conn, answers []string, seen *atomic.Int32) {
+func serveRaw(conn net.Conn, answers []string, seen *counts) {
 	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
 	for {
-		if _, err := http.ReadRequest(in); err != nil {
+		req, err := http.ReadRequest(in)
+		if err != nil {
 			return
 		}
-		number := int(seen.Add(1))
+		_, _ = io.Copy(io.Discard, req.Body)
+		number := int(seen.requests.Add(1))
 		if number > len(answers) {
 			return
 		}
@@ -55,16 +62,13 @@
 
 func request(method string) *call.Request {
 	return &call.Request{
-		ID: "1", Method: method, Path: "/", Deadline: time.Now().Add(2 * time.Second),
+		ID: "1", Method: method, Path: "/", Deadline: time.Now().Add(time.Minute),
 		Header: http.Header{"Idempotency-Key": {"k"}},
 	}
 }
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// idleAgain is time for a connection to become idle, so that the next request reuses it.
-const idleAgain = 20 * time.Millisecond
-
 func TestNoRequestIsSentTwice(t *testing.T) {
 	// An upstream closes its connection just as a request arrives on it. HTTP
 	// clients repeat such a request by themselves, one with an Idempotency-Key
@@ -74,9 +78,9 @@
 			address, seen := startRaw(t, ok)
 			c := New(address)
 			So(c.Do(t.Context(), request(method), "t").Outcome, ShouldEqual, call.Whole)
-			time.Sleep(idleAgain)
 			So(c.Do(t.Context(), request(method), "t").Outcome, ShouldEqual, call.Unknown)
-			So(seen.Load(), ShouldEqual, 2)
+			So(seen.requests.Load(), ShouldEqual, 2)
+			So(seen.conns.Load(), ShouldEqual, 1)
 		})
 	}
 }
--- a/internal/wire/upstream/proof_test.go
+++ b/internal/wire/upstream/proof_test.go
@@ -80,7 +80,7 @@
 		So(a.Outcome, ShouldEqual, call.NotRun)
 		So(a.Reason, ShouldEqual, call.BadRequest)
 	})
-	Convey("The upstream saw none of them", t, func() { So(seen.Load(), ShouldEqual, 0) })
+	Convey("The upstream saw none of them", t, func() { So(seen.requests.Load(), ShouldEqual, 0) })
 }
 
 func TestAnswerWithoutLength(t *testing.T) {
@@ -105,7 +105,8 @@
 	}
 	server.Start()
 	t.Cleanup(server.Close)
-	c := New(netip.MustParseAddrPort(server.Listener.Addr().String()), WithOnceIdle(idleAgain))
+	const onceIdle = 20 * time.Millisecond
+	c := New(netip.MustParseAddrPort(server.Listener.Addr().String()), WithOnceIdle(onceIdle))
 	cases := []struct {
 		name       string
 		idempotent bool
@@ -122,7 +123,7 @@
 					r := request(http.MethodPost)
 					r.Idempotent = e.idempotent
 					So(c.Do(t.Context(), r, "t").Outcome, ShouldEqual, call.Whole)
-					time.Sleep(20 * idleAgain)
+					time.Sleep(20 * onceIdle)
 				}
 				So(opened.Load()-before, ShouldEqual, e.opened)
 			})
