--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -55,6 +55,9 @@
 	runs  map[string]int
 	keys  map[string]int
 	trace []Run
+	// held is closed when the runs that are held go on, nil while none are; only runs of heldBody are if it isn't empty.
+	held     chan struct{}
+	heldBody string
 }
 
 // Answer is the JSON body of a stand-in's answer.
@@ -95,6 +98,8 @@
 	mux.HandleFunc("GET /standin/keys", u.serveKeys)
 	mux.HandleFunc("GET /standin/trace", u.serveTrace)
 	mux.HandleFunc("POST /standin/latency/{ms}", u.serveLatency)
+	mux.HandleFunc("POST /standin/hold", u.serveHold)
+	mux.HandleFunc("POST /standin/release", u.serveRelease)
 	mux.HandleFunc("/", u.serve)
 	return mux
 }
@@ -116,9 +121,7 @@
 	}
 	defer func() { <-u.slots }()
 	u.count(r, body)
-	select {
-	case <-time.After(time.Duration(u.latency.Load())):
-	case <-r.Context().Done():
+	if !u.work(r.Context(), string(body)) {
 		return
 	}
 	answer := Answer{
@@ -144,6 +147,38 @@
 	_, _ = w.Write(raw)
 }
 
+// work takes the stand-in's latency, and as long as runs are held; false means that the caller is gone.
+func (u *Upstream) work(ctx context.Context, body string) bool {
+	select {
+	case <-u.holding(body):
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-time.After(time.Duration(u.latency.Load())):
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// holding returns what a run waits for before its latency.
+func (u *Upstream) holding(body string) chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.held == nil || u.heldBody != "" && u.heldBody != body {
+		return released
+	}
+	return u.held
+}
+
+// released is what a run waits for that is not held.
+var released = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // below returns the body of the upstream's own call, or false if it makes none.
 func (u *Upstream) below(body []byte) ([]byte, bool) {
 	if u.config.Next == "" || !u.config.Countdown {
@@ -225,3 +260,24 @@
 	u.latency.Store(int64(time.Duration(ms) * time.Millisecond))
 	fmt.Fprintln(w, ms)
 }
+
+// serveHold holds runs from now on, those of the body alone if one is given.
+func (u *Upstream) serveHold(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.held == nil {
+		u.held = make(chan struct{})
+	}
+	u.heldBody = r.URL.Query().Get("body")
+	fmt.Fprintln(w, "held")
+}
+
+func (u *Upstream) serveRelease(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.held != nil {
+		close(u.held)
+		u.held = nil
+	}
+	fmt.Fprintln(w, "released")
+}
