Leave calls still open at the deadline out of an instance's own time in the model

The daemon takes it out (origin.waited counts open calls; docs/design/limit.md says so). With a slow deepest service the first service's learned limit therefore fell to 64 and 48 of 384 (192 slots, about 84 in use at load 1), and its gate refused 40 to 110 requests every 50 ms in the first half second after the cause's end while the deepest service stood idle.

--- a/internal/load/chain/host.go
+++ b/internal/load/chain/host.go
@@ -204,10 +204,11 @@
 	ticket  admission.Ticket
 	runs    int
 	begun   time.Time
-	nested  time.Duration
-	work    *work
-	over    bool
-	done    func(answer)
+	// called is when the instance's own part was done and its calls began.
+	called time.Time
+	work   *work
+	over   bool
+	done   func(answer)
 }
 
 func (h *host) serve(r request, runs int, done func(answer)) {
@@ -267,10 +268,18 @@
 	v.over = true
 	now := v.host.fleet.clock.now
 	v.host.instance.release(v.work)
-	v.host.gate.Settle(now, &v.ticket, admission.Result{Own: max(now.Sub(v.begun)-v.nested, 0)})
+	v.host.gate.Settle(now, &v.ticket, admission.Result{Own: v.own(now)})
 	if v.host.fleet.lost(v.request) {
 		a = answer{}
 	}
 	a.load = v.host.gate.Load()
 	v.done(a)
 }
+
+// own returns the instance's own time. As in the daemon, calls still open when the deadline ends the visit are no part of it.
+func (v *visit) own(now time.Time) time.Duration {
+	if v.called.IsZero() {
+		return now.Sub(v.begun)
+	}
+	return v.called.Sub(v.begun)
+}
--- a/internal/load/chain/nested.go
+++ b/internal/load/chain/nested.go
@@ -1,16 +1,11 @@
 package chain
 
-import (
-	"time"
-
-	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
-)
+import "github.com/foxtailhook/foxtailhook/internal/decide/budget"
 
 // nested is the calls that an upstream makes for one request, side by side.
 type nested struct {
 	visit   *visit
 	account *budget.Account
-	begun   time.Time
 	open    int
 	all     answer
 }
@@ -23,7 +18,8 @@
 	}
 	f, o := v.host.fleet, v.request.operation
 	account := budget.NewFor(v.runs-1, v.host.below.Expect(o.Name, v.request.hop+1))
-	n := &nested{visit: v, account: account, begun: f.clock.now, open: 1, all: answer{ok: true}}
+	v.called = f.clock.now
+	n := &nested{visit: v, account: account, open: 1, all: answer{ok: true}}
 	if v.request.hop == o.FanAt {
 		n.open = max(o.Fan, 1)
 	}
@@ -52,7 +48,6 @@
 	if n.open > 0 {
 		return
 	}
-	n.visit.nested = n.visit.host.fleet.clock.now.Sub(n.begun)
 	n.all.failed, n.all.left = !n.all.ok, n.account.Close()
 	given := n.visit.runs - 1
 	n.visit.host.below.Learn(n.visit.request.operation.Name, given, given-n.all.left, n.all.ok)
