End a cut at once when latency falls by more than the cut explains

The slow time ended while the learner of one deepest instance watched a cut; it took the fall in latency for the cut's doing, cut again from 4.7 to 2.8, 1.7 and 1.0 of 6 slots, and each verdict of 60 runs took longer than the one before. Now a fall beyond what the cut can bring about ends the trial after 20 runs and takes the limit back. For the ratio before a cut to be the true one, baselines follow the last window and not the lagging mean, and the runs that had waited inside behind the higher limit are passed over after a cut.

--- a/internal/decide/limit/gradient.go
+++ b/internal/decide/limit/gradient.go
@@ -29,6 +29,8 @@
 	running bool
 	limit   float64
 	ratio   float64
+	// drain is how many runs to pass over, which waited inside behind those of the higher limit.
+	drain int
 	// notBefore keeps a next trial from following at once on one that failed.
 	notBefore time.Time
 }
@@ -45,6 +47,8 @@
 	// in 40 trials.
 	trialCut     = 0.6
 	trialSamples = 60
+	// chance is how far the mean of a window may be below what the cut explains.
+	chance = 0.8
 	// smoothing is the weight of one window in the mean that may lower the baselines.
 	smoothing = 0.1
 	// rampFactor is the growth per window of a cold upstream: an eighth of the ceiling to all of it in about 0.6 s.
@@ -80,8 +84,12 @@
 	if g.trial.running && !s.Shed && s.InFlight > g.Limit() {
 		return
 	}
+	if g.trial.running && !s.Shed && g.trial.drain > 0 {
+		g.trial.drain--
+		return
+	}
 	g.window.add(s, ratio)
-	if g.window.ended(now, g.samples()) {
+	if g.window.ended(now, g.samples()) || g.unexplained() {
 		g.adjust(now)
 		g.window = window{begun: now}
 	}
@@ -94,11 +102,21 @@
 	return windowSamples
 }
 
+// unexplained reports whether latency has fallen by more while a cut is watched
+// than the cut can bring about, which is its own depth if all that is in excess queued.
+func (g *GradientLearner) unexplained() bool {
+	w := &g.window
+	return g.trial.running && w.samples >= windowSamples && w.ratio() < g.trial.ratio*trialCut*chance
+}
+
 func (g *GradientLearner) adjust(now time.Time) {
 	w := &g.window
 	ratio := w.ratio()
 	if g.trial.running && w.samples > 0 {
 		switch {
+		case g.unexplained():
+			g.recovered(ratio)
+			return
 		case !g.helped(ratio):
 			g.takeBack(now, ratio)
 			return
@@ -120,7 +138,8 @@
 	}
 	g.smooth += (ratio - g.smooth) * smoothing
 	if g.smooth < fastest {
-		g.faster(g.smooth)
+		// The smoothed mean lags. Were the baselines left above the latency as it is, the cut would seem to have brought it down.
+		g.faster(min(ratio, g.smooth))
 	}
 	g.limit = max(g.limit, g.floor)
 }
@@ -138,10 +157,23 @@
 	}
 }
 
+// recovered ends a cut during which the upstream became faster by itself.
+//
+// The end of a slow time would otherwise count as the cut's doing. The next cut
+// would go below the slots, where each verdict takes longer for want of runs,
+// and callers would be refused for seconds at an upstream that is well.
+func (g *GradientLearner) recovered(ratio float64) {
+	g.bases.scale(ratio)
+	g.smooth = 1
+	g.limit = g.trial.limit
+	g.trial.running = false
+}
+
 func (g *GradientLearner) cut(ratio float64) {
 	g.ramping = false
 	g.trial = trial{running: true, limit: g.limit, ratio: ratio}
 	g.limit = max(g.limit*trialCut, g.floor)
+	g.trial.drain = int(g.limit)
 }
 
 // helped reports whether the watched cut brought latency down.
