Run each row of foxtailbench with several seeds, and print the median and the worst

Cause: tables of one seed can't tell a change from chance: goodput of load 1 is some 480 answers a second in the deep chains, so that a second's count varies by 4.6% by itself, and recovery asks for one second within 5% (worked out). -seeds N runs each row with N seeds one after the other; -compare ours runs our choices alone. JSON keeps each run, with its seed.

--- a/cmd/foxtailbench/main.go
+++ b/cmd/foxtailbench/main.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -34,7 +33,7 @@
 	compare, limit, queue, placing string
 	loads, causes, deployments     string
 	seed                           uint64
-	budget                         int
+	budget, seeds                  int
 	ceiling, rates                 float64
 	doors, polite, json            bool
 	wait                           time.Duration
@@ -43,7 +42,7 @@
 func run(args []string) error {
 	var c choices
 	fs := flag.NewFlagSet("foxtailbench", flag.ContinueOnError)
-	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, limit, queue, placing, budget, doors, rates, wait or ceiling")
+	fs.StringVar(&c.compare, "compare", "naive", "what to compare: naive, ours (alone), limit, queue, placing, budget, doors, rates, wait or ceiling")
 	fs.StringVar(&c.limit, "limit", limit.Gradient.String(), "limit of ours: gradient, aimd or fixed")
 	fs.StringVar(&c.queue, "queue", queue.Fair.String(), "queue of ours: fair, fifo or lifo")
 	fs.StringVar(&c.placing, "placing", placing.TwoChoices.String(), "placing of ours: twoChoices, roundRobin or leastLatency")
@@ -51,6 +50,7 @@
 	fs.StringVar(&c.causes, "causes", "surge,skew,slow,oneSlow,lossy", "causes of trouble to bring about")
 	fs.StringVar(&c.deployments, "deployments", "rejestr,desarrollos", "where to run: rejestr, desarrollos, deep8, deep8fan4 or deep16")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of all chance")
+	fs.IntVar(&c.seeds, "seeds", 1, "runs of each row, with one seed after the other; of several the table has the median and the worst")
 	fs.IntVar(&c.budget, "budget", chain.Ours().Budget, "upstream runs of one request; 0 for three tries at each hop")
 	fs.Float64Var(&c.ceiling, "ceiling", chain.Ours().Ceiling, "highest limit in slots of an instance")
 	fs.DurationVar(&c.wait, "wait", chain.Ours().Wait, "longest wait for a slot")
@@ -69,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if c.seeds < 1 {
+		return errors.Errorf("-seeds: %d is not a number of at least 1", c.seeds)
+	}
 	all := c.experiments(policies, loads)
 	if len(all) == 0 {
 		return errors.New("nothing to run: no deployment or cause has such a name")
@@ -108,6 +111,8 @@
 	switch c.compare {
 	case "naive":
 		return []chain.Policy{chain.Naive(), ours}, nil
+	case "ours":
+		all = append(all, ours)
 	case "limit":
 		for k := limit.Gradient; k <= limit.Fixed; k++ {
 			all = append(all, vary(k.String(), func(p *chain.Policy) { p.Limit = k }))
@@ -171,9 +176,11 @@
 					continue
 				}
 				for _, p := range policies {
-					all = append(all, chain.Experiment{
-						Deployment: d, Policy: p, Cause: chain.Cause(cause), Times: times, Seed: c.seed, Polite: c.polite,
-					})
+					for i := range c.seeds {
+						all = append(all, chain.Experiment{
+							Deployment: d, Policy: p, Cause: chain.Cause(cause), Times: times, Seed: c.seed + uint64(i), Polite: c.polite,
+						})
+					}
 				}
 			}
 		}
@@ -207,15 +214,5 @@
 		out.SetIndent("", "  ")
 		return out.Encode(results)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight|tabwriter.Debug)
-	fmt.Fprintln(w, "deployment\tcause\ttimes\tchoice\tgoodput\trecovery s\tworst organisation\twrongful\tinteractive\tworst interactive\tp99 s\truns per whole\tmost runs\t")
-	for _, r := range results {
-		recovery := "never"
-		if r.RecoverySeconds >= 0 {
-			recovery = fmt.Sprintf("%.2f", r.RecoverySeconds)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%g\t%s\t%.0f%%\t%s\t%.0f%%\t%.1f%%\t%.0f%%\t%.0f%%\t%.2f\t%.1f\t%d\t\n", r.Deployment, r.Cause, r.Times, r.Policy,
-			100*r.Goodput, recovery, 100*r.WorstOrganisation, 100*r.Wrongful, 100*r.Interactive, 100*r.WorstInteractive, r.SlowestSeconds, r.RunsPerWhole, r.MostRuns)
-	}
-	return w.Flush()
+	return table(os.Stdout, results, c.seeds)
 }
--- a/internal/load/chain/experiment.go
+++ b/internal/load/chain/experiment.go
@@ -45,6 +45,7 @@
 	Cause      string  `json:"cause"`
 	Times      float64 `json:"times"`
 	Policy     string  `json:"policy"`
+	Seed       uint64  `json:"seed"`
 	// Goodput is the whole answers a second while the cause lasts, relative to load 1.
 	Goodput float64 `json:"goodput"`
 	// RecoverySeconds is the time from the end of the cause until goodput is back at 95%; -1 if not within the run.
@@ -144,7 +145,7 @@
 func (e Experiment) result(f *fleet, t *tally) Result {
 	before := t.rate(rampUp, causeAt)
 	r := Result{
-		Deployment: e.Deployment.Name, Cause: e.Cause.String(), Times: e.Times, Policy: e.Policy.Name,
+		Deployment: e.Deployment.Name, Cause: e.Cause.String(), Times: e.Times, Policy: e.Policy.Name, Seed: e.Seed,
 		Goodput: t.rate(causeAt, endsAt) / before, RecoverySeconds: -1,
 	}
 	for at := endsAt; at+sustained <= finishAt; at += slice {
