--- a/internal/decide/budget/account.go
+++ b/internal/decide/budget/account.go
@@ -18,9 +18,10 @@
 	changed chan struct{}
 }
 
-// spareShare is the part of the spare runs that one draw may take beyond its
-// need, for repeats below it; siblings that draw later find the rest.
-const spareShare = 4
+// spareShare is the part, in four, of its own part of the spare runs that one
+// draw may take beyond its need, for repeats below it. The rest is left for its
+// own repeat, since what it takes is lost with its answer.
+const spareShare = 3
 
 // New returns an account with the given number of runs.
 func New(runs int) *Account { return &Account{left: max(runs, 0)} }
@@ -47,7 +48,7 @@
 //
 // A first call that took everything would starve the calls made beside it, and
 // equal parts would starve a deep chain, where one call needs all that is left.
-// So a draw takes its need, and as much again for repeats where there is spare.
+// So a draw takes its need, and up to as much again for repeats where there is spare.
 // One that finds too little waits for its siblings: the runs that they do not
 // use come back, while a call sent with too few fails deep down, after the
 // work above it was done.
@@ -64,14 +65,28 @@
 		}
 		return 0, a.changed
 	}
-	spare := max(a.left-max(need, a.reserve), 0)
+	runs := min(a.left, need+a.extra(need))
 	a.reserve = max(a.reserve-need, 0)
-	runs := min(a.left, need+min(need, spare/spareShare))
 	a.left -= runs
 	a.out++
 	return runs, nil
 }
 
+// extra returns the runs that an attempt takes for repeats below it: its part of
+// the spare, as its need is a part of what calls not yet made are likely to need.
+//
+// With too few, a lost answer deep down fails the attempt, and the work that the
+// calls beside it have done is done again for the whole request. A run that
+// makes no calls has no repeats below: more than itself would be lost with its answer.
+func (a *Account) extra(need int) int {
+	if need == 1 {
+		return 0
+	}
+	expected := max(need, a.reserve)
+	spare := max(a.left-expected, 0)
+	return min(need, spare*need*spareShare/(4*expected))
+}
+
 // Settle ends an attempt that drew runs and gives back what its answer says is
 // unused. A lost answer gives back none: its runs may still happen.
 func (a *Account) Settle(drawn, unused int) {
--- a/parts/budget/example_test.go
+++ b/parts/budget/example_test.go
@@ -23,8 +23,8 @@
 	runs, wait := account.Draw(1)
 	fmt.Println("after the end:", runs, wait)
 	// Output:
-	// sent with the first attempt: 3
-	// left: 6
-	// goes back up with the answer: 3
+	// sent with the first attempt: 4
+	// left: 5
+	// goes back up with the answer: 1
 	// after the end: 0 <nil>
 }
