Let go of large frames once they have left a connection

Cause: the outbox of a connection took frames off the front of its slices by reslicing. The slice's array went on to hold the last frame that had left, so each connection by which a list was handed out whole kept its copy (0.4 or 1 MB) for as long as it lived. A daemon that was asked by six others while the fleet started kept six MB; this is the daemon that stood at 34 MB at rest. Found by the heap profiles of 40 daemons with 1 MB of keys: the one with most resident memory held 6.0 MB from peer.encode, the least one none, all else was equal. Ruled out: the encoder's pool (it clears its writer), nbio's write queue (it clears its slots), the lists themselves (the same on all).

--- a/internal/wire/peer/outbox.go
+++ b/internal/wire/peer/outbox.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -23,7 +24,8 @@
 // outbox holds the large frames of one connection; those in turn send a piece each, one after another.
 //
 // A campaign file of 64 MB would otherwise hold up every request behind it to
-// the same daemon for as long as it takes to send.
+// the same daemon for as long as it takes to send. What leaves turns or waiting is cleared
+// in the slice too, since a connection outlives its frames by hours.
 type outbox struct {
 	mu      sync.Mutex
 	turns   []*outgoing
@@ -61,7 +63,7 @@
 	defer b.mu.Unlock()
 	for len(b.waiting) > 0 && len(b.turns) < mostOpen && headerSize+b.bytes+len(b.waiting[0].frame.payload) <= maxFrame {
 		first := b.waiting[0]
-		b.waiting = b.waiting[1:]
+		b.waiting = slices.Delete(b.waiting, 0, 1)
 		if !first.dropped {
 			b.bytes += len(first.frame.payload)
 			b.turns = append(b.turns, first)
@@ -72,7 +74,7 @@
 		return nil, false
 	}
 	o = b.turns[0]
-	b.turns = b.turns[1:]
+	b.turns = slices.Delete(b.turns, 0, 1)
 	return o, o.dropped
 }
 
