Collect often while large lists are read and handed out

Cause of the peak: at GOGC=100 a daemon that holds 14 MB collects at 29 MB. Reading lists leaves some 8 MB of garbage, and each handing out of 1 MB another copy, 40 a second at most; nothing is collected before the heap has doubled. What was handed out after the last reading stayed as garbage for minutes too, since only readings gave memory back. 12 MB of the resident memory are pages of the program itself (RssFile), which no tuning of the heap changes.

Now a large list that comes or goes sets the percentage to 25 until memory is given back, 2 to 5 s later; then the operator's own counts again. Under traffic alone nothing changes.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -113,6 +113,7 @@
 
 // offer puts a value in force if it is newer and sound, and tells peers of it at once.
 func (c *control) offer(v lists.Value) {
+	c.release(len(v.Raw))
 	verdict, faults := c.set.Offer(v)
 	entry := c.daemon.log.WithFields(logrus.Fields{"list": v.Kind.String(), "version": v.Version, "verdict": verdict.String()})
 	now := time.Now()
@@ -120,7 +121,6 @@
 	case lists.Accepted:
 		entry.Info("list")
 		c.archive.Store(v)
-		c.release(len(v.Raw))
 		if v.Kind == lists.KindHosts {
 			c.takeHosts()
 		}
--- a/internal/app/daemon/spreading.go
+++ b/internal/app/daemon/spreading.go
@@ -150,6 +150,7 @@
 		return spread.Packet{}, 0
 	}
 	c.handed = next
+	c.release(len(out.Whole))
 	return out, wait
 }
 
