Take the marks of a whole list without a second set of them

Cause: the first reading of a list put the marks of all entries into a slice and a set of their own before it took them over, 1.3 MB of garbage for 9,000 keys (heap profile: Key.marks 0.6, unique 0.7 MB). A whole reading has nothing to compare with, and a table that it fails on is dropped, so it can fill its marks at once.

--- a/internal/domain/lists/table.go
+++ b/internal/domain/lists/table.go
@@ -63,7 +63,7 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return errForm
 	}
-	return t.judge(t.entries, nil)
+	return t.judgeAll()
 }
 
 // leastEntry is the length of a short entry, in bytes; it bounds what a text of brackets alone reserves.
@@ -100,17 +100,42 @@
 
 func isBlank(b byte) bool { return b == ' ' || b == '\t' || b == '\r' || b == '\n' }
 
-// judge checks the added entries by themselves and against all that stay, and takes over their marks.
-func (t *table[E, P]) judge(added, removed []E) error {
-	gone := marksOf[E, P](removed)
-	fresh := marksOf[E, P](added)
+// judgeAll checks all entries of a text that was read as a whole, and takes over their marks.
+func (t *table[E, P]) judgeAll() error {
+	if err := checkEach[E, P](t.entries); err != nil {
+		return err
+	}
+	var few []uint64
+	for i := range t.entries {
+		few = P(&t.entries[i]).marks(few[:0])
+		for _, m := range few {
+			if _, there := t.marks[m]; there {
+				return errForm
+			}
+			t.marks[m] = struct{}{}
+		}
+	}
+	return nil
+}
+
+func checkEach[E any, P ruled[E]](entries []E) error {
 	f := &faults{}
-	for i := range added {
-		P(&added[i]).check(f.at("entry", i))
+	for i := range entries {
+		P(&entries[i]).check(f.at("entry", i))
 	}
 	if len(f.list) > 0 {
 		return f.list
 	}
+	return nil
+}
+
+// judge checks the added entries by themselves and against all that stay, and takes over their marks.
+func (t *table[E, P]) judge(added, removed []E) error {
+	gone := marksOf[E, P](removed)
+	fresh := marksOf[E, P](added)
+	if err := checkEach[E, P](added); err != nil {
+		return err
+	}
 	if !t.unique(fresh, gone) {
 		return errForm
 	}
