Go on sparing memory when a large list comes while it is given back

Cause: a list that was handed out while memory was given back was covered neither by that collection nor by the next sparing, so its copies stayed until the heap had doubled.

--- a/internal/app/daemon/control.go
+++ b/internal/app/daemon/control.go
@@ -32,6 +32,7 @@
 	reader     context.CancelFunc
 	reading    bool
 	releasing  bool
+	large      bool
 	released   time.Time
 	handed     time.Time
 	viewed     time.Time
--- a/internal/app/daemon/memory.go
+++ b/internal/app/daemon/memory.go
@@ -24,19 +24,38 @@
 // host's upstream lacks the memory.
 // One collection for each time that large lists come costs some milliseconds.
 func (c *control) release(size int) {
-	if size < largeValue || c.releasing {
+	if size < largeValue {
 		return
 	}
-	c.releasing = true
-	sparing.begin()
-	wait := max(releaseDelay, releaseSpacing-time.Since(c.released))
+	c.large = true
+	if !c.releasing {
+		c.releasing = true
+		sparing.begin()
+		c.giveBack(max(releaseDelay, releaseSpacing-time.Since(c.released)))
+	}
+}
+
+func (c *control) giveBack(wait time.Duration) {
 	time.AfterFunc(wait, func() {
-		sparing.end()
+		c.ask(func() { c.large = false })
 		debug.FreeOSMemory()
-		c.ask(func() { c.releasing, c.released = false, time.Now() })
+		if !c.ask(c.gaveBack) {
+			sparing.end()
+		}
 	})
 }
 
+// gaveBack ends the sparing, unless another large list came while memory was given back.
+func (c *control) gaveBack() {
+	c.released = time.Now()
+	if c.large {
+		c.giveBack(releaseSpacing)
+		return
+	}
+	c.releasing = false
+	sparing.end()
+}
+
 // sparePercent is the garbage collector's percentage while large lists come. At the runtime's default of 100 the
 // garbage of some lists adds as much as all that the daemon holds; less than 25 costs more processor time than it saves memory.
 const sparePercent = 25
