Give the example's daemon addresses that no scenario has

ExampleDaemon_Run listened on 127.88.1.1:7000 to 7002. A scenario run whose network is 88, by its process id, has the same for the first host of its first scenario: beside one on the same machine the example failed with "listen on 127.88.1.1:7001: address already in use" (seen in 2 runs of the package, one after another, beside other runs of the scenarios).

--- a/example_test.go
+++ b/example_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook"
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 // quiet drops the log.
@@ -27,13 +28,9 @@
 	daemon := foxtailhook.New(
 		foxtailhook.WithSettings(settings),
 		foxtailhook.WithHost("lookup-1", "lookup", "a"),
-		foxtailhook.WithListeners(
-			netip.MustParseAddrPort("127.88.1.1:7000"),
-			netip.MustParseAddrPort("127.88.1.1:7001"),
-			netip.MustParseAddrPort("127.88.1.1:7002"),
-		),
-		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.88.1.1:8000"), 35),
-		foxtailhook.WithPlatform(netip.MustParseAddrPort("127.88.1.1:9000")),
+		foxtailhook.WithListeners(loopback.Address(), loopback.Address(), loopback.Address()),
+		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.0.0.1:8000"), 35),
+		foxtailhook.WithPlatform(netip.MustParseAddrPort("127.0.0.1:9000")),
 		foxtailhook.WithLogger(quiet()),
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -46,7 +43,7 @@
 func ExampleDaemon_Run_faults() {
 	daemon := foxtailhook.New(
 		foxtailhook.WithHost("lookup-1", "lookup", ""),
-		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.88.1.2:8000"), 0),
+		foxtailhook.WithUpstream(netip.MustParseAddrPort("127.0.0.1:8000"), 0),
 		foxtailhook.WithLogger(quiet()),
 	)
 	fmt.Println(daemon.Run(context.Background()))
