Replace a connection to a peer that is dropped or silent, also while calls are in flight

Cause, two faults that a network which swallows packets brings out. A link was dropped after a lost digest only if no call was in flight on it; under load one always is, so requests went on into the dead connection and were answered outcomeUnknown, also after the network was well again. And a connection for handed-on requests that dies alone, while the digests' one lives, was never dropped: only digests tell of a host. Nothing else ends such a connection but TCP's own limit of many minutes.

Now a dropped link takes no new calls and is closed when the last call on it has ended, and a link on which a call ended while nothing was heard for a second since it was asked is replaced in the same way.

Ruled out: closing the link with its calls (they may yet be answered, and would be called unknown); dropping on each lost answer (a slow upstream would cost a connection for each).

The scenarios get "drop": bytes between two hosts, or a host and the platform, vanish in both directions, connections stay open, new ones hang, and a connection that lost bytes stays dead after heal.

--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -47,9 +47,10 @@
 		"pause":    signaller(syscall.SIGSTOP, false),
 		"resume":   signaller(syscall.SIGCONT, false),
 		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed, or an empty platform
-		// cut and heal take two hosts, or a host and platform.
-		"cut":      cutter(true),
-		"heal":     cutter(false),
+		// cut, drop and heal take two hosts, or a host and platform; what is cut comes after heal, what is dropped never.
+		"cut":      connector(holds),
+		"drop":     connector(drops),
+		"heal":     connector(passes),
 		"slow":     cmdSlow,     // slow NAME MILLISECONDS: the upstream's latency
 		"runs":     cmdRuns,     // runs: print the number of runs over all upstreams, and the most for one request
 		"status":   cmdStatus,   // status NAME: print /statusz
@@ -258,10 +259,10 @@
 	ts.Check(f.startDaemon(f.hosts[args[0]]))
 }
 
-func cutter(cut bool) command {
+func connector(d delivery) command {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		need(ts, args, 2, "A B: two hosts, or a host and platform")
-		fleetOf(ts).relays.set(args[0], args[1], cut)
+		fleetOf(ts).relays.set(args[0], args[1], d)
 	}
 }
 
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -142,7 +142,7 @@
 }
 
 func (f *fleet) startPlatform() error {
-	if err := f.relays.open(platformHost+1, platformPort, f.address(platformHost, platformPort), "platform"); err != nil {
+	if err := f.relays.listen(platformHost+1, platformPort, f.address(platformHost, platformPort), "platform"); err != nil {
 		return err
 	}
 	return f.runPlatform()
@@ -170,7 +170,7 @@
 	f.relays.know(f.address(h.number, 0).Addr(), name)
 	f.hosts[name] = h
 	f.order = append(f.order, name)
-	if err := f.relays.open(relayOffset+h.number, peersPort, f.address(h.number, peersPort), name); err != nil {
+	if err := f.relays.listen(relayOffset+h.number, peersPort, f.address(h.number, peersPort), name); err != nil {
 		return err
 	}
 	if err := f.startUpstream(h); err != nil {
--- a/internal/wire/peer/bound.go
+++ b/internal/wire/peer/bound.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"net/netip"
 	"sync/atomic"
 	"time"
 )
@@ -24,6 +23,19 @@
 
 func (s *stamp) touch() { s.at.Store(time.Now().UnixNano()) }
 
+// touchFirst keeps an earlier time.
+func (s *stamp) touchFirst() {
+	if s.at.Load() == 0 {
+		s.touch()
+	}
+}
+
+func (s *stamp) clear() {
+	if s.at.Load() != 0 {
+		s.at.Store(0)
+	}
+}
+
 func (s *stamp) idle(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - s.at.Load())
 }
@@ -105,7 +117,7 @@
 	_ = l.conn.Close()
 }
 
-// wasRetired reports whether this node closed the link of its own accord, with no call on it.
+// wasRetired reports whether this node took the link out of use of its own accord.
 func (l *link) wasRetired() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,18 +129,3 @@
 	defer l.mu.Unlock()
 	return len(l.waiting) == 0
 }
-
-// Drop closes the opened connections to a peer on which no call is in flight.
-//
-// After a network fault TCP waits ever longer before it tries a connection's
-// lost bytes again; a new connection gets through as soon as the network does.
-func (n *Node) Drop(to netip.AddrPort) {
-	for _, k := range []Kind{KindCall, KindDigest} {
-		n.mu.Lock()
-		l := n.links[laneOf(to, k)]
-		n.mu.Unlock()
-		if l != nil {
-			n.retire(l)
-		}
-	}
-}
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -67,6 +68,9 @@
 	case <-ctx.Done():
 		l.forget(id)
 		l.abandon(request, left)
+		if l.silent(time.Now()) {
+			n.replace(l)
+		}
 		return resp, ctx.Err()
 	}
 }
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -20,6 +20,7 @@
 	greet  greeting
 	reader reader
 	used   stamp
+	asked  stamp
 
 	sending sync.Mutex
 	queued  atomic.Uint64
@@ -130,6 +131,7 @@
 
 // data takes the next bytes of the stream.
 func (l *link) data(bytes []byte) error {
+	l.asked.clear()
 	if l.greet.done {
 		return l.reader.feed(bytes, l.take)
 	}
@@ -145,9 +147,10 @@
 func (l *link) expect() (uint64, chan frame, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.broken {
+	if l.broken || l.retired {
 		return 0, nil, false
 	}
+	l.asked.touchFirst()
 	l.nextID++
 	answer := make(chan frame, 1)
 	l.waiting[l.nextID] = answer
@@ -158,7 +161,11 @@
 func (l *link) forget(id uint64) {
 	l.mu.Lock()
 	delete(l.waiting, id)
+	over := l.over()
 	l.mu.Unlock()
+	if over {
+		_ = l.conn.Close()
+	}
 }
 
 // take handles one frame from the other side.
@@ -178,10 +185,14 @@
 	l.mu.Lock()
 	waiter, ok := l.waiting[f.id]
 	delete(l.waiting, f.id)
+	over := l.over()
 	l.mu.Unlock()
 	if ok {
 		waiter <- f
 	}
+	if over {
+		_ = l.conn.Close()
+	}
 }
 
 func (l *link) cancel(id uint64) {
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -32,6 +32,7 @@
 	logger    Logger
 	maxLinks  int
 	idleTime  time.Duration
+	quietTime time.Duration
 	stopped   chan struct{}
 	secrets   []string
 	maxConns  int
@@ -68,6 +69,8 @@
 	defaultMaxFrame = 80 << 20
 	defaultDialTime = 500 * time.Millisecond
 	defaultMaxConns = 8192
+	// defaultQuietTime is longer than any answer takes that waits for nothing but the network, and as long as a digest may take.
+	defaultQuietTime = time.Second
 	// defaultGreetTime bounds how long a connection may take to prove that it is a peer's.
 	defaultGreetTime = 2 * time.Second
 )
@@ -102,6 +105,7 @@
 		greetTime: defaultGreetTime,
 		maxLinks:  defaultMaxLinks,
 		idleTime:  defaultIdleTime,
+		quietTime: defaultQuietTime,
 		stopped:   make(chan struct{}),
 		logger:    func(netip.AddrPort, error) {},
 		secrets:   []string{noSecret},
