End a leaving daemon's drain when the requests of that moment have ended

Cause: drain waited for a moment without any request at work. A busy daemon whose callers don't go elsewhere has none, so a shutdown took up to the drain time of 2 minutes, three times over, before idempotency keys were passed on. Found by the soak with overlapping faults: its other faults stayed on meanwhile.

Now it waits for the requests that began before it.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -35,7 +35,7 @@
 	hosts    usableHosts
 	leaving  atomic.Bool
 	serving  atomic.Bool
-	inFlight atomic.Int64
+	inFlight *inFlight
 
 	control  *control
 	rates    *rates
@@ -53,6 +53,7 @@
 func New(s settings.Settings, log *logrus.Logger) *Daemon {
 	d := &Daemon{
 		settings: s,
+		inFlight: newInFlight(),
 		log:      log,
 		metrics:  telemetry.NewMetrics(s.Host, s.Zone),
 		placer:   placing.New(s.Zone, placing.WithRegion(s.Region), placing.WithKind(s.Placing)),
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -25,8 +25,7 @@
 }
 
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	d.inFlight.Add(1)
-	defer d.inFlight.Add(-1)
+	defer d.inFlight.begin().end()
 	begun := time.Now()
 	body, err := readBody(r)
 	if err != nil {
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -87,8 +87,7 @@
 }
 
 func (d *Daemon) takeHandoff(ctx context.Context, _ netip.AddrPort, h handoff) handback {
-	d.inFlight.Add(1)
-	defer d.inFlight.Add(-1)
+	defer d.inFlight.begin().end()
 	r := h.request(time.Now())
 	if d.leaving.Load() || r.Service != d.settings.Service {
 		refusal := call.Refuse(call.Draining, time.Second)
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -32,18 +32,11 @@
 	d.peers.Stop()
 	_ = d.operator.Stop(ctx)
 	d.metrics.Close()
-	d.log.WithField("inFlight", d.inFlight.Load()).Info("stopped")
+	d.log.WithField("inFlight", d.inFlight.total.Load()).Info("stopped")
 }
 
-const drainLook = 10 * time.Millisecond
-
-// drain waits until no request is at work here, at most for the drain time.
-func (d *Daemon) drain() {
-	limit := time.Now().Add(d.settings.DrainTime)
-	for d.inFlight.Load() > 0 && time.Now().Before(limit) {
-		time.Sleep(drainLook)
-	}
-}
+// drain waits until the requests at work here have ended, at most for the drain time.
+func (d *Daemon) drain() { d.inFlight.drain(d.settings.DrainTime) }
 
 // candidates returns the hosts on which a request of the service can be placed.
 // A leaving daemon places on its own upstream only if there is no other host.
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -142,8 +142,7 @@
 }
 
 func (r *repeats) takeOnce(ctx context.Context, _ netip.AddrPort, h handoff) handback {
-	r.daemon.inFlight.Add(1)
-	defer r.daemon.inFlight.Add(-1)
+	defer r.daemon.inFlight.begin().end()
 	a := admitted{request: *h.request(time.Now()), account: budget.New(h.Budget)}
 	release, ok := r.daemon.callers.Hold(len(h.Body))
 	if !ok {
--- a/internal/app/daemon/operators.go
+++ b/internal/app/daemon/operators.go
@@ -76,7 +76,7 @@
 	traffic := d.peers.Traffic()
 	s := Status{
 		Host: d.settings.Host, Service: d.settings.Service, Zone: d.settings.Zone,
-		Ready: d.takes(time.Now()) && d.rates.ready.Load(), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.Load(),
+		Ready: d.takes(time.Now()) && d.rates.ready.Load(), Standing: d.standing.Load().String(), Leaving: d.leaving.Load(), InFlight: d.inFlight.total.Load(),
 		Gate:  d.owner.gate.Load(),
 		Lists: map[string]ListStatus{}, Connections: d.peers.Connections(),
 		SentBytes: traffic.Sent, GotBytes: traffic.Received, Messages: messages(traffic), Reads: d.control.platform.Reads(),
