--- a/internal/proof/scenario/mayhem_test.go
+++ b/internal/proof/scenario/mayhem_test.go
@@ -51,10 +51,11 @@
 func schedule(seed uint64, length time.Duration) []step {
 	m := &mayhem{rand: rand.New(rand.NewPCG(seed, seed))}
 	for m.now < length {
+		m.endUntil(m.now)
 		if len(m.on) == mostFaults {
 			m.now = m.first().until
+			m.endUntil(m.now)
 		}
-		m.endUntil(m.now)
 		m.begin(m.draw())
 		m.now += m.while()
 	}
@@ -127,6 +128,7 @@
 		{kind: "pause", target: victim, begin: []string{"pause", victim}, end: []string{"resume", victim}},
 		{kind: "pauseUpstream", target: up, begin: []string{"pause", up}, end: []string{"resume", up}},
 		{kind: "cut", target: pair, begin: []string{"cut", victim, other}, end: []string{"heal", victim, other}},
+		{kind: "drop", target: pair, begin: []string{"drop", victim, other}, end: []string{"heal", victim, other}},
 		{kind: "mode", target: "platform", begin: []string{"mode", m.pick("down", "stale")}, end: []string{"mode", "up"}},
 		{kind: "hosts", target: "hosts", begin: []string{"hosts", victim + "=" + m.pick("leaving", "gone")}, end: []string{"hosts"}},
 		{kind: "shutdown", target: victim, begin: []string{"shutdown", victim}, end: []string{"restart", victim}},
@@ -145,8 +147,10 @@
 	for _, s := range schedule(seed, length) {
 		time.Sleep(s.after)
 		together[on] += time.Since(since)
+		if s.on > on {
+			counts[s.kind]++
+		}
 		on, since = s.on, time.Now()
-		counts[s.kind+" "+s.command[0]]++
 		fmt.Fprintf(ts.Stderr(), "%s %v\n", time.Since(begun).Round(time.Millisecond), s.command)
 		cmds[s.command[0]](ts, false, s.command[1:])
 		if elapsed := time.Since(begun); elapsed >= next {
