--- a/internal/wire/peer/silent_test.go
+++ b/internal/wire/peer/silent_test.go
@@ -101,7 +101,7 @@
 	// host that looks well would get every notice over the dead one, and each would be answered as unknown.
 	Convey("A link on which a call ended without an answer, and nothing else was heard, takes no new calls", t, func() {
 		client, server := startPair(t, echo)
-		client.quietTime = time.Millisecond
+		client.quietTime = 0
 		wire, at := between(t, server)
 		_, err := Call[question, question](t.Context(), client, at, KindCall, question{"before"})
 		So(err, ShouldBeNil)
@@ -125,7 +125,7 @@
 			}
 			return q
 		})
-		client.quietTime = time.Nanosecond
+		client.quietTime = 0
 		wire, at := between(t, server)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
