Show regions with real processes: at home, apart, stale and past the tenure

Regions were measured in the placing package only, with a model of the hosts.

host takes region= and platform=, cut and heal take a region for its hosts, platform NAME starts a replica that gets what is published from then on and has a mode of its own. New commands: regions, awaitrow, rising, withinPart; the soak's keyed and paced are shared.

Ruled out as a check: sending with the withdrawn key alone.

--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
@@ -32,14 +33,14 @@
 
 func commands() map[string]command {
 	all := map[string]command{
-		"platform": cmdPlatform, // platform: start the stand-in platform
-		"host":     cmdHost,     // host NAME SERVICE ZONE [flag=value] [up:flag=value]: start an upstream with its daemon
+		"platform": cmdPlatform, // platform [NAME]: start the stand-in platform, or a replica of it, which gets what is published from then on
+		"host":     cmdHost,     // host NAME SERVICE ZONE [region=R] [platform=REPLICA] [flag=value] [up:flag=value]: start an upstream with its daemon
 		"hosts":    cmdHosts,    // hosts [NAME=leaving] [NAME=gone]: publish the hosts list
 		"publish":  cmdPublish,  // publish LIST FILE
 		"keys":     cmdKeys,     // keys ORGANISATION=KEY...: publish exactly these keys
-		"mode":     cmdMode,     // mode up|down|stale: how the platform answers
+		"mode":     cmdMode,     // mode up|down|stale [NAME]: how the platform, or a replica, answers
 		"ready":    cmdReady,    // ready NAME...: wait until the daemons are ready
-		"send":     cmdSend,     // send NAME METHOD PATH [key=K] [body=B] [bytes=N] [timeout=D] [header:NAME=VALUE]: print status, outcome, reason, body
+		"send":     cmdSend,     // send NAME METHOD PATH [key=K] [body=B] [bytes=N] [timeout=D] [header:NAME=VALUE, @new for a fresh key]: print status, outcome, reason, body
 		"await":    cmdAwait,    // await TEXT send...: repeat a send until its output has TEXT
 		// crash, shutdown, pause and resume take NAME, NAME.upstream or platform.
 		"crash":    signaller(syscall.SIGKILL, true),
@@ -47,7 +48,8 @@
 		"pause":    signaller(syscall.SIGSTOP, false),
 		"resume":   signaller(syscall.SIGCONT, false),
 		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed, or an empty platform
-		// cut, drop and heal take two hosts, or a host and platform; what is cut comes after heal, what is dropped never.
+		// cut, drop and heal take two hosts, or a host and platform or a replica, a region standing for its
+		// hosts; what is cut comes after heal, what is dropped never.
 		"cut":      connector(holds),
 		"drop":     connector(drops),
 		"heal":     connector(passes),
@@ -69,8 +71,16 @@
 	return all
 }
 
-func cmdPlatform(ts *testscript.TestScript, _ bool, _ []string) {
-	ts.Check(fleetOf(ts).startPlatform())
+func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(fleetOf(ts).startPlatform(platformNamed(args)))
+}
+
+// platformNamed returns the name of the platform that a command is for.
+func platformNamed(args []string) string {
+	if len(args) == 0 {
+		return platformName
+	}
+	return args[0]
 }
 
 func cmdHost(ts *testscript.TestScript, _ bool, args []string) {
@@ -88,7 +98,7 @@
 		}
 		h := f.hosts[name]
 		list.Hosts = append(list.Hosts, lists.Host{
-			Host: name, Service: h.service, Region: "default", Zone: h.zone,
+			Host: name, Service: h.service, Region: h.region, Zone: h.zone,
 			Peer: f.address(relayOffset+h.number, peersPort), Leaving: marks[name] == "leaving",
 		})
 	}
@@ -122,13 +132,19 @@
 
 func publish(ts *testscript.TestScript, list, file string) {
 	f := fleetOf(ts)
-	ts.Check(traffic.Act(context.Background(), http.MethodPut, "http://"+f.address(platformHost, platformPort).String()+"/v1/lists/"+list, file))
+	for _, p := range f.platforms {
+		ts.Check(traffic.Act(context.Background(), http.MethodPut, "http://"+f.address(p.number, platformPort).String()+"/v1/lists/"+list, file))
+	}
 }
 
 func cmdMode(ts *testscript.TestScript, _ bool, args []string) {
-	need(ts, args, 1, "mode up|down|stale")
+	need(ts, args, 1, "mode up|down|stale [NAME]")
 	f := fleetOf(ts)
-	ts.Check(traffic.Act(context.Background(), http.MethodPost, "http://"+f.address(platformHost, platformPort).String()+"/v1/mode/"+args[0], ""))
+	p := f.platformOf(platformNamed(args[1:]))
+	if p == nil {
+		ts.Fatalf("no platform %q", args[1:])
+	}
+	ts.Check(traffic.Act(context.Background(), http.MethodPost, "http://"+f.address(p.number, platformPort).String()+"/v1/mode/"+args[0], ""))
 }
 
 func cmdReady(ts *testscript.TestScript, _ bool, args []string) {
@@ -153,6 +169,9 @@
 	_, _ = io.WriteString(ts.Stdout(), out)
 }
 
+// freshKey stands for another idempotency key with each sending.
+const freshKey = "@new"
+
 // sendSlack is added to a request's own timeout, so that a late answer is seen as one.
 const sendSlack = 5 * time.Second
 
@@ -194,6 +213,9 @@
 	}
 	for name, value := range options {
 		if header, ok := strings.CutPrefix(name, "header:"); ok {
+			if value == freshKey {
+				value = uuid.Must(uuid.NewV7()).String()
+			}
 			req.Header.Set(header, value)
 		}
 	}
@@ -231,8 +253,8 @@
 
 func processOf(ts *testscript.TestScript, name string) *process {
 	f := fleetOf(ts)
-	if name == "platform" {
-		return f.platform
+	if p := f.platformOf(name); p != nil {
+		return p.process
 	}
 	base, isUpstream := strings.CutSuffix(name, ".upstream")
 	h := f.hosts[base]
@@ -248,8 +270,8 @@
 func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "restart NAME or NAME.upstream")
 	f := fleetOf(ts)
-	if args[0] == "platform" {
-		ts.Check(f.runPlatform())
+	if p := f.platformOf(args[0]); p != nil {
+		ts.Check(f.runPlatform(p))
 		return
 	}
 	if base, ok := strings.CutSuffix(args[0], ".upstream"); ok {
@@ -262,7 +284,12 @@
 func connector(d delivery) command {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		need(ts, args, 2, "A B: two hosts, or a host and platform")
-		fleetOf(ts).relays.set(args[0], args[1], d)
+		f := fleetOf(ts)
+		for _, a := range f.named(args[0]) {
+			for _, b := range f.named(args[1]) {
+				f.relays.set(a, b, d)
+			}
+		}
 	}
 }
 
--- a/internal/proof/scenario/fleet_test.go
+++ b/internal/proof/scenario/fleet_test.go
@@ -64,20 +64,23 @@
 	scenario byte
 	hosts    map[string]*host
 	order    []string
-	platform *process
 	relays   *relays
-	load     *load
-	keyed    *load
-	paced    *load
-	heads    *heads
-	begun    map[begunKey]*begun
+	// platforms are the platform and its replicas, in the order of their start.
+	platforms []*standinPlatform
+	load      *load
+	keyed     *load
+	paced     *load
+	heads     *heads
+	begun     map[begunKey]*begun
 }
 
 // host is one upstream host: a daemon and the stand-in upstream beside it.
 type host struct {
 	name     string
 	service  string
+	region   string
 	zone     string
+	platform string
 	number   byte
 	flags    []string
 	upFlags  []string
@@ -141,32 +144,23 @@
 	<-p.done
 }
 
-func (f *fleet) startPlatform() error {
-	if err := f.relays.listen(platformHost+1, platformPort, f.address(platformHost, platformPort), "platform"); err != nil {
-		return err
-	}
-	return f.runPlatform()
-}
-
-func (f *fleet) runPlatform() error {
-	p, err := f.start("platform.log", "standin", "platform", "-listen", f.address(platformHost, platformPort).String())
-	if err != nil {
-		return err
-	}
-	f.platform = p
-	return f.await("http://" + f.address(platformHost, platformPort).String() + "/v1/reads")
-}
-
 // add starts a host with its upstream; flags that begin with "up:" go to the upstream.
 func (f *fleet) add(name, service, zone string, flags []string) error {
-	h := &host{name: name, service: service, zone: zone, number: byte(len(f.order) + 1)}
+	h := &host{name: name, service: service, region: "default", zone: zone, platform: platformName, number: byte(len(f.order) + 1)}
 	for _, flag := range flags {
 		if rest, ok := strings.CutPrefix(flag, "up:"); ok {
 			h.upFlags = append(h.upFlags, "-"+rest)
+		} else if rest, ok := strings.CutPrefix(flag, "region="); ok {
+			h.region = rest
+		} else if rest, ok := strings.CutPrefix(flag, "platform="); ok {
+			h.platform = rest
 		} else {
 			h.flags = append(h.flags, "-"+f.resolve(flag))
 		}
 	}
+	if f.platformOf(h.platform) == nil {
+		return errors.Errorf("scenario: no platform %q", h.platform)
+	}
 	f.relays.know(f.address(h.number, 0).Addr(), name)
 	f.hosts[name] = h
 	f.order = append(f.order, name)
@@ -199,13 +193,13 @@
 
 func (f *fleet) startDaemon(h *host) error {
 	args := []string{
-		"-host", h.name, "-service", h.service, "-zone", h.zone,
+		"-host", h.name, "-service", h.service, "-region", h.region, "-zone", h.zone,
 		"-callers", f.address(h.number, callersPort).String(),
 		"-peers", f.address(h.number, peersPort).String(),
 		"-advertise", f.address(relayOffset+h.number, peersPort).String(),
 		"-operators", f.address(h.number, operatorsPort).String(),
 		"-upstream", f.address(h.number, upstreamPort).String(),
-		"-platform", f.address(platformHost+1, platformPort).String(),
+		"-platform", f.address(f.platformOf(h.platform).number+1, platformPort).String(),
 		"-watch", "2s", "-leave-time", "500ms",
 	}
 	p, err := f.start(h.name+".log", "foxtailhook", append(args, h.flags...)...)
@@ -248,7 +242,9 @@
 		f.hosts[name].daemon.end()
 		f.hosts[name].upstream.end()
 	}
-	f.platform.end()
+	for _, p := range f.platforms {
+		p.process.end()
+	}
 	f.relays.end()
 }
 
--- a/internal/proof/scenario/scenario_test.go
+++ b/internal/proof/scenario/scenario_test.go
@@ -38,6 +38,7 @@
 	all := commands()
 	maps.Copy(all, streamCommands())
 	maps.Copy(all, listCommands())
+	maps.Copy(all, regionCommands())
 	testscript.Run(t, testscript.Params{
 		Dir:             "testdata",
 		Cmds:            all,
--- a/internal/proof/scenario/soak_test.go
+++ b/internal/proof/scenario/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -23,9 +24,8 @@
 		t.Skip("SOAK names no length")
 	}
 	cmds := commands()
-	cmds["paced"] = cmdPaced       // paced RATE METHOD PATH key=K: as load, for an organisation whose rate binds
-	cmds["pacedend"] = cmdPacedEnd // pacedend ORGANISATION RATE BURST: stop, and print by how much the runs are over the rate
-	cmds["mayhem"] = cmdMayhem     // mayhem: bring about faults for the length of SOAK
+	maps.Copy(cmds, regionCommands())
+	cmds["mayhem"] = cmdMayhem // mayhem: bring about faults for the length of SOAK
 	testscript.Run(t, testscript.Params{Dir: "testdata/soak", Cmds: cmds, Setup: setup})
 }
 
