Tell callers of keyed requests the truth while regions are apart

- A key in doubt because hosts are silent was answered repeated, status 409, without a time to come back: "find out what became of the first", though nothing had begun.
Cause: ask had one answer for memory that is lost and for daemons that can't be heard.
Question.Pending tells them apart; the answer is outcomeUnknown, undecided, 503, with Retry-After.
It stays outcomeUnknown: an attempt before it may have run where the others are.
- A holder that can't be reached told each caller to come back in 1 s for as long as the regions were apart, after a connect timeout each time.
Cause: toHolder asked suspects too.
Now notRun at once, with as long as the holder has been away, 2 to 10 s.
- A holder that is nobody's neighbour would have become no suspect at all.
Cause: handOn raised no doubt, as placing's attempts do.
Not seen with real processes: six hosts are all neighbours; TestHolderThatCannotBeReached shows it.

Only a handoff that failed raises the doubt: a holder's own refusal as draining means that its list is another, and judging that would take it out of placing for 3 s.

Left: after the cut, requests on connections that were open stay unknown until the holder is a suspect. In a service of which a host started within the last 18 min keys are undecided in all parts, since their holder asks all others.

--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -124,6 +124,9 @@
 	if holder == r.daemon.settings.Host {
 		return r.hold(ctx, a)
 	}
+	if back := r.daemon.members.Load().Back(holder, time.Now()); back > 0 {
+		return call.Refuse(call.NoUpstream, back)
+	}
 	sent := a.request
 	if sent.Budget = r.daemon.draw(ctx, a); sent.Budget == 0 {
 		return unfunded(ctx)
@@ -138,7 +141,11 @@
 	if err == nil {
 		return back.answer()
 	}
-	return r.daemon.unanswered(sent, err)
+	answer := r.daemon.unanswered(sent, err)
+	// A holder in another region is nobody's neighbour: unless its requests raise a doubt, each
+	// of them waits for it until its own time is up, for as long as the regions are apart.
+	r.daemon.judge(host.Host, answer)
+	return answer
 }
 
 func (r *repeats) takeOnce(ctx context.Context, _ netip.AddrPort, h handoff) handback {
@@ -226,10 +233,26 @@
 		}
 		return call.Lose(call.Repeated), true
 	}
-	if !r.history.Confirmed(time.Now()) || !q.New() {
+	switch confirmed := r.history.Confirmed(time.Now()); {
+	case confirmed && q.New():
+		return call.Answer{}, false
+	case q.New() || q.Pending():
+		return r.undecided(time.Now()), true
+	default:
 		return call.Lose(call.Repeated), true
 	}
-	return call.Answer{}, false
+}
+
+// undecided is the answer while hosts that may know of a key can't be reached. It
+// is no notRun: an attempt before this one may have run where they are.
+func (r *repeats) undecided(now time.Time) call.Answer {
+	answer := call.Lose(call.Undecided)
+	answer.RetryAfter = time.Second
+	members := r.daemon.members.Load()
+	for _, host := range r.history.Hosts() {
+		answer.RetryAfter = max(answer.RetryAfter, members.Back(host, now))
+	}
+	return answer
 }
 
 // recallTime bounds how long the other daemons are waited for.
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -125,4 +125,9 @@
 		Caller:   "Wait at least as long as the timeout that was named.",
 		Operator: "Nothing, unless callers hang up in numbers: then they wait shorter than they say.",
 	},
+	call.Undecided: {
+		Meaning:  "Hosts that may know of the idempotency key can't be reached now. This attempt was not run; an earlier one with the key may have been.",
+		Caller:   "Come back after Retry-After with the same key; don't send it under a new one.",
+		Operator: "Look at `suspects` and the network of the service's daemons; it ends once most of them reach each other.",
+	},
 }
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -56,6 +56,8 @@
 	AnswerLost // answerLost
 	// Cancelled means that the caller hung up.
 	Cancelled // cancelled
+	// Undecided means that hosts which may know of the idempotency key can't be reached now.
+	Undecided // undecided
 )
 
 // Priority orders requests when load must be shed; a higher one is shed later.
@@ -87,7 +89,7 @@
 // ComeBack reports whether coming back later can help a refused caller.
 func (r Reason) ComeBack() bool {
 	switch r {
-	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear:
+	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided:
 		return true
 	default:
 		return false
@@ -135,4 +137,5 @@
 	UpstreamShed:     statusUnavailable,
 	AnswerLost:       statusBadGateway,
 	Cancelled:        statusClosed,
+	Undecided:        statusUnavailable,
 }
--- a/internal/fleet/ledger/vouch.go
+++ b/internal/fleet/ledger/vouch.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "time"
+import (
+	"maps"
+	"math"
+	"time"
+)
 
 // Question is all that decides whether a key's request may run.
 type Question struct {
@@ -50,6 +54,36 @@
 	return true
 }
 
+// Pending reports whether nothing but the silence of daemons keeps the key in doubt, so that the same question may be answered later.
+//
+// A region that is away has lost no memory. Would its silence be told like a crash, callers would be told
+// that coming back does not help, and find out by hand what became of bookings that nobody had begun.
+func (q *Question) Pending() bool {
+	heard := *q
+	heard.Replies = maps.Clone(q.Replies)
+	if heard.Replies == nil {
+		heard.Replies = map[string]Memory{}
+	}
+	for _, host := range q.wanted() {
+		if _, ok := q.age(host); !ok {
+			heard.Replies[host] = Memory{Age: math.MaxInt64}
+		}
+	}
+	return !q.New() && heard.New()
+}
+
+// wanted returns the daemons whose word the answer needs, as far as this one and those heard know.
+func (q *Question) wanted() []string {
+	hosts, moves := q.Required, q.Moves
+	for _, m := range q.Replies {
+		hosts, moves = append(hosts[:len(hosts):len(hosts)], m.Required...), append(moves[:len(moves):len(moves)], m.Moves...)
+	}
+	for _, m := range moves {
+		hosts = append(hosts[:len(hosts):len(hosts)], m.To)
+	}
+	return hosts
+}
+
 // Asking reports whether the other daemons have to be asked at all; in a fleet
 // whose hosts stay the same, a holder knows by itself.
 func (q *Question) Asking() bool {
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -40,6 +40,7 @@
 	told        int
 	toldAt      time.Time
 	failures    int
+	suspected   time.Time
 	refused     time.Time
 	probed      time.Time
 }
@@ -141,7 +142,11 @@
 	s.failures++
 	t.failing[host] = true
 	s.probed = now
-	return s.failures == suspectAfter
+	if s.failures != suspectAfter {
+		return false
+	}
+	s.suspected = now
+	return true
 }
 
 // Refused notes that the host refused work because it is leaving.
@@ -172,7 +177,7 @@
 
 // View returns an immutable view for the traffic threads.
 func (t *Table) View(now time.Time) *View {
-	v := &View{leaving: map[string]bool{}, suspect: map[string]bool{}}
+	v := &View{leaving: map[string]bool{}, suspect: map[string]time.Time{}}
 	for host, s := range t.seen {
 		if s.leaving && now.Sub(s.toldAt) > forgetAfter {
 			s.leaving = false
@@ -181,7 +186,7 @@
 			v.leaving[host] = true
 		}
 		if s.failures >= suspectAfter {
-			v.suspect[host] = true
+			v.suspect[host] = s.suspected
 		}
 	}
 	return v
