Bound the attempts to reach suspects

Over the fleet some 660,000 connection attempts a second (worked out) at the end of an hour that comes now and then.

Cause: two of ten neighbours are kept in other regions, each that becomes a suspect is replaced by another one there, and every suspect was tried every 2 s. Ruled out: forgetting suspects that no request goes to, as they would be neighbours and suspects again; keeping no far neighbours during a cut, as the heal would be noticed late.

Up to 20 suspects are tried every 2 s as ever.

--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -53,6 +54,7 @@
 	// failing are the hosts with failures, which are looked at several times a second.
 	failing map[string]bool
 	fresh   []string
+	pace    probePace
 }
 
 // New returns a table that knows nobody.
@@ -130,6 +132,9 @@
 	cleared := s.failures >= suspectAfter
 	s.failures = 0
 	delete(t.failing, host)
+	if cleared {
+		t.pace.hasten()
+	}
 	return cleared
 }
 
@@ -160,21 +165,36 @@
 	return s != nil && s.failures >= suspectAfter
 }
 
-// Doubtful returns the listed hosts with failures that are due for another attempt.
+// Doubtful returns the listed hosts with failures that are due for another attempt, as many as the pace allows: first those
+// that are no suspects yet, then those that were tried longest ago.
 //
 // Without these attempts a host that was cut off for a while would stay a
 // suspect for good where no call goes to it and it has no reason to call.
 func (t *Table) Doubtful(now time.Time) []lists.Host {
-	var due []lists.Host
+	if len(t.failing) == 0 {
+		return nil
+	}
+	var due []string
 	for host := range t.failing {
 		if s := t.seen[host]; now.Sub(s.probed) >= probeEvery {
-			s.probed = now
-			due = append(due, t.listed[host])
+			due = append(due, host)
 		}
 	}
-	return due
+	slices.SortFunc(due, func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.doubt(a), t.doubt(b)), t.seen[a].probed.Compare(t.seen[b].probed))
+	})
+	due = due[:t.pace.take(len(due), now)]
+	out := make([]lists.Host, 0, len(due))
+	for _, host := range due {
+		t.seen[host].probed = now
+		out = append(out, t.listed[host])
+	}
+	return out
 }
 
+// doubt is how many failures in a row speak against a host, as far as they matter.
+func (t *Table) doubt(host string) int { return min(t.seen[host].failures, suspectAfter) }
+
 // View returns an immutable view for the traffic threads.
 func (t *Table) View(now time.Time) *View {
 	v := &View{leaving: map[string]bool{}, suspect: map[string]time.Time{}}
