Ask no home for tokens that can't be reached, and raise a doubt on one that is silent

Seen (TestHomesThatCannotBeReached): a home that did not answer raised no doubt (0 for 1), and a suspect was asked all the same (1 for 0). With regions apart two thirds of an organisation's homes are away: each search for a token asked up to ten of them for 50 ms each, of the 500 ms that a request waits at most, and opened a connection to each, again 100 ms later.

Cause: lease looked at no suspects and told nobody of a lost question; homes in other regions are seldom neighbours, whom digests find out. Now a suspect counts as a home that did not answer. The control thread checks a doubt with digests of 1 s, so that 50 ms on a busy host make no suspect.

--- a/internal/app/daemon/doubts.go
+++ b/internal/app/daemon/doubts.go
@@ -22,11 +22,14 @@
 	}
 	switch a.Reason {
 	case call.Draining, call.NoUpstream, call.AnswerLost:
-	default:
-		return
+		d.raise(doubt{host: host, leaving: a.Reason == call.Draining})
 	}
+}
+
+// raise hands a doubt to the control thread, if that has room for it.
+func (d *Daemon) raise(it doubt) {
 	select {
-	case d.control.doubts <- doubt{host: host, leaving: a.Reason == call.Draining}:
+	case d.control.doubts <- it:
 	default:
 	}
 }
--- a/internal/app/daemon/rates.go
+++ b/internal/app/daemon/rates.go
@@ -217,10 +217,17 @@
 	if ask.Home == r.self {
 		return r.borrower.Hear(ask.Home, r.takeLease(ctx, netip.AddrPort{}, ask.Message), asked, time.Now())
 	}
+	// Homes in a region that is away would be asked one after the other by each search, until no time is
+	// left for those that can answer; and nobody else may notice that they are away.
+	if r.daemon.members.Load().Suspect(ask.Home.Host) {
+		r.borrower.Lost(ask, asked)
+		return rate.UnsettledWait
+	}
 	r.asked.Add(1)
 	reply, err := peer.Call[rate.LeaseAsk, rate.LeaseReply](ctx, r.daemon.peers, ask.Home.Peer, peer.KindLease, ask.Message)
 	if err != nil {
 		r.borrower.Lost(ask, time.Now())
+		r.daemon.raise(doubt{host: ask.Home.Host})
 		return rate.UnsettledWait
 	}
 	return r.borrower.Hear(ask.Home, reply, asked, time.Now())
