Hold a region's part of a rate against shards that are alike, while they lend

withinPart was wrong in two ways. And homes that had stopped lending had no shards, so that nothing admitted passed: they must lend.

--- a/internal/proof/scenario/regions_test.go
+++ b/internal/proof/scenario/regions_test.go
@@ -122,8 +122,8 @@
 }
 
 // cmdWithinPart holds what the streams got against the part of one organisation's
-// rate that lies in a region. A shard's burst is of whole tokens, so a part may be
-// greater than its share by one token for each shard.
+// rate that lies in a region. Shards are of whole tokens, so they are alike only
+// where the burst is a multiple of their number.
 func cmdWithinPart(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 3, "withinPart RATE BURST REGION")
 	perSecond, err := strconv.ParseFloat(args[0], 64)
@@ -131,6 +131,11 @@
 	burst, err := strconv.ParseFloat(args[1], 64)
 	ts.Check(err)
 	f := fleetOf(ts)
+	for _, name := range f.named(args[2]) {
+		if !strings.Contains(statusOf(ts, name), `"mayLend": true`) {
+			ts.Fatalf("%s lends nothing, so that its shards tell nothing of the part", name)
+		}
+	}
 	own := shards(ts, f.named(args[2]))
 	part := float64(own) / rate.DefaultShards
 	var spans []span
@@ -143,7 +148,7 @@
 	if len(spans) == 0 {
 		ts.Fatalf("nothing admitted, with %d shards", own)
 	}
-	over := mostOver(spans, perSecond*part, burst*part+float64(own))
+	over := mostOver(spans, perSecond*part, burst*part)
 	first := slices.MinFunc(spans, func(a, b span) int { return int(a.from - b.from) })
 	last := slices.MaxFunc(spans, func(a, b span) int { return int(a.to - b.to) })
 	least := perSecond * part * time.Duration(last.to-first.from).Seconds() / 2
