Count a suspect as silent when it is asked for an idempotency key

Seen (TestHolderThatCannotBeReached): a daemon that was silent about a key raised no doubt (0 for 1), so that one in another region, nobody's neighbour, was waited for with each key, 500 ms and a connection attempt, for as long as the regions were apart.

Cause: recallAll asked everyone and told nobody of silence. Now it does, and a suspect isn't asked. That is the same as a question that was lost: no daemon that has to vouch is left out, since silence never vouches.

--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -259,6 +259,7 @@
 const recallTime = 500 * time.Millisecond
 
 // recallAll asks every daemon that may hold the key, and learns from the same answers whether the host list is theirs too.
+// A suspect counts as silent without being asked: for as long as regions are apart, each key in doubt would wait recallTime for it.
 func (r *repeats) recallAll(ctx context.Context, question recall, now time.Time) map[string]ledger.Memory {
 	ctx, cancel := context.WithTimeout(ctx, recallTime)
 	defer cancel()
@@ -266,21 +267,24 @@
 	if known := r.addresses.Load(); known != nil {
 		addresses = *known
 	}
+	members := r.daemon.members.Load()
 	replies := map[string]ledger.Memory{}
 	var mu sync.Mutex
 	var asking sync.WaitGroup
 	for _, name := range r.history.Everyone(now) {
 		to, ok := addresses[name]
-		if !ok || name == question.Asker {
+		if !ok || name == question.Asker || members.Suspect(name) {
 			continue
 		}
 		asking.Go(func() {
 			m, err := peer.Call[recall, ledger.Memory](ctx, r.daemon.peers, to, peer.KindRecall, question)
-			if err == nil {
-				mu.Lock()
-				replies[name] = m
-				mu.Unlock()
+			if err != nil {
+				r.daemon.raise(doubt{host: name})
+				return
 			}
+			mu.Lock()
+			replies[name] = m
+			mu.Unlock()
 		})
 	}
 	asking.Wait()
--- a/internal/app/daemon/once_test.go
+++ b/internal/app/daemon/once_test.go
@@ -27,6 +27,15 @@
 	return d
 }
 
+// suspecting returns a view in which the host that is away is a suspect since the given time.
+func suspecting(d *Daemon, since time.Time) *member.View {
+	table := member.New()
+	table.SetHosts(d.view.Load().Hosts())
+	table.Failed("away", since)
+	table.Failed("away", since)
+	return table.View(since)
+}
+
 func booking() admitted {
 	return admitted{account: budget.New(8), request: call.Request{
 		Organisation: "dealer", Operation: "lookup.book", Service: "lookup", IdempotencyKey: "k", Budget: 8, Deadline: time.Now().Add(time.Minute),
@@ -44,13 +53,24 @@
 		So(answer.Outcome, ShouldEqual, call.NotRun)
 		So(len(d.control.doubts), ShouldEqual, 1)
 	})
+	Convey("So does a daemon that is silent when it is asked for a key", t, func() {
+		d := awayDaemon(loopback.Address())
+		So(d.peers.Start(), ShouldBeNil)
+		defer d.peers.Stop()
+		d.repeats.observe(d.view.Load(), time.Now())
+		So(d.repeats.recallAll(context.Background(), recall{}, time.Now()), ShouldBeEmpty)
+		So(len(d.control.doubts), ShouldEqual, 1)
+	})
+	Convey("A suspect isn't asked for a key", t, func() {
+		d := awayDaemon(loopback.Address())
+		d.repeats.observe(d.view.Load(), time.Now())
+		d.members.Store(suspecting(d, time.Now()))
+		So(d.repeats.recallAll(context.Background(), recall{}, time.Now()), ShouldBeEmpty)
+		So(d.control.doubts, ShouldBeEmpty)
+	})
 	Convey("Requests for a suspect are refused at once, for as long as it has been away", t, func() {
 		d := awayDaemon(loopback.Address())
-		table, now := member.New(), time.Now()
-		table.SetHosts(d.view.Load().Hosts())
-		table.Failed("away", now.Add(-7*time.Second))
-		table.Failed("away", now.Add(-7*time.Second))
-		d.members.Store(table.View(now))
+		d.members.Store(suspecting(d, time.Now().Add(-7*time.Second)))
 		answer := d.repeats.route(context.Background(), booking())
 		So(answer.Outcome, ShouldEqual, call.NotRun)
 		So(answer.Reason, ShouldEqual, call.NoUpstream)
--- a/internal/app/daemon/rates_test.go
+++ b/internal/app/daemon/rates_test.go
@@ -8,7 +8,6 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/rate"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
@@ -40,11 +39,7 @@
 	})
 	Convey("A suspect is not asked, and passed over for a while like one that did not answer", t, func() {
 		d := start()
-		table, now := member.New(), time.Now()
-		table.SetHosts(d.view.Load().Hosts())
-		table.Failed("away", now)
-		table.Failed("away", now)
-		d.members.Store(table.View(now))
+		d.members.Store(suspecting(d, time.Now()))
 		So(ask(d), ShouldEqual, rate.UnsettledWait)
 		So(d.rates.asked.Load(), ShouldEqual, 0)
 		_, again := d.rates.borrower.Urgent("dealer", away, 1, rate.Waiting, time.Now())
