--- a/internal/app/daemon/inflight_test.go
+++ b/internal/app/daemon/inflight_test.go
@@ -34,6 +34,7 @@
 			So(time.Now(), ShouldHappenBefore, slowEnds.Add(time.Second))
 			So(f.total.Load(), ShouldBeGreaterThan, 0)
 			close(stop)
+			synctest.Wait()
 			f.drain(time.Minute)
 			So(f.total.Load(), ShouldEqual, 0)
 		})
