Try hosts that failed alike in the order of their names

Doubtful sorted hosts that it had from a map, and those that failed in the same moment kept the map's order, so the network of the test drew its losses for others each time. TestOrderOfProbes failed before.

--- a/internal/fleet/member/probes_test.go
+++ b/internal/fleet/member/probes_test.go
@@ -62,3 +62,20 @@
 		So(left, ShouldEqual, 0)
 	})
 }
+
+// Several hosts fail in the same moment. Were they tried in another order each time, a schedule of faults with the same
+// seed would take another course with each run, and a fault that it found could not be found again.
+func TestOrderOfProbes(t *testing.T) {
+	Convey("Hosts that failed alike are tried in the order of their names", t, func() {
+		start, table, all := time.Now(), New(), []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		table.SetHosts(hosts(all...))
+		for _, name := range all {
+			table.Failed(name, start)
+		}
+		var tried []string
+		for _, h := range table.Doubtful(start.Add(probeEvery)) {
+			tried = append(tried, h.Host)
+		}
+		So(tried, ShouldResemble, all)
+	})
+}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -181,7 +181,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b string) int {
-		return cmp.Or(cmp.Compare(t.doubt(a), t.doubt(b)), t.seen[a].probed.Compare(t.seen[b].probed))
+		return cmp.Or(cmp.Compare(t.doubt(a), t.doubt(b)), t.seen[a].probed.Compare(t.seen[b].probed), cmp.Compare(a, b))
 	})
 	due = due[:t.pace.take(len(due), now)]
 	out := make([]lists.Host, 0, len(due))
