Take a link out of use in one place

The same three lines stood in retire, in replace, and where a connection ends; unlink serves all three.

--- a/internal/wire/peer/bound.go
+++ b/internal/wire/peer/bound.go
@@ -110,9 +110,7 @@
 		return
 	}
 	n.mu.Lock()
-	if n.links[l.dialed] == l {
-		delete(n.links, l.dialed)
-	}
+	n.unlink(l)
 	n.mu.Unlock()
 	_ = l.conn.Close()
 }
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -209,8 +209,8 @@
 	n.mu.Lock()
 	l := n.all[c]
 	delete(n.all, c)
-	if l != nil && n.links[l.dialed] == l {
-		delete(n.links, l.dialed)
+	if l != nil {
+		n.unlink(l)
 	}
 	n.mu.Unlock()
 	if l != nil {
--- a/internal/wire/peer/replace.go
+++ b/internal/wire/peer/replace.go
@@ -28,9 +28,7 @@
 // for as long as callers go on.
 func (n *Node) replace(l *link) {
 	n.mu.Lock()
-	if n.links[l.dialed] == l {
-		delete(n.links, l.dialed)
-	}
+	n.unlink(l)
 	n.mu.Unlock()
 	l.mu.Lock()
 	l.retired = true
@@ -41,6 +39,13 @@
 	}
 }
 
+// unlink leaves new calls to the link's peer to another link; the caller holds the node's lock.
+func (n *Node) unlink(l *link) {
+	if n.links[l.dialed] == l {
+		delete(n.links, l.dialed)
+	}
+}
+
 // over reports whether a link that was taken out of use has had its last call, and lets it take no other; the caller holds the lock.
 func (l *link) over() bool {
 	if !l.retired || len(l.waiting) > 0 {
