Look at a caller's timeout at the door only when it has to wait

Each admitted request parsed its timeout header twice, once for a wait that nearly none has. Whether callers are taken is asked first now. Behaviour is unchanged: TestCallersOfADaemonThatWakes and the scenarios waking, lists_* and rolling_restart pass.

--- a/internal/app/daemon/standing.go
+++ b/internal/app/daemon/standing.go
@@ -36,19 +36,20 @@
 // cut off, or has been unconfirmed for longer, refuses at once: waiting would
 // only hold its refusals back.
 func (d *Daemon) awaitTakes(r *http.Request, begun time.Time) bool {
+	if d.takes(begun) {
+		return true
+	}
 	wait := confirmWait
 	if timeout, ok := d.timeout(r); ok {
 		wait = min(wait, timeout/2)
 	}
-	for now := begun; ; now = time.Now() {
-		if d.takes(now) {
+	for time.Now().Before(d.unconfirmedSince(begun).Add(wait)) && r.Context().Err() == nil {
+		sleep(r.Context(), confirmLook)
+		if d.takes(time.Now()) {
 			return true
 		}
-		if !now.Before(d.unconfirmedSince(begun).Add(wait)) || r.Context().Err() != nil {
-			return false
-		}
-		sleep(r.Context(), confirmLook)
 	}
+	return false
 }
 
 // unconfirmedSince is when the lists stopped to count as current, or when the
