--- a/internal/decide/budget/account.go
+++ b/internal/decide/budget/account.go
@@ -18,10 +18,13 @@
 	changed chan struct{}
 }
 
-// spareShare is the part, in four, of its own part of the spare runs that one
+// spareShare of spareParts is how much of its own part of the spare runs one
 // draw may take beyond its need, for repeats below it. The rest is left for its
 // own repeat, since what it takes is lost with its answer.
-const spareShare = 3
+const (
+	spareShare = 3
+	spareParts = 4
+)
 
 // New returns an account with the given number of runs.
 func New(runs int) *Account { return &Account{left: max(runs, 0)} }
@@ -84,7 +87,7 @@
 	}
 	expected := max(need, a.reserve)
 	spare := max(a.left-expected, 0)
-	return min(need, spare*need*spareShare/(4*expected))
+	return min(need, spare*need*spareShare/(spareParts*expected))
 }
 
 // Settle ends an attempt that drew runs and gives back what its answer says is
