Serve the routes that the users' platform publishes

Cause: the daemon had no way to run on the platform: its lists, headers, routes and keys are other ones there, and nothing lasts. Ruled out: a second role for control (no machine is set aside for it), and the shards with homes that lend (a fence strands rates when any number of machines is killed at once).

--- /dev/null
+++ b/internal/app/router/beats.go
@@ -0,0 +1,207 @@
+package router
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/demand"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+// beats tell a collector, which is one of the daemons, what this daemon sees and knows, and learn what all see.
+//
+// Nothing between daemons lasts or has to agree: a collector that is gone is replaced by the next in an order that all daemons
+// compute alike, and has heard from everybody within one beat.
+type beats struct {
+	router *Router
+	now    chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	demand *demand.Collector
+	// leaving are the hosts whose daemons have said that they leave, with when they said so.
+	leaving map[netip.Addr]time.Time
+	// avoided are collectors that did not answer, with when they are asked again.
+	avoided map[netip.Addr]time.Time
+}
+
+const (
+	// beatEvery is the gap between beats of a fleet of up to beatFleet daemons; a larger one beats more slowly, so that
+	// a collector hears no more than some 300 a second.
+	beatEvery = 300 * time.Millisecond
+	beatFleet = 100
+	// beatTime bounds one beat: a round trip between zones, and a lost packet.
+	beatTime = 400 * time.Millisecond
+	// avoidTime is how long a collector that did not answer is passed over.
+	avoidTime = 3 * time.Second
+	// leavingTime is how long the word of a leaving daemon counts: it is gone or back by then.
+	leavingTime = 10 * time.Second
+)
+
+func newBeats(r *Router) *beats {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &beats{
+		router: r, now: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		demand: demand.New(), leaving: map[netip.Addr]time.Time{}, avoided: map[netip.Addr]time.Time{},
+	}
+}
+
+func (b *beats) start() { b.done.Go(b.run) }
+
+func (b *beats) stop() {
+	b.cancel()
+	b.done.Wait()
+}
+
+// tell asks for a beat right now.
+func (b *beats) tell() {
+	select {
+	case b.now <- struct{}{}:
+	default:
+	}
+}
+
+func (b *beats) run() {
+	for b.ctx.Err() == nil {
+		view := b.router.view.Load()
+		if hosts := view.Hosts(); len(hosts) > 0 {
+			b.beat(view, hosts)
+		}
+		gap := beatEvery * time.Duration(max(len(view.Hosts()), beatFleet)) / beatFleet
+		select {
+		case <-b.ctx.Done():
+		case <-b.now:
+		case <-time.After(gap):
+		}
+	}
+}
+
+// beat tells the first collector that answers.
+func (b *beats) beat(view *catalog.View, hosts []netip.Addr) {
+	sent := time.Now()
+	own := beat{
+		From: b.router.settings.Peers, Version: version(view), Revision: view.Revision,
+		Leaving: b.router.leaving.Load(), Demand: b.router.quota.Demand(sent),
+	}
+	for _, host := range b.collectors(hosts, sent) {
+		back, err := b.send(host, own)
+		if err != nil {
+			b.avoid(host, err)
+			continue
+		}
+		b.learn(host, own, back, sent)
+		return
+	}
+}
+
+func (b *beats) send(host netip.Addr, own beat) (beaten, error) {
+	if host == b.router.settings.Peers.Addr() {
+		return b.take(b.ctx, b.router.settings.Peers, own), nil
+	}
+	ctx, cancel := context.WithTimeout(b.ctx, beatTime)
+	defer cancel()
+	return peer.Call[beat, beaten](ctx, b.router.peers, b.router.peerOf(host), peer.KindBeat, own)
+}
+
+// spares is how many further collectors are tried when the first doesn't answer.
+const spares = 2
+
+// collectors returns the hosts to tell, in the order that all daemons share.
+func (b *beats) collectors(hosts []netip.Addr, now time.Time) []netip.Addr {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	order := make([]netip.Addr, 0, len(hosts))
+	for _, h := range hosts {
+		if now.Before(b.avoided[h]) {
+			continue
+		}
+		order = append(order, h)
+	}
+	slices.SortFunc(order, func(x, y netip.Addr) int { return cmp.Compare(rank(x), rank(y)) })
+	return order[:min(len(order), spares+1)]
+}
+
+// rank spreads the hosts, so that the collector isn't always the one with the lowest address.
+func rank(a netip.Addr) uint64 {
+	raw := a.As16()
+	return xxhash.Sum64(raw[:])
+}
+
+func (b *beats) avoid(host netip.Addr, err error) {
+	b.mu.Lock()
+	b.avoided[host] = time.Now().Add(avoidTime)
+	b.mu.Unlock()
+	if b.ctx.Err() == nil {
+		b.router.log.WithError(err).WithField("host", host.String()).Info("collector lost")
+	}
+}
+
+// learn takes in what the collector answered.
+func (b *beats) learn(host netip.Addr, own beat, back beaten, sent time.Time) {
+	b.router.quota.Hear(back.Totals, own.Demand, back.Daemons, sent)
+	b.mu.Lock()
+	for _, h := range back.Leaving {
+		if _, known := b.leaving[h]; !known {
+			b.leaving[h] = sent
+		}
+	}
+	b.mu.Unlock()
+	if back.Version > own.Version || back.Revision > own.Revision {
+		b.router.control.fetch(b.router.peerOf(host))
+	}
+}
+
+// take answers another daemon's beat.
+func (b *beats) take(_ context.Context, _ netip.AddrPort, in beat) beaten {
+	now := time.Now()
+	view := b.router.view.Load()
+	b.mu.Lock()
+	b.demand.Report(in.From, in.Demand, now)
+	b.mark(in, now)
+	out := beaten{
+		Version: version(view), Revision: view.Revision, Totals: b.demand.Totals(in.Demand), Daemons: b.demand.Daemons(now),
+	}
+	for h := range b.leaving {
+		out.Leaving = append(out.Leaving, h)
+	}
+	b.mu.Unlock()
+	if in.Version > out.Version || in.Revision > out.Revision {
+		b.router.control.later(in.From)
+	}
+	return out
+}
+
+func (b *beats) mark(in beat, now time.Time) {
+	host := in.From.Addr()
+	_, known := b.leaving[host]
+	switch {
+	case in.Leaving && !known:
+		b.leaving[host] = now
+		b.router.log.WithFields(logrus.Fields{"host": host.String()}).Info("daemon leaves")
+	case !in.Leaving && known:
+		delete(b.leaving, host)
+	}
+	for h, since := range b.leaving {
+		if now.Sub(since) > leavingTime {
+			delete(b.leaving, h)
+		}
+	}
+}
+
+// away reports whether the daemon on the host has said that it leaves.
+func (b *beats) away(host netip.Addr) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, leaving := b.leaving[host]
+	return leaving
+}
--- /dev/null
+++ b/internal/app/router/control.go
@@ -0,0 +1,275 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+// control is the one thread that owns the catalog; it publishes views for the traffic threads.
+type control struct {
+	router  *Router
+	source  Source
+	catalog *catalog.Catalog
+	// lastTrouble is when the store last failed to answer for a while.
+	lastTrouble time.Time
+	asks        chan func()
+	// wanted are daemons that know something newer.
+	wanted chan netip.AddrPort
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+const (
+	// watchTime is the length of one watch. A connection that went silent for good is noticed when it
+	// is over, and a change must be in force within 2 s.
+	watchTime = 1200 * time.Millisecond
+	// firstPause is the wait after a call to the store that failed; it doubles up to longestPause.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+	// outageTime is how long the store must have failed to count as away: one lost connection doesn't.
+	outageTime = 700 * time.Millisecond
+	// afterOutage is how long after its return entries that are missing may come back.
+	afterOutage = 2500 * time.Millisecond
+	// lookEvery is how often the control thread looks at the clock.
+	lookEvery = 200 * time.Millisecond
+	// fetchTime bounds a question to another daemon.
+	fetchTime = 400 * time.Millisecond
+)
+
+func newControl(r *Router, source Source) *control {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &control{router: r, source: source, catalog: catalog.New(), asks: make(chan func()), wanted: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel}
+}
+
+func (c *control) start() {
+	c.done.Go(c.run)
+	c.done.Go(c.watch)
+	c.done.Go(c.fetchWanted)
+}
+
+func (c *control) stop() {
+	c.cancel()
+	c.done.Wait()
+}
+
+func (c *control) run() {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case ask := <-c.asks:
+			ask()
+		case now := <-ticker.C:
+			if c.catalog.Expire(now) {
+				c.publish(now)
+			}
+			c.router.owner.instance.Sweep(now)
+		}
+	}
+}
+
+// ask runs f on the control thread and waits for it; false means that the thread has ended.
+func (c *control) ask(f func()) bool {
+	done := make(chan struct{})
+	select {
+	case c.asks <- func() { f(); close(done) }:
+		<-done
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// watch follows the store until the daemon stops.
+func (c *control) watch() {
+	var revision uint64
+	pause := firstPause
+	failing := time.Time{}
+	for c.ctx.Err() == nil {
+		ch, err := c.next(revision)
+		now := time.Now()
+		switch {
+		case err == nil:
+			c.regained(failing, now)
+			failing, pause = time.Time{}, firstPause
+			revision = ch.Revision
+			c.offer(ch, "store")
+		case errors.Is(err, ErrHistoryGone):
+			revision = 0
+		default:
+			if failing.IsZero() {
+				failing = now
+			}
+			c.trouble(failing, now, err)
+			sleep(c.ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, longestPause)
+		}
+	}
+}
+
+func (c *control) next(revision uint64) (catalog.Changes, error) {
+	if revision == 0 {
+		return c.source.Read(c.ctx)
+	}
+	return c.source.Watch(c.ctx, revision, watchTime)
+}
+
+// trouble notes that the store doesn't answer, and asks another daemon instead: the store may turn this host away only.
+func (c *control) trouble(since, now time.Time, err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	if since.Equal(now) {
+		c.router.log.WithError(err).Warn("store lost")
+	}
+	if now.Sub(since) >= outageTime {
+		c.ask(func() { c.lastTrouble = now })
+	}
+	c.router.beats.tell()
+	c.askSeeds()
+}
+
+func (c *control) regained(since, now time.Time) {
+	if since.IsZero() {
+		return
+	}
+	c.router.log.WithField("afterMs", now.Sub(since).Milliseconds()).Info("store regained")
+	if now.Sub(since) >= outageTime {
+		c.ask(func() { c.lastTrouble = now })
+	}
+}
+
+// askSeeds asks the daemons named at the start while this one knows no others.
+func (c *control) askSeeds() {
+	if c.router.view.Load().Table != nil {
+		return
+	}
+	for _, seed := range c.router.settings.Seeds {
+		if seed != c.router.settings.Peers {
+			c.fetch(seed)
+		}
+	}
+}
+
+// fetch takes over what another daemon knows beyond this one.
+func (c *control) fetch(from netip.AddrPort) {
+	view := c.router.view.Load()
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTime)
+	defer cancel()
+	got, err := peer.Call[fetch, fetched](ctx, c.router.peers, from, peer.KindChanges, fetch{Version: version(view), Revision: view.Revision})
+	if err != nil {
+		c.router.log.WithError(err).WithField("from", from.String()).Debug("fetch")
+		return
+	}
+	c.offer(got.Changes, from.String())
+}
+
+// later asks another daemon soon; while a question is going on, its answer may have the same.
+func (c *control) later(from netip.AddrPort) {
+	select {
+	case c.wanted <- from:
+	default:
+	}
+}
+
+func (c *control) fetchWanted() {
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case from := <-c.wanted:
+			c.fetch(from)
+		}
+	}
+}
+
+func version(v *catalog.View) uint64 {
+	if v.Table == nil {
+		return 0
+	}
+	return v.Table.Version()
+}
+
+func (c *control) takeFetch(_ context.Context, _ netip.AddrPort, f fetch) fetched {
+	var out fetched
+	c.ask(func() { out.Changes = c.catalog.Since(f.Version, f.Revision) })
+	return out
+}
+
+// offer takes changes into the catalog and publishes what they change.
+func (c *control) offer(ch catalog.Changes, from string) {
+	c.ask(func() {
+		now := time.Now()
+		out := c.catalog.Offer(ch, now, now.Sub(c.lastTrouble) < afterOutage)
+		for _, e := range ch.Entries {
+			if e.Fault != "" {
+				c.router.log.WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision, "fault": e.Fault}).Warn("entry not used")
+			}
+		}
+		if out.Rejected != nil {
+			c.router.log.WithError(out.Rejected).WithField("revision", ch.Revision).Error("configuration rejected")
+		}
+		if out.Configured || out.Instances {
+			c.publish(now)
+			c.router.log.WithFields(logrus.Fields{
+				"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()),
+			}).Info("catalog")
+		}
+		if out.Configured {
+			c.configure()
+		}
+	})
+}
+
+// publish makes the catalog's state the one that traffic sees.
+func (c *control) publish(now time.Time) {
+	r := c.router
+	v := c.catalog.View(r.view.Load())
+	r.view.Store(v)
+	r.chooser.Observe(c.catalog.Instances(), now)
+	own, known := v.At(r.settings.Instance)
+	r.owner.observe(own, known)
+	daemons := len(v.Hosts())
+	r.quota.Share(daemons)
+	r.repeats.Share(daemons)
+	r.metrics.Gauge(telemetry.ListVersion).Update(float64(version(v)))
+}
+
+func (c *control) configure() {
+	rates := map[string]quota.Rate{}
+	for _, o := range c.catalog.Config().Organisations {
+		rates[o.Name] = rateOf(o)
+	}
+	c.router.quota.Configure(rates)
+}
+
+func rateOf(o routing.Organisation) quota.Rate {
+	return quota.Rate{PerSecond: o.Rate, Burst: max(o.Burst, 1)}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (r *Router) peerFault(from netip.AddrPort, err error) {
+	r.log.WithError(err).WithField("from", from.String()).Warn("peer connection closed")
+	r.metrics.Counter(telemetry.PeerFaults).Inc(1)
+}
--- /dev/null
+++ b/internal/app/router/front.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
+)
+
+// request is one caller's request on its way through this daemon.
+type request struct {
+	id           string
+	begun        time.Time
+	route        *routing.Route
+	service      string
+	organisation string
+	method       string
+	target       string
+	httpHost     string
+	header       http.Header
+	body         []byte
+	// deadline is when the caller, or the operator for it, stops waiting.
+	deadline time.Time
+	priority call.Priority
+	nested   bool
+	quota    quota.Verdict
+	trail    trail
+}
+
+// serve answers one request of a caller or of the instance on this host.
+func (r *Router) serve(w http.ResponseWriter, in *http.Request) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	q := &request{begun: time.Now(), method: in.Method, target: in.RequestURI, httpHost: in.Host}
+	answer, ok := r.admit(q, in)
+	if ok {
+		ctx, cancel := context.WithDeadline(in.Context(), q.deadline)
+		answer = r.place(ctx, q)
+		cancel()
+		if answer.Outcome == call.NotRun && q.organisation != "" {
+			r.quota.GiveBack(q.organisation, time.Now())
+		}
+	}
+	r.conclude(q, answer)
+	r.write(w, q, answer)
+}
+
+// defaultTimeout holds for a request of which neither the caller nor the operator says how long it may take.
+const defaultTimeout = 30 * time.Second
+
+// admit finds the request's route, organisation and time, and holds it to its rate; false comes with the refusal.
+func (r *Router) admit(q *request, in *http.Request) (call.Answer, bool) {
+	head, err := r.heads.Caller(in.Header)
+	q.id = head.RequestID
+	if q.id == "" {
+		q.id = uuid.NewString()
+	}
+	table := r.view.Load().Table
+	switch {
+	case err != nil:
+		return call.Refuse(call.BadRequest, 0), false
+	case table == nil:
+		return call.Refuse(call.NotReady, notReadyWait), false
+	}
+	route, ok := table.Match(in.Host, in.URL.Path)
+	if !ok {
+		return call.Refuse(call.UnknownOperation, 0), false
+	}
+	q.route = route
+	organisation, ok := identify(table, route, head.Key)
+	if !ok {
+		return call.Refuse(call.UnknownKey, 0), false
+	}
+	if q.body, err = readBody(in); err != nil {
+		return call.Refuse(call.BadRequest, 0), false
+	}
+	q.header = forwardable(in.Header)
+	q.deadline = q.begun.Add(patience(head.Timeout, route.Timeout))
+	q.nested = organisation == nil && table.Keyed()
+	q.priority = priority(route, organisation, q.nested)
+	q.service = r.splitter.Pick(route)
+	if organisation == nil {
+		return call.Answer{}, true
+	}
+	q.organisation = organisation.Name
+	r.repeats.Earn(q.service, q.begun)
+	if q.quota = r.quota.Admit(organisation.Name, q.begun); !q.quota.Admitted {
+		return call.Refuse(call.OverRate, q.quota.RetryAfter), false
+	}
+	return call.Answer{}, true
+}
+
+// notReadyWait is when to come back to a daemon that knows no configuration yet; it reads it within some hundred milliseconds.
+const notReadyWait = 300 * time.Millisecond
+
+// identify returns the organisation that holds the key; nil where none is needed, and false where one is missing.
+func identify(t *routing.Table, route *routing.Route, key string) (*routing.Organisation, bool) {
+	if organisation, ok := t.Authenticate(key); ok {
+		return organisation, true
+	}
+	return nil, route.Public || !t.Keyed()
+}
+
+// patience is how long the request may take: as long as its caller waits, and as the operator wants it kept waiting.
+func patience(caller, operator time.Duration) time.Duration {
+	switch {
+	case caller == 0 && operator == 0:
+		return defaultTimeout
+	case caller == 0:
+		return operator
+	case operator == 0:
+		return caller
+	default:
+		return min(caller, operator)
+	}
+}
+
+// priority turns the operators' ranks, of which 0 goes first, into the queue's three; a call of a running request goes before all.
+func priority(route *routing.Route, organisation *routing.Organisation, nested bool) call.Priority {
+	if nested {
+		return call.Nested
+	}
+	rank := route.Rank
+	if organisation != nil && organisation.Ranked {
+		rank = organisation.Rank
+	}
+	switch {
+	case rank <= 0:
+		return call.Interactive
+	case rank == 1:
+		return call.Standard
+	default:
+		return call.Background
+	}
+}
+
+// readBody takes a request's body over in one piece of its size.
+func readBody(in *http.Request) ([]byte, error) {
+	if in.Body == nil {
+		return nil, nil
+	}
+	defer func() { _ = in.Body.Close() }()
+	if in.ContentLength <= 0 {
+		return io.ReadAll(in.Body)
+	}
+	body := make([]byte, in.ContentLength)
+	_, err := io.ReadFull(in.Body, body)
+	return body, err
+}
+
+// oneConnection are headers that concern only the connection on which they come, or that this daemon sets itself.
+var oneConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
+}
+
+// forwardable removes the headers that concern only the caller's connection, and those that it names as such.
+func forwardable(h http.Header) http.Header {
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range oneConnection {
+		h.Del(name)
+	}
+	return h
+}
+
+// write sends the answer to the caller: an instance's as it is, any other with what tells the caller when to come back.
+func (r *Router) write(w http.ResponseWriter, q *request, a call.Answer) {
+	h := w.Header()
+	if a.Outcome == call.Whole {
+		for name, values := range forwardable(a.Header) {
+			h[name] = values
+		}
+	} else {
+		r.heads.Refuse(h, q.id, a.RetryAfter)
+		h.Set("Content-Type", "application/json")
+		a.Body = refusalBody(q.id, a)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// refuseFault answers a request that was refused before it was whole.
+func (r *Router) refuseFault(f httpd.Fault) (int, http.Header, []byte) {
+	refusal := call.Refuse(call.BadRequest, 0)
+	switch f {
+	case httpd.HeadTooLarge:
+		refusal = call.Refuse(call.TooLarge, 0)
+		refusal.Status = http.StatusRequestHeaderFieldsTooLarge
+	case httpd.BodyTooLarge:
+		refusal = call.Refuse(call.TooLarge, 0)
+	case httpd.Full:
+		refusal = call.Refuse(call.Overloaded, time.Second)
+	case httpd.Closing:
+		refusal = call.Refuse(call.Draining, 0)
+		refusal.Status = http.StatusRequestTimeout
+	case httpd.Malformed:
+	}
+	r.refusedEarly(f, refusal)
+	header := http.Header{}
+	r.heads.Refuse(header, "", refusal.RetryAfter)
+	return refusal.Status, header, refusalBody("", refusal)
+}
--- /dev/null
+++ b/internal/app/router/owner.go
@@ -0,0 +1,217 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/instance"
+)
+
+// owner runs requests on the instance beside the daemon, as many at once as it has slots.
+type owner struct {
+	heads    Heads
+	instance *instance.Client
+
+	mu      sync.Mutex
+	current routing.Instance
+	known   bool
+	gate    *admission.Gate
+}
+
+const (
+	// unknownSlots holds until the instance's own word is there.
+	unknownSlots = 16
+	// queueTime bounds the wait for a slot. Longer than the time between two starts on a full instance, so that its slots
+	// never stand empty, and short enough to try another instance within the time that callers find good.
+	queueTime = 250 * time.Millisecond
+	// answerTime is kept of a request's time for the answer's way back.
+	answerTime = 10 * time.Millisecond
+	// goneWait is when to come back where the instance can't be reached.
+	goneWait = 500 * time.Millisecond
+)
+
+func newOwner(s Settings, heads Heads) *owner {
+	o := &owner{heads: heads, instance: instance.New(s.Instance)}
+	o.gate = newGate(unknownSlots)
+	return o
+}
+
+func newGate(slots int) *admission.Gate {
+	return admission.New(limit.NewFixed(slots), admission.WithWait(queueTime))
+}
+
+// observe takes in what is published of the instance on this host; another start of it begins with an empty gate.
+func (o *owner) observe(i routing.Instance, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !known {
+		o.known = false
+		return
+	}
+	if !o.known || o.current.Incarnation() != i.Incarnation() || o.current.Slots != i.Slots {
+		o.gate = newGate(max(i.Slots, 1))
+	}
+	o.current, o.known = i, true
+}
+
+// admits returns the gate for requests to the start of the instance, or false if another is known to be here by now.
+func (o *owner) admits(i routing.Incarnation) (*admission.Gate, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.known && o.current.Incarnation() != i {
+		return o.gate, false
+	}
+	return o.gate, true
+}
+
+func (o *owner) load() call.Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gate.Load()
+}
+
+func (o *owner) stop() { o.instance.Close() }
+
+// waiter hands the gate's decision to the goroutine that waits for it.
+type waiter chan admission.Decision
+
+// Decide never blocks: the channel has room for the one decision.
+func (w waiter) Decide(d admission.Decision) { w <- d }
+
+// run runs the request on the instance, or refuses it before the instance has seen it.
+func (o *owner) run(ctx context.Context, m *run) ran {
+	begun := time.Now()
+	gate, ok := o.admits(m.Instance)
+	if !ok {
+		return refused(call.Refuse(call.NoUpstream, goneWait), gate.Load())
+	}
+	deadline := begun.Add(m.Remaining - min(answerTime, m.Remaining/10))
+	t := &admission.Ticket{
+		Organisation: m.Organisation, Operation: m.Route, Weight: 1, Priority: m.Priority, Deadline: deadline,
+	}
+	if d := enter(ctx, gate, t); d.Verdict != admission.Run {
+		return refused(call.Refuse(d.Reason, d.RetryAfter), gate.Load())
+	}
+	started := time.Now()
+	out := o.execute(ctx, m, deadline)
+	out.Waited = started.Sub(begun)
+	now := time.Now()
+	gate.Settle(now, t, result(out, now.Sub(started)))
+	out.Load = gate.Load()
+	return out
+}
+
+func enter(ctx context.Context, gate *admission.Gate, t *admission.Ticket) admission.Decision {
+	decided := make(waiter, 1)
+	t.Waiter = decided
+	d := gate.Arrive(time.Now(), t)
+	if d.Verdict != admission.Wait {
+		return d
+	}
+	timer := time.NewTimer(time.Until(t.StartBy()))
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	if d, left := gate.Leave(time.Now(), t); left {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			d.Reason = call.Cancelled
+		}
+		return d
+	}
+	return <-decided
+}
+
+func refused(a call.Answer, load call.Load) ran {
+	return ran{Outcome: a.Outcome, Reason: a.Reason, Status: a.Status, RetryAfter: a.RetryAfter, Load: load}
+}
+
+// execute sends the request to the instance.
+func (o *owner) execute(ctx context.Context, m *run, deadline time.Time) ran {
+	header := m.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	now := time.Now()
+	o.heads.Forward(header, Forwarded{
+		RequestID: m.RequestID, Timeout: deadline.Sub(now), Instance: m.Instance.ID, Organisation: m.Organisation, CallerService: m.CallerService,
+	})
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	res, err := o.instance.Do(ctx, &instance.Request{
+		Method: m.Method, Target: m.Target, Host: m.HTTPHost, Header: header, Body: m.Body, Deadline: deadline, Repeatable: m.Idempotent,
+		Answers: func(h http.Header) bool {
+			id := o.heads.Answer(http.StatusOK, h).RequestID
+			return id == "" || id == m.RequestID
+		},
+	})
+	if err != nil {
+		return o.failed(ctx, err)
+	}
+	return o.read(res)
+}
+
+// failed tells what an error says of the request: not run only where no byte of it left.
+func (o *owner) failed(ctx context.Context, err error) ran {
+	cancelled := errors.Is(context.Cause(ctx), context.Canceled)
+	overdue := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	if errors.Is(err, instance.ErrUnsent) {
+		reason := call.NoUpstream
+		switch {
+		case cancelled:
+			reason = call.Cancelled
+		case overdue:
+			reason = call.DeadlineTooNear
+		}
+		return refused(call.Refuse(reason, goneWait), call.Load{})
+	}
+	reason := call.AnswerLost
+	switch {
+	case cancelled:
+		reason = call.Cancelled
+	case overdue:
+		reason = call.TimedOut
+	}
+	lost := call.Lose(reason)
+	return ran{Outcome: lost.Outcome, Reason: lost.Reason, Status: lost.Status, Arrived: true}
+}
+
+// read takes the instance's answer as it is, unless it can't be the instance's own whole answer.
+func (o *owner) read(res instance.Response) ran {
+	head := o.heads.Answer(res.Status, res.Header)
+	if head.NotRun {
+		a := call.Refuse(call.UpstreamShed, shedWait)
+		return ran{Outcome: a.Outcome, Reason: a.Reason, Status: a.Status, RetryAfter: a.RetryAfter, Arrived: true}
+	}
+	if head.Encoded || !head.Authentic && res.Status < http.StatusBadRequest {
+		lost := call.Lose(call.AnswerLost)
+		return ran{Outcome: lost.Outcome, Reason: lost.Reason, Status: lost.Status, Arrived: true}
+	}
+	return ran{Outcome: call.Whole, Status: res.Status, Header: res.Header, Body: res.Body, Arrived: true}
+}
+
+// shedWait is when to come back to a service whose instances turn requests away: some requests have ended by then.
+const shedWait = 250 * time.Millisecond
+
+// result tells the gate how a run ended.
+func result(out ran, took time.Duration) admission.Result {
+	r := admission.Result{Own: took}
+	switch {
+	case out.Reason == call.UpstreamShed:
+		r.Shed = true
+	case out.Outcome != call.Whole && out.Reason != call.AnswerLost:
+		r.Withdrawn = true
+	}
+	return r
+}
--- /dev/null
+++ b/internal/app/router/place.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+// mostPlaces bounds the hosts that one request is offered to. Hosts that refuse cost a round trip each; with three, one that
+// is full or leaving and one that is stale are passed over.
+const mostPlaces = 3
+
+// noInstanceWait is when to come back to a service without any instance that can be reached: a started one is listed within seconds.
+const noInstanceWait = 500 * time.Millisecond
+
+// place offers the request to instances of its service until one has run it or may have, or nothing is left to try.
+func (r *Router) place(ctx context.Context, q *request) call.Answer {
+	tried := map[string]bool{}
+	last := call.Refuse(call.NoUpstream, noInstanceWait)
+	arrivals := 0
+	for range mostPlaces {
+		now := time.Now()
+		if ctx.Err() != nil || !now.Before(q.deadline) {
+			return overdue(ctx, last)
+		}
+		if arrivals > 0 && !r.mayRepeat(q, arrivals, now) {
+			return last
+		}
+		i, ok := r.chooser.Pick(r.candidates(q.service), tried, now)
+		if !ok {
+			return last
+		}
+		tried[i.ID] = true
+		done := r.offer(ctx, q, i)
+		if done.arrived {
+			arrivals++
+		}
+		last = done.answer
+		if !r.goesOn(q, done) {
+			return last
+		}
+	}
+	return last
+}
+
+// candidates returns the service's instances without those whose daemon leaves, unless there are no others.
+func (r *Router) candidates(service string) []routing.Instance {
+	all := r.view.Load().InstancesOf(service)
+	staying := make([]routing.Instance, 0, len(all))
+	for _, i := range all {
+		if !r.beats.away(i.Address.Addr()) {
+			staying = append(staying, i)
+		}
+	}
+	if len(staying) == 0 {
+		return all
+	}
+	return staying
+}
+
+// mayRepeat reports whether a request that has reached an instance may be sent to a further one.
+func (r *Router) mayRepeat(q *request, arrivals int, now time.Time) bool {
+	return arrivals < max(q.route.Attempts, 1) && r.repeats.Spend(q.service, now)
+}
+
+// goesOn reports whether the request may be offered to another instance after this ending.
+//
+// Only proof that it did not run lets a request go on that may run once. One that may run again goes on after
+// a lost answer and after a failure, which an instance that is only half well gives to part of its requests.
+func (r *Router) goesOn(q *request, d offered) bool {
+	switch d.answer.Outcome {
+	case call.NotRun:
+		return d.answer.Reason != call.Cancelled && d.answer.Reason != call.DeadlineTooNear
+	case call.Unknown:
+		return q.route.Repeat == routing.Idempotent && d.answer.Reason == call.AnswerLost
+	default:
+		return q.route.Repeat == routing.Idempotent && d.answer.Status == statusFailed
+	}
+}
+
+// statusFailed is the status of an instance that failed; its timeouts and refusals have others.
+const statusFailed = 500
+
+// overdue is the answer to a request whose time is up between two offers.
+func overdue(ctx context.Context, last call.Answer) call.Answer {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && last.Outcome == call.NotRun:
+		return call.Refuse(call.Cancelled, 0)
+	case last.Outcome == call.NotRun:
+		return call.Refuse(call.DeadlineTooNear, 0)
+	default:
+		return last
+	}
+}
+
+// offered is how an offer to one instance ended.
+type offered struct {
+	answer  call.Answer
+	arrived bool
+}
+
+// offer hands the request to the daemon beside the instance, or runs it here where that is this one.
+func (r *Router) offer(ctx context.Context, q *request, i routing.Instance) offered {
+	begun := time.Now()
+	m := r.message(q, i, begun)
+	var back ran
+	var err error
+	if i.Address.Addr() == r.settings.Instance.Addr() {
+		back = r.owner.run(ctx, &m)
+	} else {
+		back, err = peer.Call[run, ran](ctx, r.peers, r.peerOf(i.Address.Addr()), peer.KindRun, m)
+	}
+	now := time.Now()
+	if err != nil {
+		back = unanswered(ctx, err)
+	}
+	e := ending(back, err)
+	r.chooser.Done(i, e, now.Sub(begun), back.Load, now)
+	q.trail.add(i, e, back, now.Sub(begun))
+	return offered{
+		answer: call.Answer{
+			Outcome: back.Outcome, Reason: back.Reason, Status: back.Status, Header: back.Header, Body: back.Body, RetryAfter: back.RetryAfter,
+		},
+		arrived: back.Arrived,
+	}
+}
+
+// peerOf returns where the daemon on a host listens.
+func (r *Router) peerOf(host netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(host, r.settings.Peers.Port())
+}
+
+func (r *Router) message(q *request, i routing.Instance, now time.Time) run {
+	return run{
+		RequestID: q.id, Instance: i.Incarnation(), Route: q.route.Name, CallerService: r.settings.Service, Organisation: q.organisation,
+		Method: q.method, Target: q.target, HTTPHost: q.httpHost, Header: q.header, Body: q.body,
+		Remaining: q.deadline.Sub(now), Priority: q.priority, Idempotent: q.route.Repeat == routing.Idempotent,
+	}
+}
+
+// unanswered is what an error of the way to another daemon says of the request: not run only where it did not leave whole.
+func unanswered(ctx context.Context, err error) ran {
+	var a call.Answer
+	switch {
+	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
+		a = call.Refuse(call.Cancelled, 0)
+	case errors.Is(err, peer.ErrNotSent):
+		a = call.Refuse(call.NoUpstream, noInstanceWait)
+	case errors.Is(err, context.Canceled):
+		a = call.Lose(call.Cancelled)
+	case errors.Is(err, context.DeadlineExceeded):
+		a = call.Lose(call.TimedOut)
+	default:
+		a = call.Lose(call.AnswerLost)
+	}
+	return ran{Outcome: a.Outcome, Reason: a.Reason, Status: a.Status, RetryAfter: a.RetryAfter, Arrived: a.Outcome != call.NotRun}
+}
+
+// ending tells the chooser what the end of an offer says of the instance.
+func ending(back ran, err error) choice.Ending {
+	switch {
+	case err != nil && back.Outcome == call.NotRun && back.Reason != call.Cancelled:
+		return choice.Unreachable
+	case back.Outcome == call.Whole && back.Status >= statusFailed:
+		return choice.Failed
+	case back.Outcome == call.Whole:
+		return choice.Served
+	}
+	switch back.Reason {
+	case call.NoUpstream, call.Draining:
+		return choice.Unreachable
+	case call.UpstreamShed:
+		return choice.TurnedAway
+	case call.Overloaded, call.DeadlineTooNear:
+		return choice.Refused
+	case call.AnswerLost, call.TimedOut:
+		return choice.Lost
+	default:
+		return choice.Withdrawn
+	}
+}
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -130,4 +130,9 @@
 		Caller:   "Come back after Retry-After with the same key; don't send it under a new one.",
 		Operator: "Look at `suspects` and the network of the service's daemons; it ends once most of them reach each other.",
 	},
+	call.TimedOut: {
+		Meaning:  "The time that the caller or the operator allows ran out while the request was at work, so it may have run.",
+		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
+		Operator: "Compare the route's timeout with the service's latency; `offers` in the log line has the instance, its wait and its load.",
+	},
 }
--- a/internal/decide/queue/fair.go
+++ b/internal/decide/queue/fair.go
@@ -68,7 +68,7 @@
 }
 
 func (q *FairQueue[T]) highest() call.Priority {
-	for p := call.Interactive; p > call.Background; p-- {
+	for p := call.Nested; p > call.Background; p-- {
 		if q.classes[p].length > 0 {
 			return p
 		}
@@ -81,18 +81,18 @@
 	if q.pops/lowerEvery%2 == 0 && q.classes[call.Standard].length > 0 {
 		return call.Standard
 	}
-	for p := call.Background; p < call.Interactive; p++ {
+	for p := call.Background; p < call.Nested; p++ {
 		if q.classes[p].length > 0 {
 			return p
 		}
 	}
-	return call.Interactive
+	return call.Nested
 }
 
 // Ahead estimates how many items would be served before the item.
 func (q *FairQueue[T]) Ahead(i *Item[T]) int {
 	ahead := q.classes[i.Priority].ahead(i)
-	for p := i.Priority + 1; p <= call.Interactive; p++ {
+	for p := i.Priority + 1; p <= call.Nested; p++ {
 		ahead += q.classes[p].length
 	}
 	return ahead
@@ -120,7 +120,7 @@
 
 // Last returns the item that is likely to be served last, or nil.
 func (q *FairQueue[T]) Last() *Item[T] {
-	for p := call.Background; p <= call.Interactive; p++ {
+	for p := call.Background; p <= call.Nested; p++ {
 		if q.classes[p].length > 0 {
 			return q.classes[p].newestOfLongest()
 		}
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -58,6 +58,8 @@
 	Cancelled // cancelled
 	// Undecided means that hosts which may know of the idempotency key can't be reached now.
 	Undecided // undecided
+	// TimedOut means that the time ran out while the request was at work.
+	TimedOut // timedOut
 )
 
 // Priority orders requests when load must be shed; a higher one is shed later.
@@ -70,10 +72,12 @@
 	Standard // standard
 	// Interactive is work that a person waits for, or a booking.
 	Interactive // interactive
+	// Nested is a call of a request that is running already; its work is lost with the call. No operation has it by itself.
+	Nested // nested
 )
 
 // Priorities is the number of distinct priorities.
-const Priorities = int(Interactive) + 1
+const Priorities = int(Nested) + 1
 
 // ParsePriority returns the priority with the given name, or false.
 func ParsePriority(name string) (Priority, bool) { return enum.Parse(name, Interactive) }
@@ -138,4 +142,5 @@
 	AnswerLost:       statusBadGateway,
 	Cancelled:        statusClosed,
 	Undecided:        statusUnavailable,
+	TimedOut:         statusTimeout,
 }
--- a/internal/domain/call/priority_string.go
+++ b/internal/domain/call/priority_string.go
@@ -11,11 +11,12 @@
 	_ = x[Background-0]
 	_ = x[Standard-1]
 	_ = x[Interactive-2]
+	_ = x[Nested-3]
 }
 
-const _Priority_name = "backgroundstandardinteractive"
+const _Priority_name = "backgroundstandardinteractivenested"
 
-var _Priority_index = [...]uint8{0, 10, 18, 29}
+var _Priority_index = [...]uint8{0, 10, 18, 29, 35}
 
 func (i Priority) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/internal/domain/routing/table.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"slices"
+	"strings"
+)
+
+// Table is a configuration made ready for look-ups; it is immutable.
+type Table struct {
+	config        Config
+	hosts         map[string][]*Route
+	organisations map[[sha256.Size]byte]*Organisation
+	byName        map[string]*Organisation
+}
+
+// NewTable returns the table of a configuration, which must not be changed afterwards.
+func NewTable(c Config) *Table {
+	t := &Table{
+		config:        c,
+		hosts:         map[string][]*Route{},
+		organisations: map[[sha256.Size]byte]*Organisation{},
+		byName:        map[string]*Organisation{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		t.byName[o.Name] = o
+		for _, key := range o.Keys {
+			t.organisations[sha256.Sum256([]byte(key))] = o
+		}
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.config.Version }
+
+// Config returns the configuration; it must not be changed.
+func (t *Table) Config() *Config { return &t.config }
+
+// Match returns the host's route with the longest prefix that begins the path, or false.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[hostname(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// hostname drops the port of a Host header and folds its case.
+func hostname(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at > 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
+// Keyed reports whether requests need a key at all.
+func (t *Table) Keyed() bool { return len(t.config.Organisations) > 0 }
+
+// Authenticate returns the organisation that holds the key, or false.
+//
+// Keys are looked up by their hash, so that the time of an answer tells nothing of a key in force.
+func (t *Table) Authenticate(key string) (*Organisation, bool) {
+	hash := sha256.Sum256([]byte(key))
+	o, ok := t.organisations[hash]
+	if !ok {
+		return nil, false
+	}
+	for _, k := range o.Keys {
+		if subtle.ConstantTimeCompare([]byte(k), []byte(key)) == 1 {
+			return o, true
+		}
+	}
+	return nil, false
+}
+
+// Organisation returns the organisation with the name, or false.
+func (t *Table) Organisation(name string) (*Organisation, bool) {
+	o, ok := t.byName[name]
+	return o, ok
+}
--- /dev/null
+++ b/internal/fleet/catalog/catalog.go
@@ -0,0 +1,211 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+)
+
+// Entry is what is published under one key: an instance, a configuration, or
+// nothing that can be used; the revision is the store's counter at its last change.
+type Entry struct {
+	Key      string
+	Revision uint64
+	Instance *routing.Instance
+	Config   *routing.Config
+	Removed  bool
+	// Fault tells why the entry can't be used; it names no instance then.
+	Fault string
+}
+
+// Changes are entries that changed since an earlier revision.
+type Changes struct {
+	// Revision is the store's counter up to which nothing is missing.
+	Revision uint64
+	// Whole means that every key that exists is among the entries.
+	Whole   bool
+	Entries []Entry
+}
+
+// Catalog is what one daemon knows; it belongs to the control thread.
+//
+// The store counts each change with one counter, so what is newer is the same
+// for every daemon: it takes entries from the store and from other daemons alike, and never goes back.
+type Catalog struct {
+	config   *routing.Config
+	configAt uint64
+	revision uint64
+	entries  map[string]Entry
+	// removed has the revisions of keys that are gone, so that an older entry from elsewhere doesn't bring them back.
+	removed map[string]uint64
+	// lapsing are entries that were found missing right after an outage, with the time at which they go.
+	lapsing map[string]time.Time
+}
+
+// returnTime is how long an entry that is missing after an outage of the store
+// may stay away: live instances are back about 2 s after the store's return.
+const returnTime = 2200 * time.Millisecond
+
+// New returns an empty catalog.
+func New() *Catalog {
+	return &Catalog{entries: map[string]Entry{}, removed: map[string]uint64{}, lapsing: map[string]time.Time{}}
+}
+
+// Revision returns the counter up to which nothing is missing; 0 means that nothing was read yet.
+func (c *Catalog) Revision() uint64 { return c.revision }
+
+// Version returns the version of the configuration in force; 0 means none.
+func (c *Catalog) Version() uint64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+// Outcome tells what an offer has changed.
+type Outcome struct {
+	// Configured means that another configuration is in force.
+	Configured bool
+	// Instances means that the set of instances or one of them changed.
+	Instances bool
+	// Rejected tells why a newer configuration is not in force; the last one stays.
+	Rejected error
+}
+
+// Offer takes in changes. afterOutage means that the store was away until just
+// now: instances that its outage made lapse are then given time to return, since else
+// a short outage of the store would take every service down.
+func (c *Catalog) Offer(ch Changes, now time.Time, afterOutage bool) Outcome {
+	var out Outcome
+	if ch.Whole && ch.Revision < c.revision {
+		return out
+	}
+	seen := map[string]bool{}
+	for _, e := range ch.Entries {
+		seen[e.Key] = true
+		c.take(e, now, afterOutage, &out)
+	}
+	if ch.Whole {
+		for key, e := range c.entries {
+			if !seen[key] && e.Revision <= ch.Revision {
+				c.remove(key, ch.Revision, now, afterOutage, &out)
+			}
+		}
+	}
+	c.revision = max(c.revision, ch.Revision)
+	return out
+}
+
+func (c *Catalog) take(e Entry, now time.Time, afterOutage bool, out *Outcome) {
+	if e.Config != nil {
+		c.configure(e, out)
+		return
+	}
+	old, known := c.entries[e.Key]
+	if known && old.Revision >= e.Revision || c.removed[e.Key] >= e.Revision {
+		return
+	}
+	if e.Removed {
+		c.remove(e.Key, e.Revision, now, afterOutage, out)
+		return
+	}
+	delete(c.lapsing, e.Key)
+	delete(c.removed, e.Key)
+	c.entries[e.Key] = e
+	out.Instances = true
+}
+
+// configure puts the configuration in force if it is newer and sound.
+func (c *Catalog) configure(e Entry, out *Outcome) {
+	if e.Config.Version <= c.Version() {
+		return
+	}
+	if err := e.Config.Check(); err != nil {
+		out.Rejected = err
+		return
+	}
+	c.config, c.configAt = e.Config, e.Revision
+	out.Configured = true
+}
+
+func (c *Catalog) remove(key string, revision uint64, now time.Time, afterOutage bool, out *Outcome) {
+	_, known := c.entries[key]
+	if afterOutage && known {
+		if _, waiting := c.lapsing[key]; !waiting {
+			c.lapsing[key] = now.Add(returnTime)
+		}
+		return
+	}
+	c.removed[key] = max(c.removed[key], revision)
+	delete(c.lapsing, key)
+	if known {
+		delete(c.entries, key)
+		out.Instances = true
+	}
+}
+
+// Expire drops the instances that did not return in time, and reports whether there were any.
+func (c *Catalog) Expire(now time.Time) bool {
+	dropped := false
+	for key, end := range c.lapsing {
+		if now.Before(end) {
+			continue
+		}
+		c.removed[key] = max(c.removed[key], c.entries[key].Revision)
+		delete(c.lapsing, key)
+		delete(c.entries, key)
+		dropped = true
+	}
+	return dropped
+}
+
+// Since returns all that changed after the revision, for another daemon.
+func (c *Catalog) Since(version, revision uint64) Changes {
+	ch := Changes{Revision: c.revision}
+	if c.Version() > version {
+		ch.Entries = append(ch.Entries, Entry{Revision: c.configAt, Config: c.config})
+	}
+	for _, e := range c.entries {
+		if e.Revision > revision {
+			ch.Entries = append(ch.Entries, e)
+		}
+	}
+	for key, at := range c.removed {
+		if at > revision {
+			ch.Entries = append(ch.Entries, Entry{Key: key, Revision: at, Removed: true})
+		}
+	}
+	return ch
+}
+
+// Config returns the configuration in force, or nil; it must not be changed.
+func (c *Catalog) Config() *routing.Config { return c.config }
+
+// Instances returns the instances that can be used, one for each address.
+//
+// The address of an instance that is gone is given to another. Until the old
+// entry ends both name it, and requests sent for the old one would be turned away there.
+func (c *Catalog) Instances() []routing.Instance {
+	newest := map[string]Entry{}
+	for _, e := range c.entries {
+		if e.Instance == nil {
+			continue
+		}
+		at := e.Instance.Address.String()
+		if other, taken := newest[at]; !taken || newer(e, other) {
+			newest[at] = e
+		}
+	}
+	all := make([]routing.Instance, 0, len(newest))
+	for _, e := range newest {
+		all = append(all, *e.Instance)
+	}
+	return all
+}
+
+func newer(a, b Entry) bool {
+	if !a.Instance.Born.Equal(b.Instance.Born) {
+		return a.Instance.Born.After(b.Instance.Born)
+	}
+	return a.Revision > b.Revision
+}
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -24,7 +24,13 @@
 	KindOnce // once
 	// KindLegacy passes a leaving daemon's idempotency keys on.
 	KindLegacy // legacy
+	// KindRun hands a request on to the daemon beside an instance.
+	KindRun // run
+	// KindBeat tells a collector what a daemon sees and knows.
+	KindBeat // beat
+	// KindChanges asks for changes of what is published.
+	KindChanges // changes
 )
 
 // Kinds is one more than the last kind; kind 0 is of no message.
-const Kinds = int(KindLegacy) + 1
+const Kinds = int(KindChanges) + 1
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -17,11 +17,14 @@
 	_ = x[KindRecall-7]
 	_ = x[KindOnce-8]
 	_ = x[KindLegacy-9]
+	_ = x[KindRun-10]
+	_ = x[KindBeat-11]
+	_ = x[KindChanges-12]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacy"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchanges"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -57,7 +57,7 @@
 }
 
 func laneOf(to netip.AddrPort, k Kind) lane {
-	return lane{to: to, calls: k == KindCall || k == KindOnce}
+	return lane{to: to, calls: k == KindCall || k == KindOnce || k == KindRun}
 }
 
 type handler func(ctx context.Context, from netip.AddrPort, payload []byte) ([]byte, error)
