Turn requests away at the front while a service that they need is full

What it refused ended most lookups after nearly all of their work, clients came back, and the fleet worked for nobody also when the burst was over. New: calls find their parent by the time that they have left, daemons learn the call graph, tell each other a few times a second how full services are, and the front lets in less of a route while one on its way is above a target. Ruled out: the fullness that answers bring back (2 s late in overload), and an additive share (swung between 0 and 0.9 within 4 s).

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -13,6 +13,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/demand"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/graph"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
@@ -29,10 +30,19 @@
 
 	mu     sync.Mutex
 	demand *demand.Collector
+	// graph is put together here for others, and known is what another collector has put together.
+	graph *graph.Graph
+	known uint64
+	edges graph.Edges
+	// ways are the services that a route's requests need, for the configuration of that version.
+	ways        map[string]map[string]float64
+	waysVersion uint64
 	// leaving are the hosts whose daemons have said that they leave, with when they said so.
 	leaving map[netip.Addr]time.Time
 	// avoided are collectors that did not answer, with when they are asked again.
 	avoided map[netip.Addr]time.Time
+	// current is until when a collector's word on what is published can be relied on.
+	current time.Time
 }
 
 const (
@@ -52,7 +62,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &beats{
 		router: r, now: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
-		demand: demand.New(), leaving: map[netip.Addr]time.Time{}, avoided: map[netip.Addr]time.Time{},
+		demand: demand.New(), graph: graph.New(), leaving: map[netip.Addr]time.Time{}, avoided: map[netip.Addr]time.Time{},
 	}
 }
 
@@ -92,6 +102,8 @@
 	own := beat{
 		From: b.router.settings.Peers, Version: version(view), Revision: view.Revision,
 		Leaving: b.router.leaving.Load(), Demand: b.router.quota.Demand(sent),
+		Service: b.router.settings.Service, Fullness: b.router.owner.fullness(),
+		Calls: b.router.owner.runs.Calls(), Graph: b.known,
 	}
 	for _, host := range b.collectors(hosts, sent) {
 		back, err := b.send(host, own)
@@ -127,12 +139,12 @@
 		}
 		order = append(order, h)
 	}
-	slices.SortFunc(order, func(x, y netip.Addr) int { return cmp.Compare(rank(x), rank(y)) })
+	slices.SortFunc(order, func(x, y netip.Addr) int { return cmp.Compare(spread(x), spread(y)) })
 	return order[:min(len(order), spares+1)]
 }
 
-// rank spreads the hosts, so that the collector isn't always the one with the lowest address.
-func rank(a netip.Addr) uint64 {
+// spread mixes the hosts, so that the collector isn't always the one with the lowest address.
+func spread(a netip.Addr) uint64 {
 	raw := a.As16()
 	return xxhash.Sum64(raw[:])
 }
@@ -146,10 +158,36 @@
 	}
 }
 
+// readers is how many daemons follow the store, the first in the order of collectors. The others hear of changes with
+// their next beat: each change would cost a call of every daemon otherwise.
+const readers = 3
+
+// storeAge is how old a collector's word from the store may be. Its watch tells it at least each watchTime that nothing changed.
+const storeAge = watchTime + 300*time.Millisecond
+
+// reads reports whether this daemon must follow the store itself: it is one of the readers, or hears nothing current from them.
+func (b *beats) reads(now time.Time) bool {
+	hosts := b.router.view.Load().Hosts()
+	own := b.router.settings.Peers.Addr()
+	ahead := 0
+	for _, h := range hosts {
+		if spread(h) < spread(own) {
+			ahead++
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return ahead < readers || now.After(b.current)
+}
+
 // learn takes in what the collector answered.
 func (b *beats) learn(host netip.Addr, own beat, back beaten, sent time.Time) {
 	b.router.quota.Hear(back.Totals, own.Demand, back.Daemons, sent)
+	b.hear(back, sent)
 	b.mu.Lock()
+	if back.StoreAge < storeAge {
+		b.current = sent.Add(storeAge)
+	}
 	for _, h := range back.Leaving {
 		if _, known := b.leaving[h]; !known {
 			b.leaving[h] = sent
@@ -161,15 +199,47 @@
 	}
 }
 
+// hear passes on how full the services are that each route needs.
+func (b *beats) hear(back beaten, now time.Time) {
+	view := b.router.view.Load()
+	if view.Table == nil {
+		return
+	}
+	if back.Edges != nil {
+		b.known, b.edges, b.ways = back.Graph, back.Edges, nil
+	}
+	if b.ways == nil || b.waysVersion != view.Table.Version() {
+		b.ways, b.waysVersion = map[string]map[string]float64{}, view.Table.Version()
+	}
+	b.router.shedder.Hear(func(route string) float64 {
+		way, ok := b.ways[route]
+		if !ok {
+			way = b.edges.Way(route, view.Table.Shares)
+			b.ways[route] = way
+		}
+		full := 0.0
+		for service := range way {
+			full = max(full, back.Fullness[service])
+		}
+		return full
+	}, now)
+}
+
 // take answers another daemon's beat.
 func (b *beats) take(_ context.Context, _ netip.AddrPort, in beat) beaten {
 	now := time.Now()
 	view := b.router.view.Load()
 	b.mu.Lock()
-	b.demand.Report(in.From, in.Demand, now)
+	b.demand.Report(in.From, demand.Report{Demand: in.Demand, Service: in.Service, Fullness: in.Fullness}, now)
 	b.mark(in, now)
 	out := beaten{
 		Version: version(view), Revision: view.Revision, Totals: b.demand.Totals(in.Demand), Daemons: b.demand.Daemons(now),
+		Fullness: b.demand.Fullness(),
+	}
+	out.StoreAge = b.router.control.storeAge(now)
+	b.graph.Merge(in.Calls)
+	if out.Graph = b.graph.Version(); out.Graph != in.Graph {
+		out.Edges = b.graph.Edges()
 	}
 	for h := range b.leaving {
 		out.Leaving = append(out.Leaving, h)
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,7 +25,9 @@
 	catalog *catalog.Catalog
 	// lastTrouble is when the store last failed to answer for a while.
 	lastTrouble time.Time
-	asks        chan func()
+	// heard is when the store last answered, in nanoseconds.
+	heard atomic.Int64
+	asks  chan func()
 	// wanted are daemons that know something newer.
 	wanted chan netip.AddrPort
 	ctx    context.Context
@@ -41,8 +44,8 @@
 	longestPause = 500 * time.Millisecond
 	// outageTime is how long the store must have failed to count as away: one lost connection doesn't.
 	outageTime = 700 * time.Millisecond
-	// afterOutage is how long after its return entries that are missing may come back.
-	afterOutage = 2500 * time.Millisecond
+	// idleLook is how often a daemon that doesn't follow the store looks whether it has to.
+	idleLook = 50 * time.Millisecond
 	// lookEvery is how often the control thread looks at the clock.
 	lookEvery = 200 * time.Millisecond
 	// fetchTime bounds a question to another daemon.
@@ -101,14 +104,21 @@
 	pause := firstPause
 	failing := time.Time{}
 	for c.ctx.Err() == nil {
-		ch, err := c.next(revision)
 		now := time.Now()
+		if revision > 0 && failing.IsZero() && !c.router.beats.reads(now) {
+			revision = max(revision, c.router.view.Load().Revision)
+			sleep(c.ctx, idleLook)
+			continue
+		}
+		ch, err := c.next(revision)
+		now = time.Now()
 		switch {
 		case err == nil:
+			c.heard.Store(now.UnixNano())
 			c.regained(failing, now)
 			failing, pause = time.Time{}, firstPause
 			revision = ch.Revision
-			c.offer(ch, "store")
+			c.offer(ch, storeName)
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
 		default:
@@ -122,6 +132,11 @@
 	}
 }
 
+// storeAge is how long ago the store last answered this daemon.
+func (c *control) storeAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.heard.Load()))
+}
+
 func (c *control) next(revision uint64) (catalog.Changes, error) {
 	if revision == 0 {
 		return c.source.Read(c.ctx)
@@ -211,11 +226,18 @@
 	return out
 }
 
+// storeName is the store among those from whom changes come. What other daemons have dropped is gone: they have waited.
+const storeName = "store"
+
 // offer takes changes into the catalog and publishes what they change.
 func (c *control) offer(ch catalog.Changes, from string) {
 	c.ask(func() {
 		now := time.Now()
-		out := c.catalog.Offer(ch, now, now.Sub(c.lastTrouble) < afterOutage)
+		back := time.Time{}
+		if from == storeName && !c.lastTrouble.IsZero() {
+			back = c.lastTrouble.Add(catalog.ReturnTime)
+		}
+		out := c.catalog.Offer(ch, now, back)
 		for _, e := range ch.Entries {
 			if e.Fault != "" {
 				c.router.log.WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision, "fault": e.Fault}).Warn("entry not used")
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -10,7 +10,9 @@
 
 	"github.com/google/uuid"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
+	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -32,8 +34,18 @@
 	deadline time.Time
 	priority call.Priority
 	nested   bool
-	quota    quota.Verdict
-	trail    trail
+	// root is the route of the caller's request that a nested one is for, its own for others.
+	root string
+	// parent is the run of the instance on this host that a nested request belongs to, as far as known.
+	parent *lineage.Run
+	repeat bool
+	rank   shed.Rank
+	shed   shed.Verdict
+	quota  quota.Verdict
+	trail  trail
+	// fullness and callRefused are what the offers brought back: see ran.
+	fullness    float64
+	callRefused bool
 }
 
 // serve answers one request of a caller or of the instance on this host.
@@ -45,6 +57,7 @@
 	if ok {
 		ctx, cancel := context.WithDeadline(in.Context(), q.deadline)
 		answer = r.place(ctx, q)
+		r.report(q)
 		cancel()
 		if answer.Outcome == call.NotRun && q.organisation != "" {
 			r.quota.GiveBack(q.organisation, time.Now())
@@ -86,8 +99,13 @@
 	q.header = forwardable(in.Header)
 	q.deadline = q.begun.Add(patience(head.Timeout, route.Timeout))
 	q.nested = organisation == nil && table.Keyed()
-	q.priority = priority(route, organisation, q.nested)
+	q.rank = rank(route, organisation)
+	q.priority = priority(q.rank, q.nested)
 	q.service = r.splitter.Pick(route)
+	q.root = route.Name
+	if q.nested {
+		q.adopt(r.owner.runs.Parent(route.Name, q.begun.Add(head.Timeout)))
+	}
 	if organisation == nil {
 		return call.Answer{}, true
 	}
@@ -96,9 +114,31 @@
 	if q.quota = r.quota.Admit(organisation.Name, q.begun); !q.quota.Admitted {
 		return call.Refuse(call.OverRate, q.quota.RetryAfter), false
 	}
+	if q.shed = r.shedder.Admit(q.root, q.rank, q.begun); !q.shed.Admitted {
+		r.quota.GiveBack(q.organisation, q.begun)
+		return call.Refuse(call.Overloaded, q.shed.RetryAfter), false
+	}
 	return call.Answer{}, true
 }
 
+// adopt takes over what a nested request inherits from the run that it belongs to.
+func (q *request) adopt(parent *lineage.Run) {
+	if parent == nil {
+		return
+	}
+	q.parent, q.root, q.repeat = parent, parent.Root, parent.Repeat
+}
+
+// report tells those above the request how full the services on its way were: the front, or the run that made the call.
+func (r *Router) report(q *request) {
+	switch {
+	case q.parent != nil:
+		q.parent.Report(q.service, q.fullness, q.callRefused)
+	case !q.nested:
+		r.shedder.Report(q.root, q.rank, q.fullness, q.callRefused, time.Now())
+	}
+}
+
 // notReadyWait is when to come back to a daemon that knows no configuration yet; it reads it within some hundred milliseconds.
 const notReadyWait = 300 * time.Millisecond
 
@@ -125,24 +165,27 @@
 }
 
 // priority turns the operators' ranks, of which 0 goes first, into the queue's three; a call of a running request goes before all.
-func priority(route *routing.Route, organisation *routing.Organisation, nested bool) call.Priority {
-	if nested {
-		return call.Nested
-	}
-	rank := route.Rank
-	if organisation != nil && organisation.Ranked {
-		rank = organisation.Rank
-	}
+func priority(r shed.Rank, nested bool) call.Priority {
 	switch {
-	case rank <= 0:
+	case nested:
+		return call.Nested
+	case r.Organisation <= 0:
 		return call.Interactive
-	case rank == 1:
+	case r.Organisation == 1:
 		return call.Standard
 	default:
 		return call.Background
 	}
 }
 
+// rank is that of the organisation, if it has one of its own, and behind it that of the route.
+func rank(route *routing.Route, organisation *routing.Organisation) shed.Rank {
+	if organisation != nil && organisation.Ranked {
+		return shed.Rank{Organisation: organisation.Rank, Route: route.Rank}
+	}
+	return shed.Rank{Organisation: route.Rank, Route: route.Rank}
+}
+
 // readBody takes a request's body over in one piece of its size.
 func readBody(in *http.Request) ([]byte, error) {
 	if in.Body == nil {
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -8,23 +8,30 @@
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/graph"
 )
 
 // run hands a request on to the daemon beside the chosen instance.
 type run struct {
-	RequestID     string              `msgpack:"requestId"`
-	Instance      routing.Incarnation `msgpack:"instance"`
-	Route         string              `msgpack:"route"`
-	CallerService string              `msgpack:"callerService"`
-	Organisation  string              `msgpack:"organisation"`
-	Method        string              `msgpack:"method"`
-	Target        string              `msgpack:"target"`
-	HTTPHost      string              `msgpack:"httpHost"`
-	Header        http.Header         `msgpack:"header"`
-	Body          []byte              `msgpack:"body"`
-	Remaining     time.Duration       `msgpack:"remaining"`
-	Priority      call.Priority       `msgpack:"priority"`
-	Idempotent    bool                `msgpack:"idempotent"`
+	RequestID string              `msgpack:"requestId"`
+	Instance  routing.Incarnation `msgpack:"instance"`
+	Route     string              `msgpack:"route"`
+	// Root is the route of the caller's request that this is for, and Priority that request's.
+	Root          string        `msgpack:"root"`
+	CallerService string        `msgpack:"callerService"`
+	Organisation  string        `msgpack:"organisation"`
+	Method        string        `msgpack:"method"`
+	Target        string        `msgpack:"target"`
+	HTTPHost      string        `msgpack:"httpHost"`
+	Header        http.Header   `msgpack:"header"`
+	Body          []byte        `msgpack:"body"`
+	Remaining     time.Duration `msgpack:"remaining"`
+	Priority      call.Priority `msgpack:"priority"`
+	Idempotent    bool          `msgpack:"idempotent"`
+	// Nested means that an instance makes the request while it runs another.
+	Nested bool `msgpack:"nested"`
+	// Repeat means that the request was sent to an instance before, or is called by one that was.
+	Repeat bool `msgpack:"repeat"`
 }
 
 // ran is the answer to run.
@@ -38,6 +45,10 @@
 	Load       call.Load     `msgpack:"load"`
 	// Arrived means that the request reached the instance, whether or not it ran.
 	Arrived bool `msgpack:"arrived"`
+	// Fullness is the part of its slots that the fullest service on the request's way had in use, above 1 with those that wait.
+	Fullness float64 `msgpack:"fullness"`
+	// CallRefused means that a call of the request was refused for a full service.
+	CallRefused bool `msgpack:"callRefused"`
 	// Waited is how long the request waited for a slot.
 	Waited time.Duration `msgpack:"waited"`
 }
@@ -49,6 +60,12 @@
 	Revision uint64             `msgpack:"revision"`
 	Leaving  bool               `msgpack:"leaving"`
 	Demand   map[string]float64 `msgpack:"demand"`
+	// Service is that of the instance on the host, and Fullness the part of its slots that its requests found in use.
+	Service  string  `msgpack:"service"`
+	Fullness float64 `msgpack:"fullness"`
+	// Calls are those that the instance's runs make, and Graph the version of the call graph that the daemon knows.
+	Calls graph.Edges `msgpack:"calls"`
+	Graph uint64      `msgpack:"graph"`
 }
 
 // beaten is the answer to beat.
@@ -57,7 +74,14 @@
 	Revision uint64             `msgpack:"revision"`
 	Totals   map[string]float64 `msgpack:"totals"`
 	Daemons  int                `msgpack:"daemons"`
-	Leaving  []netip.Addr       `msgpack:"leaving"`
+	// StoreAge is how long ago the collector heard from the store.
+	StoreAge time.Duration `msgpack:"storeAge"`
+	// Fullness is the mean of each service's instances.
+	Fullness map[string]float64 `msgpack:"fullness"`
+	// Graph is the version of the call graph, and Edges the graph itself if the daemon knows another.
+	Graph   uint64       `msgpack:"graph"`
+	Edges   graph.Edges  `msgpack:"edges"`
+	Leaving []netip.Addr `msgpack:"leaving"`
 }
 
 // fetch asks another daemon for what is newer than this.
--- a/internal/app/router/owner.go
+++ b/internal/app/router/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/wire/instance"
@@ -20,10 +21,19 @@
 	heads    Heads
 	instance *instance.Client
 
+	runs *lineage.Runs
+	// drainTime is within how long nothing new may reach an instance that leaves.
+	drainTime time.Duration
+
 	mu      sync.Mutex
 	current routing.Instance
 	known   bool
 	gate    *admission.Gate
+	// fullSum and fullCount are of what requests found since the last beat.
+	fullSum   float64
+	fullCount int
+	// leaves is when the instance was first known to leave; zero while it stays.
+	leaves time.Time
 }
 
 const (
@@ -39,15 +49,18 @@
 )
 
 func newOwner(s Settings, heads Heads) *owner {
-	o := &owner{heads: heads, instance: instance.New(s.Instance)}
+	o := &owner{heads: heads, instance: instance.New(s.Instance), runs: lineage.New(), drainTime: s.DrainTime}
 	o.gate = newGate(unknownSlots)
 	return o
 }
 
 func newGate(slots int) *admission.Gate {
-	return admission.New(limit.NewFixed(slots), admission.WithWait(queueTime))
+	return admission.New(limit.NewFixed(max(int(float64(slots)*slotsPart), 1)), admission.WithWait(queueTime))
 }
 
+// slotsPart is the part of the slots that is used: some instances slow down when nearly all are taken, by more than the rest could do.
+const slotsPart = 0.95
+
 // observe takes in what is published of the instance on this host; another start of it begins with an empty gate.
 func (o *owner) observe(i routing.Instance, known bool) {
 	o.mu.Lock()
@@ -56,12 +69,26 @@
 		o.known = false
 		return
 	}
+	switch {
+	case !i.Draining:
+		o.leaves = time.Time{}
+	case o.leaves.IsZero():
+		o.leaves = time.Now()
+	}
 	if !o.known || o.current.Incarnation() != i.Incarnation() || o.current.Slots != i.Slots {
 		o.gate = newGate(max(i.Slots, 1))
 	}
 	o.current, o.known = i, true
 }
 
+// closed reports whether nothing new may be sent to the instance any more, since it has been leaving for a while. Requests
+// that were sent here before others knew, or have waited here, would reach it in its last moments.
+func (o *owner) closed(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.leaves.IsZero() && now.Sub(o.leaves) > o.drainTime/2
+}
+
 // admits returns the gate for requests to the start of the instance, or false if another is known to be here by now.
 func (o *owner) admits(i routing.Incarnation) (*admission.Gate, bool) {
 	o.mu.Lock()
@@ -97,18 +124,56 @@
 	t := &admission.Ticket{
 		Organisation: m.Organisation, Operation: m.Route, Weight: 1, Priority: m.Priority, Deadline: deadline,
 	}
+	if m.Nested {
+		t.Patience = time.Duration(float64(m.Remaining) * nestedPatience)
+	}
+	full := fullness(gate.Load())
+	o.found(full)
 	if d := enter(ctx, gate, t); d.Verdict != admission.Run {
-		return refused(call.Refuse(d.Reason, d.RetryAfter), gate.Load())
+		out := refused(call.Refuse(d.Reason, d.RetryAfter), gate.Load())
+		out.Fullness = full
+		return out
 	}
 	started := time.Now()
+	if o.closed(started) {
+		gate.Settle(started, t, admission.Result{Withdrawn: true})
+		return refused(call.Refuse(call.NoUpstream, goneWait), gate.Load())
+	}
 	out := o.execute(ctx, m, deadline)
 	out.Waited = started.Sub(begun)
 	now := time.Now()
 	gate.Settle(now, t, result(out, now.Sub(started)))
 	out.Load = gate.Load()
+	out.Fullness = max(out.Fullness, full)
 	return out
 }
 
+// found takes in how full the instance was when a request came.
+func (o *owner) found(full float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fullSum += full
+	o.fullCount++
+}
+
+// fullness returns how full requests found the instance since the last time.
+func (o *owner) fullness() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.fullCount == 0 {
+		return fullness(o.gate.Load())
+	}
+	mean := o.fullSum / float64(o.fullCount)
+	o.fullSum, o.fullCount = 0, 0
+	return mean
+}
+
+// nestedPatience is the part of the time left that a call of a running request may wait: refused, its parent's work is lost.
+const nestedPatience = 0.6
+
+// fullness is the part of the slots that is in use, above 1 with those that wait.
+func fullness(l call.Load) float64 { return float64(l.InFlight+l.Queued) / float64(max(l.Limit, 1)) }
+
 func enter(ctx context.Context, gate *admission.Gate, t *admission.Ticket) admission.Decision {
 	decided := make(waiter, 1)
 	t.Waiter = decided
@@ -147,6 +212,15 @@
 	o.heads.Forward(header, Forwarded{
 		RequestID: m.RequestID, Timeout: deadline.Sub(now), Instance: m.Instance.ID, Organisation: m.Organisation, CallerService: m.CallerService,
 	})
+	run := &lineage.Run{Route: m.Route, Root: m.Root, Priority: m.Priority, Repeat: m.Repeat}
+	o.runs.Begin(run, now.Add(deadline.Sub(now).Truncate(time.Millisecond)))
+	defer o.runs.End(run)
+	out := o.send(ctx, m, header, deadline)
+	out.Fullness, out.CallRefused = run.Met()
+	return out
+}
+
+func (o *owner) send(ctx context.Context, m *run, header http.Header, deadline time.Time) ran {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	res, err := o.instance.Do(ctx, &instance.Request{
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -38,6 +38,7 @@
 			return last
 		}
 		tried[i.ID] = true
+		q.repeat = q.repeat || arrivals > 0
 		done := r.offer(ctx, q, i)
 		if done.arrived {
 			arrivals++
@@ -124,6 +125,7 @@
 	e := ending(back, err)
 	r.chooser.Done(i, e, now.Sub(begun), back.Load, now)
 	q.trail.add(i, e, back, now.Sub(begun))
+	q.meet(back)
 	return offered{
 		answer: call.Answer{
 			Outcome: back.Outcome, Reason: back.Reason, Status: back.Status, Header: back.Header, Body: back.Body, RetryAfter: back.RetryAfter,
@@ -132,6 +134,12 @@
 	}
 }
 
+// meet takes in how full the services were that the request has met at one instance.
+func (q *request) meet(back ran) {
+	q.fullness = max(q.fullness, back.Fullness)
+	q.callRefused = back.CallRefused || back.Reason.Overload()
+}
+
 // peerOf returns where the daemon on a host listens.
 func (r *Router) peerOf(host netip.Addr) netip.AddrPort {
 	return netip.AddrPortFrom(host, r.settings.Peers.Port())
@@ -139,9 +147,10 @@
 
 func (r *Router) message(q *request, i routing.Instance, now time.Time) run {
 	return run{
-		RequestID: q.id, Instance: i.Incarnation(), Route: q.route.Name, CallerService: r.settings.Service, Organisation: q.organisation,
+		RequestID: q.id, Instance: i.Incarnation(), Route: q.route.Name, Root: q.root, CallerService: r.settings.Service, Organisation: q.organisation,
 		Method: q.method, Target: q.target, HTTPHost: q.httpHost, Header: q.header, Body: q.body,
 		Remaining: q.deadline.Sub(now), Priority: q.priority, Idempotent: q.route.Repeat == routing.Idempotent,
+		Nested: q.nested, Repeat: q.repeat,
 	}
 }
 
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -68,6 +68,9 @@
 	if a.Reason == call.OverRate {
 		fields["demand"], fields["rate"], fields["demandAgeMs"] = q.quota.Demand, q.quota.Rate, q.quota.Age.Milliseconds()
 	}
+	if q.shed.Share > 0 {
+		fields["turnedAwayShare"], fields["fullness"] = q.shed.Share, q.shed.Full
+	}
 	if len(q.trail) > 0 {
 		fields["offers"] = q.trail
 	}
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
+	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
 	"github.com/foxtailhook/foxtailhook/internal/decide/split"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -36,6 +37,7 @@
 	chooser  *choice.Chooser
 	quota    *quota.Quota
 	repeats  *repeats.Budget
+	shedder  *shed.Shedder
 	owner    *owner
 	control  *control
 	beats    *beats
@@ -57,6 +59,7 @@
 		chooser:  choice.New(s.Zone),
 		quota:    quota.New(),
 		repeats:  repeats.New(s.Repeats),
+		shedder:  shed.New(),
 	}
 	r.counts = newCounts(r.metrics.Scope)
 	r.view.Store(catalog.New().View(nil))
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -100,7 +100,7 @@
 // an empty queue always may: the estimate could be wrong, and a gate that
 // trusted it alone might refuse everything.
 func (g *Gate) enqueue(now time.Time, t *Ticket, expected time.Duration) Decision {
-	t.startBy = earlier(t.Deadline.Add(-expected), now.Add(g.longestWait))
+	t.startBy = earlier(t.Deadline.Add(-expected), now.Add(g.patience(t)))
 	t.item = queue.Item[*Ticket]{
 		Value: t, Organisation: t.Organisation, Weight: t.Weight, Priority: t.Priority, Cost: g.held.cost(t.Operation),
 	}
@@ -117,6 +117,14 @@
 	return Decision{Verdict: Wait}
 }
 
+// patience is how long the ticket may wait.
+func (g *Gate) patience(t *Ticket) time.Duration {
+	if t.Patience > 0 {
+		return t.Patience
+	}
+	return g.longestWait
+}
+
 // evict gives a waiting request its final answer; false if there is none to give it to.
 func (g *Gate) evict(now time.Time, victim *queue.Item[*Ticket]) bool {
 	if victim == nil {
--- a/internal/decide/admission/ticket.go
+++ b/internal/decide/admission/ticket.go
@@ -40,7 +40,9 @@
 	Weight       int
 	Priority     call.Priority
 	Deadline     time.Time
-	Waiter       Waiter
+	// Patience is the longest wait of this request; 0 means the gate's.
+	Patience time.Duration
+	Waiter   Waiter
 
 	item     queue.Item[*Ticket]
 	begun    time.Time
--- /dev/null
+++ b/internal/decide/lineage/runs_test.go
@@ -0,0 +1,75 @@
+package lineage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestParentOfACall(t *testing.T) {
+	start := time.Unix(1000, 0)
+	Convey("A call with the time of its parent is its parent's", t, func() {
+		r := New()
+		r.points["b"] = 1
+		runs := map[time.Duration]*Run{}
+		for _, left := range []time.Duration{300, 900, 910, 1500} {
+			runs[left] = &Run{Route: "a"}
+			r.Begin(runs[left], start.Add(left*time.Millisecond))
+		}
+		for _, c := range []struct{ call, parent time.Duration }{{300, 300}, {302, 300}, {909, 910}, {901, 900}, {1498, 1500}} {
+			So(r.Parent("b", start.Add(c.call*time.Millisecond)), ShouldEqual, runs[c.parent])
+		}
+		r.End(runs[910])
+		So(r.Parent("b", start.Add(909*time.Millisecond)), ShouldEqual, runs[1500])
+		So(r.Len(), ShouldEqual, 3)
+	})
+	Convey("A call that would end after all runs is nobody's", t, func() {
+		r := New()
+		So(r.Parent("b", start), ShouldBeNil)
+		r.Begin(&Run{Route: "a"}, start)
+		So(r.Parent("b", start.Add(time.Second)), ShouldBeNil)
+	})
+}
+
+func TestCallsWithAShorterTime(t *testing.T) {
+	// Uploads and range reads run on the same instance, and only the reads call on. The calls allow themselves less time than
+	// their parents have, so nothing in them points at one. Taken for the uploads' calls, those would be
+	// refused at the front when the service that only the reads use is full.
+	Convey("They are taken for calls of the routes that make them", t, func() {
+		r := New()
+		rng := rand.New(rand.NewPCG(1, 2))
+		r.rand = rng.Float64
+		now := time.Unix(1000, 0)
+		right, all := 0, 0
+		for n := range 4000 {
+			now = now.Add(10 * time.Millisecond)
+			runs := []*Run{}
+			for range 1 + rng.IntN(4) {
+				runs = append(runs, &Run{Route: "read"})
+			}
+			for range rng.IntN(3) {
+				runs = append(runs, &Run{Route: "upload"})
+			}
+			rng.Shuffle(len(runs), func(i, j int) { runs[i], runs[j] = runs[j], runs[i] })
+			for _, run := range runs {
+				r.Begin(run, now.Add(time.Duration(1000+rng.IntN(1000))*time.Millisecond))
+			}
+			got := r.Parent("history", now.Add(700*time.Millisecond))
+			if n > 1000 {
+				all++
+				if got.Route == "read" {
+					right++
+				}
+			}
+			for _, run := range runs {
+				r.End(run)
+			}
+		}
+		So(float64(right)/float64(all), ShouldBeGreaterThan, 0.95)
+		calls := r.Calls()
+		So(calls["read"]["history"], ShouldBeGreaterThan, 0.2)
+		So(calls["upload"]["history"], ShouldBeLessThan, 0.1)
+	})
+}
--- a/internal/domain/routing/table.go
+++ b/internal/domain/routing/table.go
@@ -13,6 +13,7 @@
 	hosts         map[string][]*Route
 	organisations map[[sha256.Size]byte]*Organisation
 	byName        map[string]*Organisation
+	routes        map[string]*Route
 }
 
 // NewTable returns the table of a configuration, which must not be changed afterwards.
@@ -22,11 +23,13 @@
 		hosts:         map[string][]*Route{},
 		organisations: map[[sha256.Size]byte]*Organisation{},
 		byName:        map[string]*Organisation{},
+		routes:        map[string]*Route{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		t.routes[r.Name] = r
 	}
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -57,6 +60,25 @@
 	return nil, false
 }
 
+// Shares returns the services of a route with their parts of its requests; none for a route that doesn't exist.
+func (t *Table) Shares(name string) map[string]float64 {
+	r, ok := t.routes[name]
+	if !ok {
+		return nil
+	}
+	total := 0
+	for _, p := range r.Parts {
+		total += p.Weight
+	}
+	shares := make(map[string]float64, len(r.Parts))
+	for _, p := range r.Parts {
+		if p.Weight > 0 {
+			shares[p.Service] = float64(p.Weight) / float64(total)
+		}
+	}
+	return shares
+}
+
 // hostname drops the port of a Host header and folds its case.
 func hostname(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at > 0 && !strings.HasSuffix(host, "]") {
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -42,9 +42,9 @@
 	lapsing map[string]time.Time
 }
 
-// returnTime is how long an entry that is missing after an outage of the store
-// may stay away: live instances are back about 2 s after the store's return.
-const returnTime = 2200 * time.Millisecond
+// ReturnTime is how long after the return of the store an entry that its outage made lapse may be missing: live instances
+// are back after about 2 s.
+const ReturnTime = 2 * time.Second
 
 // New returns an empty catalog.
 func New() *Catalog {
@@ -72,10 +72,9 @@
 	Rejected error
 }
 
-// Offer takes in changes. afterOutage means that the store was away until just
-// now: instances that its outage made lapse are then given time to return, since else
-// a short outage of the store would take every service down.
-func (c *Catalog) Offer(ch Changes, now time.Time, afterOutage bool) Outcome {
+// Offer takes in changes. Until the time back, entries that are missing may return: the store was away until
+// ReturnTime before it, and dropping what lapsed meanwhile would take every service down. Entries that are missing later are gone.
+func (c *Catalog) Offer(ch Changes, now, back time.Time) Outcome {
 	var out Outcome
 	if ch.Whole && ch.Revision < c.revision {
 		return out
@@ -83,12 +82,12 @@
 	seen := map[string]bool{}
 	for _, e := range ch.Entries {
 		seen[e.Key] = true
-		c.take(e, now, afterOutage, &out)
+		c.take(e, now, back, &out)
 	}
 	if ch.Whole {
 		for key, e := range c.entries {
 			if !seen[key] && e.Revision <= ch.Revision {
-				c.remove(key, ch.Revision, now, afterOutage, &out)
+				c.remove(key, ch.Revision, now, back, &out)
 			}
 		}
 	}
@@ -96,7 +95,7 @@
 	return out
 }
 
-func (c *Catalog) take(e Entry, now time.Time, afterOutage bool, out *Outcome) {
+func (c *Catalog) take(e Entry, now, back time.Time, out *Outcome) {
 	if e.Config != nil {
 		c.configure(e, out)
 		return
@@ -106,7 +105,7 @@
 		return
 	}
 	if e.Removed {
-		c.remove(e.Key, e.Revision, now, afterOutage, out)
+		c.remove(e.Key, e.Revision, now, back, out)
 		return
 	}
 	delete(c.lapsing, e.Key)
@@ -128,12 +127,10 @@
 	out.Configured = true
 }
 
-func (c *Catalog) remove(key string, revision uint64, now time.Time, afterOutage bool, out *Outcome) {
+func (c *Catalog) remove(key string, revision uint64, now, back time.Time, out *Outcome) {
 	_, known := c.entries[key]
-	if afterOutage && known {
-		if _, waiting := c.lapsing[key]; !waiting {
-			c.lapsing[key] = now.Add(returnTime)
-		}
+	if known && now.Before(back) {
+		c.lapsing[key] = back
 		return
 	}
 	c.removed[key] = max(c.removed[key], revision)
--- a/internal/fleet/demand/collector.go
+++ b/internal/fleet/demand/collector.go
@@ -10,14 +10,29 @@
 // Sums are kept and not made anew for each report: with 300 daemons and 80 organisations that would be
 // millions of additions a second.
 type Collector struct {
-	reports map[netip.AddrPort]report
-	totals  map[string]float64
-	swept   time.Time
+	reports  map[netip.AddrPort]stored
+	totals   map[string]float64
+	services map[string]sum
+	swept    time.Time
 }
 
-type report struct {
-	demand map[string]float64
-	at     time.Time
+// Report is what one daemon sees.
+type Report struct {
+	// Demand is what each organisation asks for there, in requests a second.
+	Demand map[string]float64
+	// Service is that of the instance on the host, and Fullness the part of its slots in use, above 1 with those that wait.
+	Service  string
+	Fullness float64
+}
+
+type stored struct {
+	Report
+	at time.Time
+}
+
+type sum struct {
+	total float64
+	count int
 }
 
 const (
@@ -30,22 +45,31 @@
 
 // New returns a collector without reports.
 func New() *Collector {
-	return &Collector{reports: map[netip.AddrPort]report{}, totals: map[string]float64{}}
+	return &Collector{reports: map[netip.AddrPort]stored{}, totals: map[string]float64{}, services: map[string]sum{}}
 }
 
 // Report replaces the daemon's report.
-func (c *Collector) Report(from netip.AddrPort, demand map[string]float64, now time.Time) {
-	c.add(c.reports[from].demand, -1)
-	c.add(demand, 1)
-	c.reports[from] = report{demand: demand, at: now}
+func (c *Collector) Report(from netip.AddrPort, r Report, now time.Time) {
+	if old, known := c.reports[from]; known {
+		c.add(old.Report, -1)
+	}
+	c.add(r, 1)
+	c.reports[from] = stored{Report: r, at: now}
 	if now.Sub(c.swept) > sweepEvery {
 		c.sweep(now)
 	}
 }
 
-func (c *Collector) add(demand map[string]float64, sign float64) {
-	for name, d := range demand {
-		c.totals[name] += sign * d
+func (c *Collector) add(r Report, sign int) {
+	for name, d := range r.Demand {
+		c.totals[name] += float64(sign) * d
+	}
+	s := c.services[r.Service]
+	s.total += float64(sign) * r.Fullness
+	s.count += sign
+	c.services[r.Service] = s
+	if s.count == 0 {
+		delete(c.services, r.Service)
 	}
 }
 
@@ -53,7 +77,7 @@
 	c.swept = now
 	for from, r := range c.reports {
 		if now.Sub(r.at) > reportTime {
-			c.add(r.demand, -1)
+			c.add(r.Report, -1)
 			delete(c.reports, from)
 		}
 	}
@@ -76,6 +100,20 @@
 	return all
 }
 
+// Fullness returns the mean fullness of the services' instances, of those that are half full or more.
+func (c *Collector) Fullness() map[string]float64 {
+	all := map[string]float64{}
+	for name, s := range c.services {
+		if full := s.total / float64(s.count); full >= worthTelling {
+			all[name] = full
+		}
+	}
+	return all
+}
+
+// worthTelling is the fullness from which on others hear of it; a service below turns nobody away.
+const worthTelling = 0.5
+
 // Daemons returns how many daemons have reported lately.
 func (c *Collector) Daemons(now time.Time) int {
 	n := 0
