--- a/cmd/foxtailhook/main.go
+++ b/cmd/foxtailhook/main.go
@@ -10,8 +10,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/foxtailhook/foxtailhook"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 )
@@ -26,7 +24,7 @@
 
 func run() int {
 	if path := boot(); path != "" {
-		return onPlatform(path)
+		return runOnPlatform(path)
 	}
 	s, err := foxtailhook.ParseSettings(os.Args[1:], os.Stdout)
 	if errors.Is(err, flag.ErrHelp) {
@@ -47,14 +45,3 @@
 	}
 	return 0
 }
-
-// onPlatform runs with the platform's settings, which take the place of flags; logs go to standard output there.
-func onPlatform(path string) int {
-	out := telemetry.NewBuffered(os.Stdout)
-	defer func() { _ = out.Close() }()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	return runOnPlatform(ctx, path, telemetry.NewLog(out, logrus.InfoLevel))
-}
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -80,6 +80,7 @@
 		case now := <-ticker.C:
 			if c.catalog.Expire(now) {
 				c.publish(now)
+				c.tell("lapsed")
 			}
 			c.router.owner.instance.Sweep(now)
 		}
@@ -222,7 +223,7 @@
 
 func (c *control) takeFetch(_ context.Context, _ netip.AddrPort, f fetch) fetched {
 	var out fetched
-	c.ask(func() { out.Changes = c.catalog.Since(f.Version, f.Revision) })
+	c.ask(func() { out.Changes = c.catalog.Since(f.Version, f.Revision, time.Now()) })
 	return out
 }
 
@@ -248,9 +249,7 @@
 		}
 		if out.Configured || out.Instances {
 			c.publish(now)
-			c.router.log.WithFields(logrus.Fields{
-				"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()),
-			}).Info("catalog")
+			c.tell(from)
 		}
 		if out.Configured {
 			c.configure()
@@ -258,6 +257,13 @@
 	})
 }
 
+// tell logs what the daemon believes now, and from whom it has it.
+func (c *control) tell(from string) {
+	c.router.log.WithFields(logrus.Fields{
+		"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()),
+	}).Info("catalog")
+}
+
 // publish makes the catalog's state the one that traffic sees.
 func (c *control) publish(now time.Time) {
 	r := c.router
@@ -277,7 +283,7 @@
 	for _, o := range c.catalog.Config().Organisations {
 		rates[o.Name] = rateOf(o)
 	}
-	c.router.quota.Configure(rates)
+	c.router.quota.Configure(rates, time.Now())
 }
 
 func rateOf(o routing.Organisation) quota.Rate {
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -102,6 +102,9 @@
 	q.rank = rank(route, organisation)
 	q.priority = priority(q.rank, q.nested)
 	q.service = r.splitter.Pick(route)
+	if r.endsBefore(q) {
+		return call.Refuse(call.Draining, notReadyWait), false
+	}
 	q.root = route.Name
 	if q.nested {
 		q.adopt(r.owner.runs.Parent(route.Name, q.begun.Add(head.Timeout)))
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -33,6 +33,16 @@
 // closing reports whether callers are told to connect elsewhere.
 func (r *Router) closing() bool { return r.leaving.Load() }
 
+// endsBefore reports whether the process is likely to end before the request does. Callers have had time to go elsewhere by
+// then; one that still comes is better told so at once than cut in the middle.
+func (r *Router) endsBefore(q *request) bool {
+	if !r.leaving.Load() {
+		return false
+	}
+	begun := time.Unix(0, r.left.Load())
+	return q.begun.Sub(begun) > noticeTime && q.deadline.After(begun.Add(r.settings.LeaveTime-lastTime))
+}
+
 // stop leaves: health says so at once, other daemons send nothing more for the instance, callers are served
 // until they have had time to go elsewhere, and the process ends when nothing is at work any more or its time is up.
 func (r *Router) stop() {
--- a/internal/app/telemetry/log_test.go
+++ b/internal/app/telemetry/log_test.go
@@ -89,3 +89,36 @@
 		So(b.Close(), ShouldBeNil)
 	})
 }
+
+// stuck is a reader of the log that has stopped: writes to it wait until it goes on.
+type stuck struct {
+	goOn chan struct{}
+	out  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.goOn
+	return s.out.Write(p)
+}
+
+func TestReaderOfTheLogThatStops(t *testing.T) {
+	// Whoever collects the logs hangs, and the pipe to it is full. A daemon that waits for it answers nobody any more.
+	Convey("Lines come in without a wait, those beyond the bound are dropped, and their number is told", t, func() {
+		out := &stuck{goOn: make(chan struct{})}
+		b := NewBuffered(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		const lines = 3 * bufferSize / 1024
+		for range lines {
+			n, err := b.Write(line)
+			So(n == len(line) && err == nil, ShouldBeTrue)
+		}
+		close(out.goOn)
+		So(b.Close(), ShouldBeNil)
+		written := out.out.String()
+		var told struct{ Dropped int }
+		last := strings.TrimSpace(written[strings.LastIndexByte(strings.TrimSpace(written), '\n')+1:])
+		So(json.Unmarshal([]byte(last), &told), ShouldBeNil)
+		So(told.Dropped, ShouldBeGreaterThan, 0)
+		So(strings.Count(written, "x\n")+told.Dropped, ShouldEqual, lines)
+	})
+}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -27,6 +27,8 @@
 	meters  map[string]*meter
 	totals  map[string]float64
 	heard   time.Time
+	// begun is when the daemon first knew rates: tokens add up from then on.
+	begun time.Time
 	// part is the part of the fleet that the totals speak for.
 	part float64
 }
@@ -64,9 +66,12 @@
 }
 
 // Configure puts rates in force.
-func (q *Quota) Configure(rates map[string]Rate) {
+func (q *Quota) Configure(rates map[string]Rate, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.begun.IsZero() {
+		q.begun = now
+	}
 	q.rates = rates
 	for name, m := range q.meters {
 		if m.rate != rates[name] {
@@ -172,9 +177,9 @@
 func (q *Quota) meter(name string, r Rate, now time.Time) *meter {
 	m := q.meters[name]
 	if m == nil {
-		// A daemon that starts has an empty store of tokens: those that all daemons
-		// of a fleet held before they were killed at once must not count twice.
-		m = &meter{rate: r, at: now, filled: now, tokens: 0}
+		// A daemon that starts has no tokens: those that all daemons of a fleet held
+		// before they were killed at once must not count twice.
+		m = &meter{rate: r, at: now, filled: q.begun}
 		q.meters[name] = m
 	}
 	return m
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -19,7 +19,7 @@
 	f := &fleet{}
 	for range n {
 		q := New()
-		q.Configure(map[string]Rate{"o": r})
+		q.Configure(map[string]Rate{"o": r}, time.Unix(1000, 0))
 		q.Share(n)
 		f.daemons = append(f.daemons, q)
 	}
@@ -132,6 +132,10 @@
 			So(float64(len(in))/float64(sent), ShouldBeGreaterThan, 0.99)
 		}
 	})
+	Convey("A daemon that has just started lets its first requests in", t, func() {
+		f := newFleet(14, Rate{PerSecond: 46, Burst: 46})
+		So(f.daemons[0].Admit("o", time.Unix(1000, 0).Add(time.Second)).Admitted, ShouldBeTrue)
+	})
 	Convey("Cut off from all others, a daemon lets in its equal part", t, func() {
 		f := newFleet(14, Rate{PerSecond: 46, Burst: 46})
 		in, sent := f.play(20*time.Second, func(time.Duration) float64 { return 46 / 1.6 }, false, rand.New(rand.NewPCG(5, 5)))
--- a/internal/domain/lists/plans.go
+++ b/internal/domain/lists/plans.go
@@ -2,7 +2,7 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Organisation is one tenant: its plan, and the rate and burst it has across the whole fleet.
+// Organisation is one customer: its plan, and the rate and burst it has across the whole fleet.
 type Organisation struct {
 	Organisation string  `json:"organisation"`
 	Plan         string  `json:"plan"`
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -14,6 +14,8 @@
 	Instance *routing.Instance
 	Config   *routing.Config
 	Removed  bool
+	// Grace is how much longer a removed entry may return, since its end may be due to an outage of the store.
+	Grace time.Duration
 	// Fault tells why the entry can't be used; it names no instance then.
 	Fault string
 }
@@ -38,8 +40,14 @@
 	entries  map[string]Entry
 	// removed has the revisions of keys that are gone, so that an older entry from elsewhere doesn't bring them back.
 	removed map[string]uint64
-	// lapsing are entries that were found missing right after an outage, with the time at which they go.
-	lapsing map[string]time.Time
+	// lapsing are entries that were found missing right after an outage.
+	lapsing map[string]lapse
+}
+
+// lapse is the end of an entry that may return: the revision at which it ended, and the time until which it is kept.
+type lapse struct {
+	revision uint64
+	end      time.Time
 }
 
 // ReturnTime is how long after the return of the store an entry that its outage made lapse may be missing: live instances
@@ -48,7 +56,7 @@
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{entries: map[string]Entry{}, removed: map[string]uint64{}, lapsing: map[string]time.Time{}}
+	return &Catalog{entries: map[string]Entry{}, removed: map[string]uint64{}, lapsing: map[string]lapse{}}
 }
 
 // Revision returns the counter up to which nothing is missing; 0 means that nothing was read yet.
@@ -105,6 +113,9 @@
 		return
 	}
 	if e.Removed {
+		if e.Grace > 0 {
+			back = now.Add(e.Grace)
+		}
 		c.remove(e.Key, e.Revision, now, back, out)
 		return
 	}
@@ -130,7 +141,9 @@
 func (c *Catalog) remove(key string, revision uint64, now, back time.Time, out *Outcome) {
 	_, known := c.entries[key]
 	if known && now.Before(back) {
-		c.lapsing[key] = back
+		if _, waits := c.lapsing[key]; !waits {
+			c.lapsing[key] = lapse{revision: revision, end: back}
+		}
 		return
 	}
 	c.removed[key] = max(c.removed[key], revision)
@@ -144,11 +157,11 @@
 // Expire drops the instances that did not return in time, and reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	dropped := false
-	for key, end := range c.lapsing {
-		if now.Before(end) {
+	for key, l := range c.lapsing {
+		if now.Before(l.end) {
 			continue
 		}
-		c.removed[key] = max(c.removed[key], c.entries[key].Revision)
+		c.removed[key] = max(c.removed[key], l.revision)
 		delete(c.lapsing, key)
 		delete(c.entries, key)
 		dropped = true
@@ -156,8 +169,9 @@
 	return dropped
 }
 
-// Since returns all that changed after the revision, for another daemon.
-func (c *Catalog) Since(version, revision uint64) Changes {
+// Since returns all that changed after the revision, for another daemon. Entries that may return are among it: told of only when
+// they are dropped, they would be older than what the other has by then, and it would never hear of their end.
+func (c *Catalog) Since(version, revision uint64, now time.Time) Changes {
 	ch := Changes{Revision: c.revision}
 	if c.Version() > version {
 		ch.Entries = append(ch.Entries, Entry{Revision: c.configAt, Config: c.config})
@@ -167,6 +181,11 @@
 			ch.Entries = append(ch.Entries, e)
 		}
 	}
+	for key, l := range c.lapsing {
+		if l.revision > revision && now.Before(l.end) {
+			ch.Entries = append(ch.Entries, Entry{Key: key, Revision: l.revision, Removed: true, Grace: l.end.Sub(now)})
+		}
+	}
 	for key, at := range c.removed {
 		if at > revision {
 			ch.Entries = append(ch.Entries, Entry{Key: key, Revision: at, Removed: true})
--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -73,12 +73,31 @@
 		from.Offer(first, start, time.Time{})
 		to.Offer(first, start, time.Time{})
 		from.Offer(Changes{Revision: 7, Entries: []Entry{{Key: "i/a", Revision: 6, Removed: true}, instance("c", "10.0.0.3:80", 7)}}, start, time.Time{})
-		to.Offer(from.Since(to.Version(), to.Revision()), start, time.Time{})
+		to.Offer(from.Since(to.Version(), to.Revision(), start), start, time.Time{})
 		So(ids(to), ShouldResemble, map[string]bool{"b": true, "c": true})
 		So(to.Revision(), ShouldEqual, 7)
 	})
 }
 
+func TestEndsThatAreHandedOn(t *testing.T) {
+	// A daemon that was cut off hears of an instance's end and gives it time to return. Another one fetches what is new from it
+	// meanwhile, and is then as new as the first: it must not be left with an instance that is gone.
+	Convey("A daemon that hears of an end from one that waits drops the instance no later", t, func() {
+		from, to := New(), New()
+		first := Changes{Revision: 5, Whole: true, Entries: []Entry{instance("a", "10.0.0.1:80", 3), instance("b", "10.0.0.2:80", 4)}}
+		from.Offer(first, start, time.Time{})
+		to.Offer(first, start, time.Time{})
+		back := start.Add(time.Second)
+		from.Offer(Changes{Revision: 6, Entries: []Entry{{Key: "i/a", Revision: 6, Removed: true}}}, start, back)
+		to.Offer(from.Since(to.Version(), to.Revision(), start), start, time.Time{})
+		So(to.Revision(), ShouldEqual, 6)
+		So(ids(to), ShouldResemble, map[string]bool{"a": true, "b": true})
+		So(from.Expire(back), ShouldBeTrue)
+		So(to.Expire(back), ShouldBeTrue)
+		So(ids(to), ShouldResemble, map[string]bool{"b": true})
+	})
+}
+
 func TestAddressUsedAgain(t *testing.T) {
 	// An instance crashed and another got its address before the first one's entry lapsed. Requests for the first reach the second.
 	Convey("Of two entries with one address, only the newer one is used", t, func() {
--- /dev/null
+++ b/internal/fleet/demand/collector_test.go
@@ -0,0 +1,32 @@
+package demand
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSums(t *testing.T) {
+	start := time.Unix(1000, 0)
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	Convey("A daemon's newer report takes the place of its older one", t, func() {
+		c := New()
+		c.Report(a, Report{Demand: map[string]float64{"o": 5, "p": 1}, Service: "s", Fullness: 0.8}, start)
+		c.Report(b, Report{Demand: map[string]float64{"o": 2}, Service: "s", Fullness: 1.2}, start)
+		c.Report(a, Report{Demand: map[string]float64{"o": 3}, Service: "s", Fullness: 0.6}, start.Add(time.Second))
+		So(c.Totals(map[string]float64{"o": 1}), ShouldResemble, map[string]float64{"o": 5})
+		So(c.Fullness()["s"], ShouldAlmostEqual, 0.9)
+		So(c.Daemons(start.Add(time.Second)), ShouldEqual, 2)
+	})
+	// A host is lost. Its demand would be taken for that of others for as long as the collector lives, and they would be refused.
+	Convey("The report of a daemon that is gone ends", t, func() {
+		c := New()
+		c.Report(a, Report{Demand: map[string]float64{"o": 5}, Service: "s", Fullness: 2}, start)
+		c.Report(b, Report{Demand: map[string]float64{"o": 2}, Service: "t", Fullness: 0.1}, start.Add(3*time.Second))
+		So(c.Totals(map[string]float64{"o": 1}), ShouldResemble, map[string]float64{"o": 2})
+		So(c.Fullness(), ShouldBeEmpty)
+		So(c.Daemons(start.Add(3*time.Second)), ShouldEqual, 1)
+	})
+}
--- a/internal/proof/docs/logs_test.go
+++ b/internal/proof/docs/logs_test.go
@@ -82,7 +82,7 @@
 func TestOperatorsFindEveryLogLine(t *testing.T) {
 	// At night an operator reads a line in the log that no page tells of.
 	var files []string
-	for _, pattern := range []string{"internal/app/daemon/*.go", "cmd/foxtailhook/*.go"} {
+	for _, pattern := range []string{"internal/app/daemon/*.go", "internal/app/router/*.go", "cmd/foxtailhook/*.go"} {
 		found, err := filepath.Glob(filepath.Join(root, pattern))
 		if err != nil {
 			t.Fatal(err)
