Count what repeated runs call as repeats, and tell of ends in time

And a daemon that asked in the 200 ms between the end of an entry's grace and the look at it was never told of the end (DRAIN).

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -259,8 +259,14 @@
 
 // tell logs what the daemon believes now, and from whom it has it.
 func (c *control) tell(from string) {
+	draining := []string{}
+	for _, i := range c.catalog.Instances() {
+		if i.Draining {
+			draining = append(draining, i.ID)
+		}
+	}
 	c.router.log.WithFields(logrus.Fields{
-		"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()),
+		"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()), "draining": draining,
 	}).Info("catalog")
 }
 
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -113,7 +113,6 @@
 		return call.Answer{}, true
 	}
 	q.organisation = organisation.Name
-	r.repeats.Earn(q.service, q.begun)
 	if q.quota = r.quota.Admit(organisation.Name, q.begun); !q.quota.Admitted {
 		return call.Refuse(call.OverRate, q.quota.RetryAfter), false
 	}
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -45,7 +45,7 @@
 	Load       call.Load     `msgpack:"load"`
 	// Arrived means that the request reached the instance, whether or not it ran.
 	Arrived bool `msgpack:"arrived"`
-	// Fullness is the part of its slots that the fullest service on the request's way had in use, above 1 with those that wait.
+	// Fullness is the part of its slots that the fullest service on the request's way had in use, above 1 by how long requests wait.
 	Fullness float64 `msgpack:"fullness"`
 	// CallRefused means that a call of the request was refused for a full service.
 	CallRefused bool `msgpack:"callRefused"`
--- a/internal/app/router/owner.go
+++ b/internal/app/router/owner.go
@@ -127,7 +127,7 @@
 	if m.Nested {
 		t.Patience = time.Duration(float64(m.Remaining) * nestedPatience)
 	}
-	full := fullness(gate.Load())
+	full := gate.Fullness(waitUnit)
 	o.found(full)
 	if d := enter(ctx, gate, t); d.Verdict != admission.Run {
 		out := refused(call.Refuse(d.Reason, d.RetryAfter), gate.Load())
@@ -161,7 +161,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.fullCount == 0 {
-		return fullness(o.gate.Load())
+		return o.gate.Fullness(waitUnit)
 	}
 	mean := o.fullSum / float64(o.fullCount)
 	o.fullSum, o.fullCount = 0, 0
@@ -171,8 +171,9 @@
 // nestedPatience is the part of the time left that a call of a running request may wait: refused, its parent's work is lost.
 const nestedPatience = 0.6
 
-// fullness is the part of the slots that is in use, above 1 with those that wait.
-func fullness(l call.Load) float64 { return float64(l.InFlight+l.Queued) / float64(max(l.Limit, 1)) }
+// waitUnit is the wait for a slot that counts as much as all slots: a chain of ten calls may wait for half a second in all,
+// and callers find answers good that take some times that.
+const waitUnit = 50 * time.Millisecond
 
 func enter(ctx context.Context, gate *admission.Gate, t *admission.Ticket) admission.Decision {
 	decided := make(waiter, 1)
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -22,6 +22,7 @@
 
 // place offers the request to instances of its service until one has run it or may have, or nothing is left to try.
 func (r *Router) place(ctx context.Context, q *request) call.Answer {
+	r.account(q)
 	tried := map[string]bool{}
 	last := call.Refuse(call.NoUpstream, noInstanceWait)
 	arrivals := 0
@@ -51,6 +52,15 @@
 	return last
 }
 
+// account counts the request for its service: as one that repeats are earned with, or as a repeat that was decided on elsewhere.
+func (r *Router) account(q *request) {
+	if q.repeat {
+		r.repeats.Charge(q.service, q.begun)
+		return
+	}
+	r.repeats.Earn(q.service, q.begun)
+}
+
 // candidates returns the service's instances without those whose daemon leaves, unless there are no others.
 func (r *Router) candidates(service string) []routing.Instance {
 	all := r.view.Load().InstancesOf(service)
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -227,6 +227,16 @@
 	return call.Load{InFlight: g.running, Queued: g.queue.Len(), Limit: g.limit.Limit()}
 }
 
+// Fullness returns the part of the slots that is in use, and above 1 how long a request waits in units of the time given.
+//
+// The number of those that wait says little: ten that take 15 ms are through 20 slots before anyone notices, ten uploads are not.
+func (g *Gate) Fullness(unit time.Duration) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wait := time.Duration(g.queue.Len()) * g.interval()
+	return float64(g.running)/float64(g.limit.Limit()) + wait.Seconds()/unit.Seconds()
+}
+
 // Counts returns the totals since the start.
 func (g *Gate) Counts() Counts {
 	g.mu.Lock()
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -56,7 +56,7 @@
 	b.bounds = bounds
 }
 
-// Earn counts a caller's request for the service.
+// Earn counts a request for the service that is sent there for the first time.
 func (b *Budget) Earn(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -76,6 +76,19 @@
 	return true
 }
 
+// Charge counts a request that a repeated run makes: nobody here decided on it, but it is a repeat for the service all the same.
+// A lookup that is repeated repeats its calls, and theirs, and without this each service down the chain would
+// add repeats of its own on top.
+func (b *Budget) Charge(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.of(service, now)
+	a.tokens = max(a.tokens-1, -mostDebt)
+}
+
+// mostDebt bounds how long a burst of repeats from above keeps this daemon from any of its own.
+const mostDebt = 50
+
 // slack is this daemon's part of the repeats that need no request.
 func (b *Budget) slack() float64 { return keptBack * b.bounds.Slack / float64(b.daemons) }
 
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -41,6 +41,32 @@
 	})
 }
 
+func TestRepeatsFromAbove(t *testing.T) {
+	// Lookups are repeated to the bound, and each calls a second service once. That one fails too, and its calls would be
+	// repeated to the bound as well: twice the bound in all.
+	Convey("What repeated runs call counts against the repeats of the service that they call", t, func() {
+		bounds := Bounds{Ratio: 0.2, Slack: 48, Window: 10 * time.Second}
+		rng := rand.New(rand.NewPCG(1, 9))
+		above, below := New(bounds), New(bounds)
+		start := time.Unix(0, 0)
+		requests, repeats := 0, 0
+		for at := time.Duration(0); at < 60*time.Second; at += 10 * time.Millisecond {
+			now := start.Add(at)
+			above.Earn("a", now)
+			below.Earn("b", now)
+			requests++
+			if above.Spend("a", now) {
+				below.Charge("b", now)
+				repeats++
+			}
+			if rng.Float64() < 0.9 && below.Spend("b", now) {
+				repeats++
+			}
+		}
+		So(float64(repeats), ShouldBeLessThan, bounds.Ratio*float64(requests)+bounds.Slack*6)
+	})
+}
+
 func within(all []time.Duration, from, window time.Duration) float64 {
 	n := 0.0
 	for _, at := range all {
--- a/internal/decide/shed/shed.go
+++ b/internal/decide/shed/shed.go
@@ -69,11 +69,12 @@
 	mostBack  = 2 * time.Second
 )
 
-// The fullest service may be as full as firstTarget for the requests that go first, and less by a step for each rank behind.
-// At nine tenths of the slots, requests begin to wait; the steps are wide enough for the lower ranks to give way first.
+// The fullest service may be as full as firstTarget for the requests that go first, and less by a step for each rank behind. At
+// 1 all slots are taken, and above it requests wait: 0.3 are 15 ms a call. A service of which less is asked
+// stands idle while callers are turned away. The steps are wide enough for the lower ranks to give way first.
 const (
-	firstTarget      = 1.05
-	organisationStep = 0.1
+	firstTarget      = 1.3
+	organisationStep = 0.12
 	routeStep        = 0.04
 	// lastRank stands for all behind it.
 	lastRank = 2
--- a/internal/decide/shed/shed_test.go
+++ b/internal/decide/shed/shed_test.go
@@ -22,7 +22,6 @@
 	at   int
 	root int
 	d    *Shedder
-	full float64
 	lost bool
 }
 
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -182,8 +182,8 @@
 		}
 	}
 	for key, l := range c.lapsing {
-		if l.revision > revision && now.Before(l.end) {
-			ch.Entries = append(ch.Entries, Entry{Key: key, Revision: l.revision, Removed: true, Grace: l.end.Sub(now)})
+		if l.revision > revision {
+			ch.Entries = append(ch.Entries, Entry{Key: key, Revision: l.revision, Removed: true, Grace: max(l.end.Sub(now), 0)})
 		}
 	}
 	for key, at := range c.removed {
--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -96,6 +96,17 @@
 		So(to.Expire(back), ShouldBeTrue)
 		So(ids(to), ShouldResemble, map[string]bool{"b": true})
 	})
+	Convey("Also one that asks between the time's end and the moment at which the first looks at it", t, func() {
+		from, to := New(), New()
+		first := Changes{Revision: 5, Whole: true, Entries: []Entry{instance("a", "10.0.0.1:80", 3)}}
+		from.Offer(first, start, time.Time{})
+		to.Offer(first, start, time.Time{})
+		back := start.Add(time.Second)
+		from.Offer(Changes{Revision: 6, Entries: []Entry{{Key: "i/a", Revision: 6, Removed: true}}}, start, back)
+		asked := back.Add(50 * time.Millisecond)
+		to.Offer(from.Since(to.Version(), to.Revision(), asked), asked, time.Time{})
+		So(ids(to), ShouldBeEmpty)
+	})
 }
 
 func TestAddressUsedAgain(t *testing.T) {
--- a/internal/fleet/demand/collector.go
+++ b/internal/fleet/demand/collector.go
@@ -20,7 +20,7 @@
 type Report struct {
 	// Demand is what each organisation asks for there, in requests a second.
 	Demand map[string]float64
-	// Service is that of the instance on the host, and Fullness the part of its slots in use, above 1 with those that wait.
+	// Service is that of the instance on the host, and Fullness the part of its slots in use, above 1 by how long requests wait.
 	Service  string
 	Fullness float64
 }
