Use the instance of a leaving daemon on, and forget a leave once it is over

New: others are told 1.9 s after the order to end; what the collector names takes the place of what it named before.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -37,8 +37,10 @@
 	// ways are the services that a route's requests need, for the configuration of that version.
 	ways        map[string]map[string]float64
 	waysVersion uint64
-	// leaving are the hosts whose daemons have said that they leave, with when they said so.
+	// leaving are the hosts whose daemons have told this one that they leave, with when they did; gone are those that the
+	// collector has named last.
 	leaving map[netip.Addr]time.Time
+	gone    map[netip.Addr]bool
 	// avoided are collectors that did not answer, with when they are asked again.
 	avoided map[netip.Addr]time.Time
 	// current is until when a collector's word on what is published can be relied on.
@@ -101,7 +103,7 @@
 	sent := time.Now()
 	own := beat{
 		From: b.router.settings.Peers, Version: version(view), Revision: view.Revision,
-		Leaving: b.router.leaving.Load(), Demand: b.router.quota.Demand(sent),
+		Leaving: b.router.closed.Load(), Demand: b.router.quota.Demand(sent),
 		Service: b.router.settings.Service, Fullness: b.router.owner.fullness(),
 		Calls: b.router.owner.runs.Calls(), Graph: b.known,
 	}
@@ -188,10 +190,9 @@
 	if back.StoreAge < storeAge {
 		b.current = sent.Add(storeAge)
 	}
+	b.gone = make(map[netip.Addr]bool, len(back.Leaving))
 	for _, h := range back.Leaving {
-		if _, known := b.leaving[h]; !known {
-			b.leaving[h] = sent
-		}
+		b.gone[h] = true
 	}
 	b.mu.Unlock()
 	if back.Version > own.Version || back.Revision > own.Revision {
@@ -272,6 +273,5 @@
 func (b *beats) away(host netip.Addr) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, leaving := b.leaving[host]
-	return leaving
+	return b.gone[host]
 }
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -10,6 +10,9 @@
 	// noticeTime is how long callers are served on as before after the order to leave. The platform asks for health once a
 	// second and sends callers elsewhere after two misses; cut off before, they would lose requests.
 	noticeTime = 2300 * time.Millisecond
+	// closeTime is how long the instance is used on after the order to leave. It is well, and while its daemon restarts its
+	// service is short of it: of three instances, a third of what the service can do. Others hear of the end within a beat.
+	closeTime = 1900 * time.Millisecond
 	// quietTime is how long no request must have been at work before the process ends: one may be on its way.
 	quietTime = 300 * time.Millisecond
 	// lastTime is kept of the time to leave for closing what is open.
@@ -43,16 +46,18 @@
 	return q.begun.Sub(begun) > noticeTime && q.deadline.After(begun.Add(r.settings.LeaveTime-lastTime))
 }
 
-// stop leaves: health says so at once, other daemons send nothing more for the instance, callers are served
-// until they have had time to go elsewhere, and the process ends when nothing is at work any more or its time is up.
+// stop leaves: health says so at once, callers are served until they have had time to go elsewhere, other daemons
+// are told to send nothing more for the instance, and the process ends when nothing is at work any more or its time is up.
 func (r *Router) stop() {
 	begun := time.Now()
 	end := begun.Add(r.settings.LeaveTime - lastTime)
 	r.log.WithField("inFlight", r.inFlight.Load()).Info("leaving")
 	r.left.Store(begun.UnixNano())
 	r.leaving.Store(true)
+	time.Sleep(min(closeTime, time.Until(end)))
+	r.closed.Store(true)
 	r.beats.tell()
-	time.Sleep(min(noticeTime, time.Until(end)))
+	time.Sleep(min(noticeTime-closeTime, time.Until(end)))
 	quiet := time.Now()
 	for now := time.Now(); now.Before(end) && now.Sub(quiet) < quietTime; now = time.Now() {
 		if r.inFlight.Load() > 0 {
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -28,8 +28,10 @@
 	counts   *counts
 	heads    Heads
 
-	view    atomic.Pointer[catalog.View]
+	view atomic.Pointer[catalog.View]
+	// leaving is set with the order to end, and closed a little before nothing more is taken from other daemons.
 	leaving atomic.Bool
+	closed  atomic.Bool
 	left    atomic.Int64
 	peers   *peer.Node
 
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -8,14 +8,14 @@
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
-// takeRun runs what another daemon hands on, unless this one leaves.
+// takeRun runs what another daemon hands on, unless this one is about to end.
 //
-// Others hear of a leave within a beat, so what still comes is answered in the same round trip and goes to another
+// Others hear of it within a beat, so what still comes is answered in the same round trip and goes to another
 // instance; run here, it could last longer than the process.
 func (r *Router) takeRun(ctx context.Context, _ netip.AddrPort, m run) ran {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	if r.leaving.Load() && m.Remaining > r.timeLeft(time.Now()) {
+	if r.closed.Load() {
 		return refused(call.Refuse(call.Draining, noInstanceWait), r.owner.load())
 	}
 	release, ok := r.callers.Hold(len(m.Body))
@@ -27,8 +27,3 @@
 	r.concludeRun(&m, &out)
 	return out
 }
-
-// timeLeft is how long a leaving daemon still runs.
-func (r *Router) timeLeft(now time.Time) time.Duration {
-	return r.settings.LeaveTime - lastTime - now.Sub(time.Unix(0, r.left.Load()))
-}
