Give up silent links for what may be sent again

New: links on which calls wait and nothing is heard are asked for a sign of life; idempotent calls on a link that gives none for 0.7 s are sent elsewhere, others wait on, since the host may only be suspended.

--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -123,10 +123,13 @@
 	m := r.message(q, i, begun)
 	var back ran
 	var err error
-	if i.Address.Addr() == r.settings.Instance.Addr() {
+	switch to := r.peerOf(i.Address.Addr()); {
+	case to.Addr() == r.settings.Peers.Addr():
 		back = r.owner.run(ctx, &m)
-	} else {
-		back, err = peer.Call[run, ran](ctx, r.peers, r.peerOf(i.Address.Addr()), peer.KindRun, m)
+	case m.Idempotent:
+		back, err = peer.CallUnlessSilent[run, ran](ctx, r.peers, to, peer.KindRun, m)
+	default:
+		back, err = peer.Call[run, ran](ctx, r.peers, to, peer.KindRun, m)
 	}
 	now := time.Now()
 	if err != nil {
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -66,7 +66,8 @@
 	r.counts = newCounts(r.metrics.Scope)
 	r.view.Store(catalog.New().View(nil))
 	r.owner = newOwner(s, heads)
-	r.peers = peer.New(s.Peers, peer.WithMaxFrame(bodyBound+frameSlack), peer.WithLogger(r.peerFault), peer.WithDialTimeout(peerDialTime))
+	r.peers = peer.New(s.Peers, peer.WithMaxFrame(bodyBound+frameSlack), peer.WithLogger(r.peerFault), peer.WithDialTimeout(peerDialTime),
+		peer.WithProbes(peer.Probes{After: probeAfter, Limit: silentAfter}))
 	r.control = newControl(r, source)
 	r.beats = newBeats(r)
 	peer.Handle(r.peers, peer.KindRun, r.takeRun)
@@ -88,6 +89,10 @@
 	frameSlack = 1 << 20
 	// peerDialTime bounds opening a connection to another daemon: some round trips between zones, and one lost packet.
 	peerDialTime = 400 * time.Millisecond
+	// A sign of life of another daemon takes a few milliseconds, and some hundred where its processor is short or a packet was lost.
+	// A lookup that is sent again after silentAfter still comes within the time that callers find good.
+	probeAfter  = 200 * time.Millisecond
+	silentAfter = 700 * time.Millisecond
 	// healthConns bounds connections on the ports for health and metrics, which few programs ask.
 	healthConns = 64
 	// callersPart is the part of the descriptors that callers' connections may take; the rest is for the instance and peers.
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -121,7 +121,7 @@
 		return k, nil
 	}
 	c.opened.Add(1)
-	dialer := net.Dialer{Timeout: dialTime, Deadline: r.Deadline}
+	dialer := net.Dialer{Timeout: dialTime, Deadline: r.Deadline, KeepAliveConfig: keepAlive}
 	tcp, err := dialer.DialContext(ctx, "tcp", c.address.String())
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnsent, "connect: %v", err)
@@ -129,6 +129,9 @@
 	return &conn{Conn: tcp, reader: bufio.NewReader(tcp)}, nil
 }
 
+// keepAlive finds idle connections that have gone silent: the next request on one would wait for its answer until its time is up.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
+
 // request returns the head and body as net/http writes them.
 func (r *Request) request() (*http.Request, error) {
 	target := &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target}
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -38,6 +38,16 @@
 
 // Call sends a request and waits for its answer; the error is ErrNotSent, ErrLost, or the context's when it ended first.
 func Call[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req) (Resp, error) {
+	return exchange[Req, Resp](ctx, n, to, kind, req, false)
+}
+
+// CallUnlessSilent is Call that also ends, with ErrLost, when the link is given up as silent. It is for what may be sent again: the
+// answer of what may not is worth the wait, since its host may only be suspended.
+func CallUnlessSilent[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req) (Resp, error) {
+	return exchange[Req, Resp](ctx, n, to, kind, req, true)
+}
+
+func exchange[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req, unlessSilent bool) (Resp, error) {
 	var resp Resp
 	payload, err := encode(req)
 	if err != nil {
@@ -56,7 +66,15 @@
 		l.forget(id)
 		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
 	}
+	silenced := l.silenced
+	if !unlessSilent {
+		silenced = nil
+	}
 	select {
+	case <-silenced:
+		l.forget(id)
+		l.abandon(request, left)
+		return resp, errors.Wrapf(ErrLost, "%s is silent", to)
 	case f, ok := <-answer:
 		if !ok && l.cutOff(left) {
 			return resp, errors.Wrapf(ErrNotSent, "connection to %s closed before the whole request left", to)
--- a/internal/wire/peer/dial.go
+++ b/internal/wire/peer/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
@@ -68,7 +69,7 @@
 
 // connect dials from the node's own address, so that a host with several speaks with the one its peers know.
 func (n *Node) connect(to netip.AddrPort) (*nbio.Conn, error) {
-	dialer := net.Dialer{Timeout: n.dialTime, LocalAddr: source(n.address.Addr())}
+	dialer := net.Dialer{Timeout: n.dialTime, LocalAddr: source(n.address.Addr()), KeepAliveConfig: keepAlive}
 	c, err := dialer.Dial("tcp", to.String())
 	if err != nil {
 		return nil, err
@@ -80,6 +81,9 @@
 	return nbio.NBConn(c)
 }
 
+// keepAlive finds connections that nobody uses and that have gone silent, before a request is sent on them.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
 // source returns the local end for connections from the address, nil for any.
 func source(a netip.Addr) net.Addr {
 	if !a.IsValid() || a.IsUnspecified() {
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -30,7 +30,9 @@
 	KindBeat // beat
 	// KindChanges asks for changes of what is published.
 	KindChanges // changes
+	// KindProbe asks for a sign of life.
+	KindProbe // probe
 )
 
 // Kinds is one more than the last kind; kind 0 is of no message.
-const Kinds = int(KindChanges) + 1
+const Kinds = int(KindProbe) + 1
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -20,11 +20,12 @@
 	_ = x[KindRun-10]
 	_ = x[KindBeat-11]
 	_ = x[KindChanges-12]
+	_ = x[KindProbe-13]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchanges"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobe"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -21,6 +21,12 @@
 	reader reader
 	used   stamp
 	asked  stamp
+	// heard is when anything came on the link, and waits when the first of the calls that wait was sent.
+	heard stamp
+	waits stamp
+	// silenced is closed when the link is given up as silent.
+	silenced chan struct{}
+	silence  sync.Once
 
 	sending sync.Mutex
 	queued  atomic.Uint64
@@ -52,6 +58,8 @@
 		running: map[uint64]context.CancelFunc{},
 		drained: make(chan struct{}, 1),
 		gone:    make(chan struct{}),
+
+		silenced: make(chan struct{}),
 	}
 }
 
@@ -132,6 +140,7 @@
 // data takes the next bytes of the stream.
 func (l *link) data(bytes []byte) error {
 	l.asked.clear()
+	l.heard.touch()
 	if l.greet.done {
 		return l.reader.feed(bytes, l.take)
 	}
@@ -151,6 +160,9 @@
 		return 0, nil, false
 	}
 	l.asked.touchFirst()
+	if len(l.waiting) == 0 {
+		l.waits.touch()
+	}
 	l.nextID++
 	answer := make(chan frame, 1)
 	l.waiting[l.nextID] = answer
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -33,6 +33,7 @@
 	maxLinks  int
 	idleTime  time.Duration
 	quietTime time.Duration
+	probes    Probes
 	stopped   chan struct{}
 	secrets   []string
 	maxConns  int
@@ -130,6 +131,9 @@
 		return errors.Wrapf(err, "peer: listen on %s", n.address)
 	}
 	go n.sweep()
+	if n.probes.Limit > 0 {
+		go n.probe()
+	}
 	return nil
 }
 
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -23,11 +23,12 @@
 // patient gives connections so long to open that no verdict depends on how fast the machine is.
 func patient(n *Node) { n.dialTime, n.greetTime = patience, patience }
 
-func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question) (client *Node, server netip.AddrPort) {
+func startPair(t *testing.T, answer func(context.Context, netip.AddrPort, question) question, opts ...Option) (client *Node, server netip.AddrPort) {
 	server = loopback.Address()
-	s := New(server, patient)
+	opts = append([]Option{patient}, opts...)
+	s := New(server, opts...)
 	Handle(s, KindCall, answer)
-	client = New(loopback.Address(), patient)
+	client = New(loopback.Address(), opts...)
 	for _, n := range []*Node{s, client} {
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
