Wait at a gate in one place, and tell what did not run as such

Cause: both daemons had their own copy of the wait for a slot, admit did everything in one go, and a request refused for want of time got 504, which promises nothing, though it had not run. New: admission.Gate.Enter serves both; admit is three steps; 503 for what was not begun. Where no organisations are published, callers' requests are turned away at the front like others (they passed before).

--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -32,12 +32,6 @@
 	return &owner{gate: gate, upstream: u, chains: newChains(), below: budget.NewNeeds()}
 }
 
-// waiter hands the gate's decision to the goroutine that waits for it.
-type waiter chan admission.Decision
-
-// Decide never blocks: the channel has room for the one decision.
-func (w waiter) Decide(d admission.Decision) { w <- d }
-
 // run runs the request, or refuses it before the upstream has seen it. After a
 // wait it asks still whether the request may still run; nil means that it may.
 func (o *owner) run(ctx context.Context, r *call.Request, still func() bool) call.Answer {
@@ -45,7 +39,7 @@
 		Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority,
 		Deadline: r.Deadline.Add(-toTell(r.Remaining(time.Now()))),
 	}
-	if d := o.enter(ctx, t); d.Verdict != admission.Run {
+	if d := o.gate.Enter(ctx, t); d.Verdict != admission.Run {
 		return o.refused(r, d)
 	}
 	if still != nil && !still() {
@@ -64,27 +58,6 @@
 // handed it on, and its caller sent to look for something that never ran.
 func toTell(left time.Duration) time.Duration { return setAside(left, tellTime) }
 
-func (o *owner) enter(ctx context.Context, t *admission.Ticket) admission.Decision {
-	decided := make(waiter, 1)
-	t.Waiter = decided
-	d := o.gate.Arrive(time.Now(), t)
-	if d.Verdict != admission.Wait {
-		return d
-	}
-	timer := time.NewTimer(time.Until(t.StartBy()))
-	defer timer.Stop()
-	select {
-	case d := <-decided:
-		return d
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	if d, left := o.gate.Leave(time.Now(), t); left {
-		return d
-	}
-	return <-decided
-}
-
 func (o *owner) refused(r *call.Request, d admission.Decision) call.Answer {
 	answer := call.Refuse(d.Reason, d.RetryAfter)
 	answer.BudgetLeft = r.Budget
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -70,51 +70,68 @@
 // defaultTimeout holds for a request of which neither the caller nor the operator says how long it may take.
 const defaultTimeout = 30 * time.Second
 
-// admit finds the request's route, organisation and time, and holds it to its rate; false comes with the refusal.
+// admit finds the request's route, organisation and time, and lets it in if there is room for it; false comes with the refusal.
 func (r *Router) admit(q *request, in *http.Request) (call.Answer, bool) {
 	head, err := r.heads.Caller(in.Header)
 	q.id = head.RequestID
 	if q.id == "" {
 		q.id = uuid.NewString()
 	}
-	table := r.view.Load().Table
-	switch {
-	case err != nil:
+	if err != nil {
+		return call.Refuse(call.BadRequest, 0), false
+	}
+	if refusal, ok := r.recognise(q, in, head); !ok {
+		return refusal, false
+	}
+	if q.body, err = readBody(in); err != nil {
 		return call.Refuse(call.BadRequest, 0), false
-	case table == nil:
+	}
+	q.header = forwardable(in.Header)
+	if r.endsBefore(q) {
+		return call.Refuse(call.Draining, notReadyWait), false
+	}
+	if q.nested {
+		q.adopt(r.owner.runs.Parent(q.route.Name, q.begun.Add(head.Timeout)))
+	}
+	return r.letIn(q)
+}
+
+// recognise finds the request's route and whose it is.
+func (r *Router) recognise(q *request, in *http.Request, head CallerHead) (call.Answer, bool) {
+	table := r.view.Load().Table
+	if table == nil {
 		return call.Refuse(call.NotReady, notReadyWait), false
 	}
 	route, ok := table.Match(in.Host, in.URL.Path)
 	if !ok {
 		return call.Refuse(call.UnknownOperation, 0), false
 	}
-	q.route = route
 	organisation, ok := identify(table, route, head.Key)
 	if !ok {
 		return call.Refuse(call.UnknownKey, 0), false
 	}
-	if q.body, err = readBody(in); err != nil {
-		return call.Refuse(call.BadRequest, 0), false
+	if organisation != nil {
+		q.organisation = organisation.Name
 	}
-	q.header = forwardable(in.Header)
+	q.route, q.root = route, route.Name
+	q.service = r.splitter.Pick(route)
 	q.deadline = q.begun.Add(patience(head.Timeout, route.Timeout))
 	q.nested = organisation == nil && table.Keyed()
 	q.rank = rank(route, organisation)
 	q.priority = priority(q.rank, q.nested)
-	q.service = r.splitter.Pick(route)
-	if r.endsBefore(q) {
-		return call.Refuse(call.Draining, notReadyWait), false
-	}
-	q.root = route.Name
+	return call.Answer{}, true
+}
+
+// letIn holds a caller's request to its organisation's rate, and turns it away while a service that it needs is full. Calls of
+// running requests pass: refused, the work of their parents would be lost.
+func (r *Router) letIn(q *request) (call.Answer, bool) {
 	if q.nested {
-		q.adopt(r.owner.runs.Parent(route.Name, q.begun.Add(head.Timeout)))
-	}
-	if organisation == nil {
 		return call.Answer{}, true
 	}
-	q.organisation = organisation.Name
-	if q.quota = r.quota.Admit(organisation.Name, q.begun); !q.quota.Admitted {
-		return call.Refuse(call.OverRate, q.quota.RetryAfter), false
+	if q.organisation != "" {
+		if q.quota = r.quota.Admit(q.organisation, q.begun); !q.quota.Admitted {
+			return call.Refuse(call.OverRate, q.quota.RetryAfter), false
+		}
 	}
 	if q.shed = r.shedder.Admit(q.root, q.rank, q.begun); !q.shed.Admitted {
 		r.quota.GiveBack(q.organisation, q.begun)
@@ -234,10 +251,19 @@
 		a.Body = refusalBody(q.id, a)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-	w.WriteHeader(a.Status)
+	w.WriteHeader(status(a))
 	_, _ = w.Write(a.Body)
 }
 
+// status is the answer's status. A request that did not run for want of time gets 503: 504 promises nothing, and its
+// caller would have to find out what became of a payment that was never begun.
+func status(a call.Answer) int {
+	if a.Outcome == call.NotRun && a.Status == http.StatusGatewayTimeout {
+		return http.StatusServiceUnavailable
+	}
+	return a.Status
+}
+
 // refuseFault answers a request that was refused before it was whole.
 func (r *Router) refuseFault(f httpd.Fault) (int, http.Header, []byte) {
 	refusal := call.Refuse(call.BadRequest, 0)
--- a/internal/app/router/owner.go
+++ b/internal/app/router/owner.go
@@ -107,12 +107,6 @@
 
 func (o *owner) stop() { o.instance.Close() }
 
-// waiter hands the gate's decision to the goroutine that waits for it.
-type waiter chan admission.Decision
-
-// Decide never blocks: the channel has room for the one decision.
-func (w waiter) Decide(d admission.Decision) { w <- d }
-
 // run runs the request on the instance, or refuses it before the instance has seen it.
 func (o *owner) run(ctx context.Context, m *run) ran {
 	begun := time.Now()
@@ -129,7 +123,10 @@
 	}
 	full := gate.Fullness(waitUnit)
 	o.found(full)
-	if d := enter(ctx, gate, t); d.Verdict != admission.Run {
+	if d := gate.Enter(ctx, t); d.Verdict != admission.Run {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			d.Reason = call.Cancelled
+		}
 		out := refused(call.Refuse(d.Reason, d.RetryAfter), gate.Load())
 		out.Fullness = full
 		return out
@@ -175,30 +172,6 @@
 // and callers find answers good that take some times that.
 const waitUnit = 50 * time.Millisecond
 
-func enter(ctx context.Context, gate *admission.Gate, t *admission.Ticket) admission.Decision {
-	decided := make(waiter, 1)
-	t.Waiter = decided
-	d := gate.Arrive(time.Now(), t)
-	if d.Verdict != admission.Wait {
-		return d
-	}
-	timer := time.NewTimer(time.Until(t.StartBy()))
-	defer timer.Stop()
-	select {
-	case d := <-decided:
-		return d
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	if d, left := gate.Leave(time.Now(), t); left {
-		if errors.Is(ctx.Err(), context.Canceled) {
-			d.Reason = call.Cancelled
-		}
-		return d
-	}
-	return <-decided
-}
-
 func refused(a call.Answer, load call.Load) ran {
 	return ran{Outcome: a.Outcome, Reason: a.Reason, Status: a.Status, RetryAfter: a.RetryAfter, Load: load}
 }
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -52,7 +52,7 @@
 	}
 	view := r.view.Load()
 	fields := logrus.Fields{
-		"requestId": q.id, "method": q.method, "outcome": a.Outcome.String(), "status": a.Status, "tookMs": took.Milliseconds(),
+		"requestId": q.id, "method": q.method, "outcome": a.Outcome.String(), "status": status(a), "tookMs": took.Milliseconds(),
 		"version": version(view), "revision": view.Revision,
 	}
 	if a.Reason != call.None {
