Give back only tokens that were spent, and keep endless calls out of the graph

Cause: read in the code. A request that is let in without a token while the fleet asks for less than the rate returned one when a full service refused it, so that its organisation saved up a burst it never had. A run at work while the counts of all routes are forgotten called again, and its calls were divided by no runs: fronts got an endless edge. A quota that has heard nothing was logged with an age of 0. Tests: TestManyRoutes and TestWhatIsGivenBack, both failing before (+Inf; ten tokens).

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -60,7 +60,7 @@
 		r.report(q)
 		cancel()
 		if answer.Outcome == call.NotRun && q.organisation != "" {
-			r.quota.GiveBack(q.organisation, time.Now())
+			r.quota.GiveBack(q.organisation, q.quota, time.Now())
 		}
 	}
 	r.conclude(q, answer)
@@ -134,7 +134,7 @@
 		}
 	}
 	if q.shed = r.shedder.Admit(q.root, q.rank, q.begun); !q.shed.Admitted {
-		r.quota.GiveBack(q.organisation, q.begun)
+		r.quota.GiveBack(q.organisation, q.quota, q.begun)
 		return call.Refuse(call.Overloaded, q.shed.RetryAfter), false
 	}
 	return call.Answer{}, true
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -66,7 +66,10 @@
 		fields["retryAfterMs"] = a.RetryAfter.Milliseconds()
 	}
 	if a.Reason == call.OverRate {
-		fields["demand"], fields["rate"], fields["demandAgeMs"] = q.quota.Demand, q.quota.Rate, q.quota.Age.Milliseconds()
+		fields["demand"], fields["rate"] = q.quota.Demand, q.quota.Rate
+		if q.quota.Age >= 0 {
+			fields["demandAgeMs"] = q.quota.Age.Milliseconds()
+		}
 	}
 	if q.shed.Share > 0 {
 		fields["turnedAwayShare"], fields["fullness"] = q.shed.Share, q.shed.Full
--- a/internal/decide/lineage/runs.go
+++ b/internal/decide/lineage/runs.go
@@ -135,10 +135,15 @@
 	defer r.mu.Unlock()
 	all := graph.Edges{}
 	for p, made := range r.made {
+		begun := r.begun[p.from]
+		if begun < 1 {
+			// All counts were forgotten while a run of the route was at work, and it has called since.
+			continue
+		}
 		if all[p.from] == nil {
 			all[p.from] = map[string]float64{}
 		}
-		all[p.from][p.to] = made / r.begun[p.from]
+		all[p.from][p.to] = made / begun
 	}
 	return all
 }
--- a/internal/decide/lineage/runs_test.go
+++ b/internal/decide/lineage/runs_test.go
@@ -1,6 +1,8 @@
 package lineage
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -73,3 +75,25 @@
 		So(calls["upload"]["history"], ShouldBeLessThan, 0.1)
 	})
 }
+
+func TestManyRoutes(t *testing.T) {
+	// A configuration brings more pairs of routes than are kept, and all counts begin anew while runs are at work. The call
+	// that such a run makes next would be divided by no runs at all, and every front would take its route's way for endless.
+	Convey("Calls in a run are always a number", t, func() {
+		r := New()
+		start := time.Unix(1000, 0)
+		for n := range 2 * mostPairs {
+			run := &Run{Route: fmt.Sprint("from", n)}
+			to := fmt.Sprint("to", n)
+			r.Begin(run, start.Add(time.Second))
+			r.points[to] = 1
+			r.Parent(to, start.Add(time.Second))
+			r.End(run)
+			made, known := r.Calls()[run.Route][to]
+			if known && (math.IsInf(made, 0) || math.IsNaN(made)) {
+				So(made, ShouldBeLessThan, 2)
+			}
+		}
+		So(len(r.Calls()), ShouldBeGreaterThan, 0)
+	})
+}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -130,6 +130,8 @@
 // Verdict is whether a request is within its organisation's rate, and the inputs that decided it.
 type Verdict struct {
 	Admitted bool
+	// Spent tells that the request took a token; others are let in beyond the tokens while the fleet's demand is below the rate.
+	Spent bool
 	// RetryAfter is when the rate has room again.
 	RetryAfter time.Duration
 	// Demand is what the fleet is thought to be asked for, in requests a second.
@@ -155,7 +157,7 @@
 	switch {
 	case m.tokens >= 1:
 		m.tokens--
-		v.Admitted = true
+		v.Admitted, v.Spent = true, true
 	case age >= 0 && total <= q.part*r.PerSecond*(1+margin)+marginRequests:
 		v.Admitted = true
 	default:
@@ -164,8 +166,12 @@
 	return v
 }
 
-// GiveBack returns what a request has spent that did not run after all.
-func (q *Quota) GiveBack(name string, now time.Time) {
+// GiveBack returns what a request has spent that did not run after all. One that was let in without a token returns none: the
+// organisation would save up more than it was ever refused.
+func (q *Quota) GiveBack(name string, v Verdict, now time.Time) {
+	if !v.Spent {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if m := q.meters[name]; m != nil {
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -142,3 +142,29 @@
 		So(float64(len(in))/float64(sent), ShouldBeGreaterThan, 0.85)
 	})
 }
+
+func TestWhatIsGivenBack(t *testing.T) {
+	// Requests are let in without a token while the whole fleet asks for less than the rate, and then refused for a full service.
+	// Were each of them to return a token, the organisation would have a burst that it never saved up, right when the service is full.
+	Convey("Only a token that was spent comes back", t, func() {
+		now := time.Unix(1000, 0)
+		q := New()
+		q.Configure(map[string]Rate{"o": {PerSecond: 10, Burst: 3}}, now)
+		q.Hear(map[string]float64{"o": 1}, nil, 1, now)
+		var free Verdict
+		for range 10 {
+			free = q.Admit("o", now)
+			if !free.Spent {
+				break
+			}
+		}
+		So(free.Admitted, ShouldBeTrue)
+		So(free.Spent, ShouldBeFalse)
+		for range 10 {
+			q.GiveBack("o", free, now)
+		}
+		So(q.meters["o"].tokens, ShouldBeLessThan, 1)
+		q.GiveBack("o", Verdict{Spent: true}, now)
+		So(q.meters["o"].tokens, ShouldBeGreaterThanOrEqualTo, 1)
+	})
+}
