Hold callers to the limits of the configuration, also where these change

Cause: heads, bodies and times to arrive were bounded by constants; the published limits were decoded and then dropped. Idle connections of callers were never ended before two minutes. Also: a head that tells twice where its body ends (two lengths, or a length and chunks) was taken in, and is refused with 400 now; what follows it on the connection reaches nobody and is answered once.

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
@@ -83,6 +84,7 @@
 				c.tell("lapsed")
 			}
 			c.router.owner.instance.Sweep(now)
+			c.router.callers.EndIdle(now)
 		}
 	}
 }
@@ -290,6 +292,10 @@
 		rates[o.Name] = rateOf(o)
 	}
 	c.router.quota.Configure(rates, time.Now())
+	limits := c.catalog.Config().Limits
+	c.router.callers.Bound(httpd.Bounds{
+		HeadBytes: limits.HeadBytes, HeadTime: limits.HeadTime, BodyBytes: limits.BodyBytes, IdleTime: limits.IdleTimeout,
+	})
 }
 
 func rateOf(o routing.Organisation) quota.Rate {
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -25,11 +25,13 @@
 	conn   *nbio.Conn
 
 	// What follows belongs to whoever parses.
-	parsing  sync.Mutex
-	over     bool
-	begun    bool
-	inBody   bool
-	chunked  bool
+	parsing sync.Mutex
+	over    bool
+	begun   bool
+	inBody  bool
+	chunked bool
+	// framings counts what tells where the body ends.
+	framings int
 	expects  bool
 	dropping bool
 	headRead int
@@ -78,7 +80,7 @@
 		g.refuse(BodyTooLarge)
 	case err != nil:
 		g.refuse(Malformed)
-	case g.begun && !g.inBody && g.headRead > g.server.headBound:
+	case g.begun && !g.inBody && g.headRead > g.server.bounds.Load().HeadBytes:
 		g.refuse(HeadTooLarge)
 	}
 }
@@ -91,7 +93,7 @@
 	}
 	g.begun = true
 	if g.running() == 0 {
-		g.closeIn(g.server.headTime)
+		g.closeIn(g.server.bounds.Load().HeadTime)
 	}
 }
 
@@ -118,6 +120,9 @@
 	switch key {
 	case "Transfer-Encoding":
 		g.chunked = true
+		g.framings++
+	case "Content-Length":
+		g.framings++
 	case "Expect":
 		g.expects = strings.EqualFold(value, "100-continue")
 	}
@@ -125,13 +130,18 @@
 }
 
 // OnContentLength comes at the end of the head: the body is admitted or refused before it is taken in.
+//
+// A head that tells twice where its body ends is refused: whoever sits before this server may believe the other one,
+// and what it takes for the body's end would be run here as a request of its own.
 func (g *guard) OnContentLength(p *nbhttp.Parser, length int) {
 	g.Processor.OnContentLength(p, length)
 	g.inBody = true
 	switch {
-	case g.headSize > g.server.headBound:
+	case g.framings > 1:
+		g.refuse(Malformed)
+	case g.headSize > g.server.bounds.Load().HeadBytes:
 		g.refuse(HeadTooLarge)
-	case length > g.server.bodyBound:
+	case length > g.server.bounds.Load().BodyBytes:
 		g.refuse(BodyTooLarge)
 	case length > 0 && !g.server.held.take(int64(length)):
 		g.refuse(Full)
@@ -148,9 +158,9 @@
 	}
 	most := length
 	if g.chunked {
-		most = g.server.bodyBound
+		most = g.server.bounds.Load().BodyBytes
 	}
-	g.closeIn(g.server.headTime + time.Duration(most/leastRate)*time.Second)
+	g.closeIn(g.server.bounds.Load().HeadTime + time.Duration(most/leastRate)*time.Second)
 	if g.expects {
 		_, _ = g.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -159,7 +169,7 @@
 // grow admits more bytes of a body that announced no length.
 func (g *guard) grow(n int64) bool {
 	switch {
-	case g.arriving+n > int64(g.server.bodyBound):
+	case g.arriving+n > int64(g.server.bounds.Load().BodyBytes):
 		g.refuse(BodyTooLarge)
 	case !g.server.held.take(n):
 		g.refuse(Full)
@@ -187,7 +197,7 @@
 	g.taken = append(g.taken, g.arriving)
 	g.active++
 	g.mu.Unlock()
-	g.arriving, g.headRead, g.headSize = 0, 0, 0
+	g.arriving, g.headRead, g.headSize, g.framings = 0, 0, 0, 0
 	g.begun, g.inBody, g.chunked, g.expects = false, false, false, false
 	g.stopClock()
 	g.Processor.OnComplete(p)
@@ -234,18 +244,22 @@
 // just ended would leave it without word of what became of that request, so it
 // is told that nothing more is run here. 408 is the one answer that HTTP lets a
 // server send unasked: a caller that has nothing under way drops the connection.
-func (g *guard) end(now time.Time) {
+func (g *guard) end(now time.Time, idle time.Duration) {
 	g.parsing.Lock()
 	defer g.parsing.Unlock()
 	since, quiet := g.quietSince()
-	if !quiet || g.begun || g.dropping || now.Sub(since) < idleEnough {
+	if !quiet || g.begun || g.dropping || now.Sub(since) < idle {
 		return
 	}
 	g.refuse(Closing)
 }
 
-// refuse answers behind the requests that came before on the connection, and closes it a little later.
+// refuse answers behind the requests that came before on the connection, and closes it a little later. What the same piece of
+// data still holds is parsed to its end, and must not be answered again.
 func (g *guard) refuse(f Fault) {
+	if g.dropping {
+		return
+	}
 	g.dropping = true
 	g.server.held.give(g.arriving)
 	g.arriving = 0
--- a/internal/wire/httpd/guard_test.go
+++ b/internal/wire/httpd/guard_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
 // converse sends raw bytes and returns all that comes back until the connection is closed.
@@ -49,6 +51,10 @@
 		{"a head over the bound", post + strings.Repeat("A: b\r\n", 200) + "\r\n", "HTTP/1.1 431 "},
 		{"a head without end", post + "A: " + strings.Repeat("b", 5000), "HTTP/1.1 431 "},
 		{"a head that stops", post, ""},
+		{"a length and chunks", post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 400 "},
+		{"chunks and a length", post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", "HTTP/1.1 400 "},
+		{"two lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx", "HTTP/1.1 400 "},
+		{"another transfer coding", post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400 "},
 		{"a request behind a refused one", "bad\r\n\r\n" + post + "Content-Length: 1\r\n\r\nx", "HTTP/1.1 400 "},
 	}
 	Convey("Each fault has its answer, once, and no handler runs", t, func() {
@@ -130,3 +136,70 @@
 		}
 	})
 }
+
+func TestBoundsThatChange(t *testing.T) {
+	// The operator lowers what callers may send while the daemon runs. Held to the bounds of its start, the daemon would take in
+	// heads and files that the operator no longer wants, and keep connections whose callers are long gone.
+	address := loopback.Address()
+	s := New(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }), WithBodyBound(1000))
+	Convey("Bounds hold from the moment on at which they are set, and 0 is the server's own", t, func() {
+		So(s.Start(), ShouldBeNil)
+		defer func() { _ = s.Stop(t.Context()) }()
+		url := "http://" + address.String()
+		post := "POST / HTTP/1.1\r\nHost: x\r\n"
+		for _, c := range []struct {
+			name   string
+			bounds Bounds
+			raw    string
+			want   string
+		}{
+			{"a smaller body", Bounds{BodyBytes: 10}, post + "Content-Length: 11\r\n\r\n", "HTTP/1.1 413 "},
+			{"a larger body than the server's", Bounds{BodyBytes: 5000}, post + "Content-Length: 1001\r\n\r\n", "HTTP/1.1 413 "},
+			{"a smaller head", Bounds{HeadBytes: 100}, post + "A: " + strings.Repeat("b", 200) + "\r\n\r\n", "HTTP/1.1 431 "},
+			{"a shorter time for the head", Bounds{HeadTime: 50 * time.Millisecond}, post, ""},
+			{"the server's own again", Bounds{}, post + "Connection: close\r\nContent-Length: 2\r\n\r\nxy", "HTTP/1.1 200 "},
+		} {
+			s.Bound(c.bounds)
+			So(converse(url, c.raw), ShouldStartWith, c.want)
+		}
+	})
+	Convey("A connection that rests for longer than it may is ended with word that nothing ran", t, func() {
+		So(s.bounds.Load().IdleTime, ShouldEqual, 0)
+		idle := New(loopback.Address(), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		So(idle.Start(), ShouldBeNil)
+		defer func() { _ = idle.Stop(t.Context()) }()
+		conn, err := net.Dial("tcp", idle.address.String())
+		So(err, ShouldBeNil)
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		first := make([]byte, 4096)
+		_, err = conn.Read(first)
+		So(err, ShouldBeNil)
+		idle.EndIdle(time.Now().Add(time.Hour))
+		idle.Bound(Bounds{IdleTime: 10 * time.Second})
+		idle.EndIdle(time.Now().Add(5 * time.Second))
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			// The request counts as at work for a moment after its answer has arrived.
+			for ; idle.connections() > 0; time.Sleep(time.Millisecond) {
+				idle.EndIdle(time.Now().Add(11 * time.Second))
+			}
+		}()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+		raw, err := io.ReadAll(conn)
+		<-ended
+		So(err, ShouldBeNil)
+		So(string(raw), ShouldStartWith, "HTTP/1.1 408 ")
+		So(strings.Count(string(raw), "HTTP/1.1"), ShouldEqual, 1)
+	})
+}
+
+func (s *Server) connections() int {
+	n := 0
+	s.guards.Range(func(_, _ any) bool {
+		n++
+		return true
+	})
+	return n
+}
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -18,19 +19,19 @@
 
 // Server is one HTTP listener.
 type Server struct {
-	engine    *nbhttp.Engine
-	address   netip.AddrPort
-	bodyBound int
-	maxConns  int
-	headBound int
-	headTime  time.Duration
-	held      held
-	refuser   Refuser
-	closing   func() bool
-	watch     *hangups
-	guards    sync.Map
-	listener  *listener
-	workers   loops.Workers
+	engine  *nbhttp.Engine
+	address netip.AddrPort
+	// own are the bounds that the server was made with, and bounds those in force.
+	own      Bounds
+	bounds   atomic.Pointer[Bounds]
+	maxConns int
+	held     held
+	refuser  Refuser
+	closing  func() bool
+	watch    *hangups
+	guards   sync.Map
+	listener *listener
+	workers  loops.Workers
 }
 
 // Option sets one property of a server.
@@ -47,7 +48,7 @@
 )
 
 // WithBodyBound bounds one request's body in bytes.
-func WithBodyBound(bytes int) Option { return func(s *Server) { s.bodyBound = bytes } }
+func WithBodyBound(bytes int) Option { return func(s *Server) { s.own.BodyBytes = bytes } }
 
 // WithMaxConns bounds the open connections.
 func WithMaxConns(count int) Option { return func(s *Server) { s.maxConns = count } }
@@ -57,7 +58,7 @@
 
 // WithHead bounds a request's head in bytes and in the time it takes to arrive.
 func WithHead(bytes int, limit time.Duration) Option {
-	return func(s *Server) { s.headBound, s.headTime = bytes, limit }
+	return func(s *Server) { s.own.HeadBytes, s.own.HeadTime = bytes, limit }
 }
 
 // WithRefuser sets who answers requests that no handler sees.
@@ -69,19 +70,18 @@
 // New returns a server for the address; each request's context ends when its caller hangs up.
 func New(address netip.AddrPort, handler http.Handler, opts ...Option) *Server {
 	s := &Server{
-		address:   address,
-		bodyBound: defaultBodyBound,
-		maxConns:  defaultMaxConns,
-		headBound: defaultHeadBound,
-		headTime:  defaultHeadTime,
-		refuser:   plainRefusal,
-		closing:   func() bool { return false },
-		watch:     newHangups(),
+		address:  address,
+		own:      Bounds{HeadBytes: defaultHeadBound, HeadTime: defaultHeadTime, BodyBytes: defaultBodyBound},
+		maxConns: defaultMaxConns,
+		refuser:  plainRefusal,
+		closing:  func() bool { return false },
+		watch:    newHangups(),
 	}
 	s.held.limit = defaultHeld
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.Bound(Bounds{})
 	logging.SetLevel(logging.LevelNone)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:            "httpd",
@@ -89,8 +89,8 @@
 		Addrs:           []string{address.String()},
 		Listen:          s.listen,
 		MaxLoad:         s.maxConns,
-		MaxHTTPBodySize: s.bodyBound,
-		ReadLimit:       s.bodyBound + readSlack,
+		MaxHTTPBodySize: s.own.BodyBytes,
+		ReadLimit:       s.own.BodyBytes + readSlack,
 		KeepaliveTime:   keepalive,
 		NPoller:         pollers,
 		Handler:         s.wrap(s.watch.wrap(handler)),
@@ -205,7 +205,7 @@
 func (s *Server) closeIdle(now time.Time) bool {
 	none := true
 	s.guards.Range(func(_, value any) bool {
-		value.(*guard).end(now)
+		value.(*guard).end(now, idleEnough)
 		none = false
 		return true
 	})
