--- a/cmd/foxtailhook/platform.go
+++ b/cmd/foxtailhook/platform.go
@@ -22,6 +22,10 @@
 // sockets' buffers, stacks of C and bytes that arrive meanwhile.
 const memoryPart = 0.6
 
+// gcPercent is how much a collection of garbage lets the heap grow. At Go's 100 a daemon of some megabytes collects several times a
+// second; at 400 it took a tenth less processor time, and twice the memory, 26 instead of 13 MB. This is between the two.
+const gcPercent = 200
+
 // settingsLook is how often the settings file is looked at: it may change without a signal.
 const settingsLook = time.Second
 
@@ -46,6 +50,7 @@
 	if s.Router.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Router.MemoryBytes) * memoryPart))
 	}
+	debug.SetGCPercent(gcPercent)
 	store := platform.NewStore(s.Store)
 	r := router.New(s.Router, store, platform.Heads{}, log)
 	go follow(ctx, path, hangup, func() { reload(path, store, r, log) })
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -40,6 +40,9 @@
 	// watchTime is the length of one watch. A connection that went silent for good is noticed when it
 	// is over, and a change must be in force within 2 s.
 	watchTime = 1200 * time.Millisecond
+	// changesPause is the wait after changes came: instances that start or leave write several times a second over a large fleet, and
+	// each change would cost a call of every reader. What must be in force within 2 s can wait that long.
+	changesPause = 100 * time.Millisecond
 	// firstPause is the wait after a call to the store that failed; it doubles up to longestPause.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 500 * time.Millisecond
@@ -122,6 +125,9 @@
 			failing, pause = time.Time{}, firstPause
 			revision = ch.Revision
 			c.offer(ch, storeName)
+			if len(ch.Entries) > 0 {
+				sleep(c.ctx, changesPause)
+			}
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
 		default:
