Never say that a request did not run where one instance ran it and the next declined

The last offer's answer went out, whatever came before. Ruled out: that the instance's own answer was lost; it was there.

--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -44,7 +44,7 @@
 		if done.arrived {
 			arrivals++
 		}
-		last = done.answer
+		last = final(last, done.answer)
 		if !r.goesOn(q, done) {
 			return last
 		}
@@ -52,6 +52,15 @@
 	return last
 }
 
+// final is the answer after a further offer. Where an earlier instance has run the request or may have, one that declines it changes
+// nothing: passed on, its caller would be told that nothing was run.
+func final(before, next call.Answer) call.Answer {
+	if before.Outcome != call.NotRun && next.Outcome == call.NotRun {
+		return before
+	}
+	return next
+}
+
 // account counts the request for its service: as one that repeats are earned with, or as a repeat that was decided on elsewhere.
 func (r *Router) account(q *request) {
 	if q.repeat {
