Say at once when the store doesn't answer the collector, and count the age of its word

Ruled out: the catalog (all had the new version within 0.1 s of the first read) and the pause after changes (none came before). Change: a failed call makes the word stale at once, its age is taken off the time for which it is good, that time is 1.3 s and a watch 0.9 s, and who reads a new configuration beats at once.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -44,8 +44,6 @@
 	gone    map[netip.Addr]bool
 	// avoided are collectors that did not answer, with when they are asked again.
 	avoided map[netip.Addr]time.Time
-	// current is until when a collector's word on what is published can be relied on.
-	current time.Time
 }
 
 const (
@@ -165,9 +163,6 @@
 // their next beat: each change would cost a call of every daemon otherwise.
 const readers = 3
 
-// storeAge is how old a collector's word from the store may be. Its watch tells it at least each watchTime that nothing changed.
-const storeAge = watchTime + 300*time.Millisecond
-
 // reads reports whether this daemon must follow the store itself: it is one of the readers, or hears nothing current from them.
 func (b *beats) reads(now time.Time) bool {
 	hosts := b.router.view.Load().Hosts()
@@ -178,19 +173,15 @@
 			ahead++
 		}
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return ahead < readers || now.After(b.current)
+	return ahead < readers || !b.router.control.fresh.Current(now)
 }
 
 // learn takes in what the collector answered.
 func (b *beats) learn(host netip.Addr, own beat, back beaten, sent time.Time) {
 	b.router.quota.Hear(back.Totals, own.Demand, back.Daemons, sent)
 	b.router.shedder.Hear(back.Parts, sent)
+	b.router.control.fresh.Hear(sent, back.StoreAge)
 	b.mu.Lock()
-	if back.StoreAge < storeAge {
-		b.current = sent.Add(storeAge)
-	}
 	b.gone = make(map[netip.Addr]bool, len(back.Leaving))
 	for _, h := range back.Leaving {
 		b.gone[h] = true
@@ -217,7 +208,7 @@
 		Version: version(view), Revision: view.Revision, Totals: b.demand.Totals(in.Demand), Daemons: b.demand.Daemons(now),
 		Parts: b.parts,
 	}
-	out.StoreAge = b.router.control.storeAge(now)
+	out.StoreAge = b.router.control.fresh.Age(now)
 	for h := range b.leaving {
 		out.Leaving = append(out.Leaving, h)
 	}
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/fresh"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
@@ -26,9 +26,8 @@
 	catalog *catalog.Catalog
 	// lastTrouble is when the store last failed to answer for a while.
 	lastTrouble time.Time
-	// heard is when the store last answered, in nanoseconds.
-	heard atomic.Int64
-	asks  chan func()
+	fresh       fresh.State
+	asks        chan func()
 	// wanted are daemons that know something newer.
 	wanted chan netip.AddrPort
 	ctx    context.Context
@@ -38,8 +37,8 @@
 
 const (
 	// watchTime is the length of one watch. A connection that went silent for good is noticed when it
-	// is over, and a change must be in force within 2 s.
-	watchTime = 1200 * time.Millisecond
+	// is over, and a change must be in force within 2 s; see fresh.Limit.
+	watchTime = 900 * time.Millisecond
 	// changesPause is the wait after changes came: instances that start or leave write several times a second over a large fleet, and
 	// each change would cost a call of every reader. What must be in force within 2 s can wait that long.
 	changesPause = 100 * time.Millisecond
@@ -120,7 +119,7 @@
 		now = time.Now()
 		switch {
 		case err == nil:
-			c.heard.Store(now.UnixNano())
+			c.fresh.Answered(now)
 			c.regained(failing, now)
 			failing, pause = time.Time{}, firstPause
 			revision = ch.Revision
@@ -131,6 +130,7 @@
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
 		default:
+			c.fresh.Failed()
 			if failing.IsZero() {
 				failing = now
 			}
@@ -141,11 +141,6 @@
 	}
 }
 
-// storeAge is how long ago the store last answered this daemon.
-func (c *control) storeAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, c.heard.Load()))
-}
-
 func (c *control) next(revision uint64) (catalog.Changes, error) {
 	if revision == 0 {
 		return c.source.Read(c.ctx)
@@ -262,6 +257,10 @@
 		if out.Configured {
 			c.configure()
 		}
+		if out.Configured && from == storeName {
+			// Daemons that the store turns away have it from the collector, which may be one of them.
+			c.router.beats.tell()
+		}
 	})
 }
 
