Log what instances state of their limits and their leaving, and headers that nobody reads

The incident's logs could not tell whether a daemon had seen a limit, nor the name under which it travels. Nothing is decided by them yet.

--- a/internal/app/router/call_bench_test.go
+++ b/internal/app/router/call_bench_test.go
@@ -50,6 +50,8 @@
 
 func (benchHeads) Health(int, http.Header) (time.Duration, bool) { return 0, true }
 
+func (benchHeads) Unread(http.Header) []string { return nil }
+
 func (benchHeads) Refuse(http.Header, string, time.Duration) {}
 
 // fixedSource publishes the same catalog at all times.
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -25,6 +25,7 @@
 
 	runs   *lineage.Runs
 	warmUp *warmUp
+	stated *statements
 	// drainTime is the time after which an instance that has started to drain must receive no new requests.
 	drainTime time.Duration
 	disabled  mechanism.Set
@@ -69,7 +70,7 @@
 func newExecutor(settings Settings, heads Heads, warm *warmUp) *executor {
 	e := &executor{
 		heads: heads, instance: instance.New(settings.Instance), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
-		holdTimes: map[string]allot.HoldTime{},
+		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics}, holdTimes: map[string]allot.HoldTime{},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
--- a/internal/app/router/seams.go
+++ b/internal/app/router/seams.go
@@ -31,6 +31,8 @@
 	Answer(status int, h http.Header) InstanceHead
 	// Health reads the remaining warm-up time from an instance's response to a health check; false means that it states none.
 	Health(status int, h http.Header) (coldFor time.Duration, known bool)
+	// Unread returns the names in an instance's response header whose meaning nobody here knows.
+	Unread(h http.Header) []string
 	// Refuse adds the fields for a caller to a response that is not an instance's.
 	Refuse(h http.Header, requestID string, retryAfter time.Duration)
 }
@@ -64,4 +66,17 @@
 	Authentic bool
 	// Encoded means that the body is not the instance's own bytes.
 	Encoded bool
+	// RateLimit is the rate limit that the response states.
+	RateLimit RateLimit
+	// Leaving means that the instance is about to end and must receive no new requests.
+	Leaving bool
+}
+
+// RateLimit is the rate of requests that an instance takes from all hosts together, as one of its responses states it.
+type RateLimit struct {
+	// Stated means that the response states a limit, of PerSecond requests a second.
+	Stated    bool
+	PerSecond float64
+	// Fault says what can't be read; without a readable value the response says nothing about the limit.
+	Fault string
 }
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -39,6 +39,7 @@
 			id := e.heads.Answer(http.StatusOK, h).RequestID
 			return id == "" || id == req.RequestID
 		},
+		Observe: func(status int, h http.Header) { e.stated.observe(req.Instance, req.RequestID, status, h) },
 	})
 	if err != nil {
 		return e.errorResult(ctx, err, deadline)
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -37,6 +37,8 @@
 	Idempotent bool
 	// Matches reports whether the response with this header belongs to the request.
 	Matches func(http.Header) bool
+	// Observe, if not nil, receives status and header of the response that belongs to the request, before its body is read.
+	Observe func(status int, header http.Header)
 }
 
 // Response is a complete response of the instance.
@@ -182,11 +184,15 @@
 		if err != nil {
 			return Response{}, err
 		}
+		matches := r.Matches(header.Header)
+		if matches && r.Observe != nil {
+			r.Observe(header.StatusCode, header.Header)
+		}
 		res, err := c.readBody(cn, header)
 		if err != nil {
 			return Response{}, err
 		}
-		if r.Matches(header.Header) {
+		if matches {
 			return res, nil
 		}
 		if !cn.reusable {
