Balancer: go by an instance's latency only while it is recent

An instance that was slow for a moment (cold, in a queue, or limiting its rate) was never sent a request again while another one was free: its smoothed latency had no age. A latency now counts for 3 s without a new one; after that the instance counts as one whose latency isn't known, and the next request finds out.

--- a/internal/decide/choice/choice.go
+++ b/internal/decide/choice/choice.go
@@ -51,7 +51,8 @@
 	otherRequests int
 	loadUpdated   time.Time
 	// latency is the smoothed time of a served request in seconds; 0 means unknown.
-	latency float64
+	latency        float64
+	latencyUpdated time.Time
 	// faultRate is the smoothed fraction of requests that failed, were declined or were lost.
 	faultRate    float64
 	faultUpdated time.Time
@@ -90,6 +91,9 @@
 	spareTimeFraction    = 0.6
 	// latencyWeight is the weight of one request in the smoothed latency.
 	latencyWeight = 0.1
+	// latencyTTL is how long a latency counts without a new one. Otherwise an instance that was slow once would never be tried again
+	// while others are free.
+	latencyTTL = 3 * time.Second
 	// faultWeight is the weight of one request in the fault rate: an instance that begins to fail half of its requests counts as faulty
 	// after four or five of them.
 	faultWeight = 0.15
@@ -233,8 +237,8 @@
 	for i := range instances {
 		r := b.recordOf(&instances[i])
 		avg.faultRate += r.currentFaultRate(now) / float64(len(instances))
-		if r.latency > 0 {
-			sum, known = sum+r.latency, known+1
+		if latency := r.currentLatency(now); latency > 0 {
+			sum, known = sum+latency, known+1
 		}
 	}
 	if known > 0 {
@@ -246,7 +250,7 @@
 // score returns the expected time of the request on the instance, increased by penalties for a cold start, load and faults.
 func (b *Balancer) score(i *routing.Instance, reference averages, now time.Time) scored {
 	r := b.recordOf(i)
-	seconds := r.latency
+	seconds := r.currentLatency(now)
 	if seconds == 0 {
 		seconds = reference.latency
 	}
@@ -297,7 +301,7 @@
 	switch result {
 	case Served:
 		r.recordFault(0, now)
-		r.recordLatency(took.Seconds())
+		r.recordLatency(took.Seconds(), now)
 		r.unreachable, r.backoffUntil = 0, time.Time{}
 	case Failed, Declined, Lost:
 		r.recordFault(1, now)
@@ -314,11 +318,21 @@
 	r.faultUpdated = now
 }
 
-func (r *record) recordLatency(seconds float64) {
+func (r *record) recordLatency(seconds float64, now time.Time) {
+	r.latency = r.currentLatency(now)
 	if r.latency == 0 {
 		r.latency = seconds
 	}
 	r.latency += (seconds - r.latency) * latencyWeight
+	r.latencyUpdated = now
+}
+
+// currentLatency returns the smoothed latency in seconds, 0 if none is recent.
+func (r *record) currentLatency(now time.Time) float64 {
+	if now.Sub(r.latencyUpdated) >= latencyTTL {
+		return 0
+	}
+	return r.latency
 }
 
 // SetInstances replaces the list of instances: it removes the records of ended incarnations that have no outstanding requests.
