Keep the rate limits that instances state in their responses

Cause: nobody read the limit. The class: an upstream states something of itself in its responses, and no part of the system reads it.

All requests to an instance pass the daemon on its host, so that daemon spaces them (admission.Pacer), from the first header that states a limit until an authentic response states none; the limit is one of the incarnation. That bounds the sum over all daemons without a word between them. A daemon that restarts beside a limited instance is told the limit with the next request by whoever was told it, until the instance itself has responded.

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -233,6 +233,7 @@
 	view := c.catalog.View(r.view.Load())
 	r.view.Store(view)
 	r.balancer.SetInstances(view.Instances())
+	r.told.retain(view.Instances())
 	own, known := view.At(r.settings.Instance)
 	local := localState{instance: own, known: known, zoneDrained: view.ZoneDrained(r.settings.Zone), configured: view.Table != nil}
 	if local.configured {
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -70,7 +70,7 @@
 func newExecutor(settings Settings, heads Heads, warm *warmUp) *executor {
 	e := &executor{
 		heads: heads, instance: instance.New(settings.Instance), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
-		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics}, holdTimes: map[string]allot.HoldTime{},
+		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
@@ -125,8 +125,15 @@
 	e.instance.Close()
 }
 
-// run runs the request on the instance, or refuses it before it reaches the instance.
+// run runs the request on the instance, or refuses it before it reaches the instance, and reports what the instance states.
 func (e *executor) run(ctx context.Context, req *runRequest) runResult {
+	e.stated.adopt(req.Instance, req.RequestID, req.RateLimit)
+	res := e.admit(ctx, req)
+	res.RateLimit = e.stated.rateLimit(req.Instance)
+	return res
+}
+
+func (e *executor) admit(ctx context.Context, req *runRequest) runResult {
 	arrived := time.Now()
 	gate, ok := e.gateFor(req.Instance)
 	if !ok {
--- a/internal/app/router/local_state.go
+++ b/internal/app/router/local_state.go
@@ -31,6 +31,7 @@
 		e.warmUp.suspect("new incarnation published")
 	}
 	if local.known {
+		e.stated.replaced(local.instance.Incarnation())
 		e.warmUp.publish(local.instance.ColdUntil)
 	}
 }
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -30,6 +30,8 @@
 	Subcall bool `msgpack:"nested"`
 	// Retry means that the request was sent to an instance before, or is a sub-call of a retry.
 	Retry bool `msgpack:"repeat"`
+	// RateLimit is the instance's, as the sender was told.
+	RateLimit RateLimit `msgpack:"rateLimit"`
 }
 
 // runResult is the reply to a runRequest.
@@ -51,6 +53,8 @@
 	SubcallFailed bool `msgpack:"callFailed"`
 	// Waited is how long the request waited for a slot.
 	Waited time.Duration `msgpack:"waited"`
+	// RateLimit is what the instance states.
+	RateLimit RateLimit `msgpack:"rateLimit"`
 }
 
 // fetchRequest asks another daemon for everything newer than the given version and revision.
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -176,6 +176,8 @@
 	now := time.Now()
 	if err != nil {
 		res = resultOfError(ctx, err)
+	} else {
+		r.told.record(inst.Incarnation(), res.RateLimit)
 	}
 	result := sendResult(res, err)
 	r.balancer.Record(inst, result, now.Sub(started), res.Load, now)
@@ -205,7 +207,7 @@
 		RequestID: req.id, Instance: inst.Incarnation(), Route: req.route.Name, Root: req.root, CallerService: r.settings.Service, Organisation: req.organisation,
 		Method: req.method, Target: req.target, HTTPHost: req.httpHost, Header: headerFields(req.header), Body: req.body,
 		Remaining: req.deadline.Sub(now), Priority: req.priority, Idempotent: req.route.Repeat == routing.Idempotent,
-		Subcall: req.subcall, Retry: req.retry,
+		Subcall: req.subcall, Retry: req.retry, RateLimit: r.told.limit(inst.Incarnation()),
 	}
 }
 
@@ -245,7 +247,7 @@
 		return choice.Unreachable
 	case call.UpstreamShed:
 		return choice.Declined
-	case call.Overloaded, call.DeadlineTooNear, call.WarmingUp:
+	case call.Overloaded, call.DeadlineTooNear, call.WarmingUp, call.UpstreamLimited:
 		return choice.Refused
 	case call.AnswerLost, call.TimedOut:
 		return choice.Lost
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -42,6 +42,7 @@
 	retryBudget *repeats.Budget
 	shedder     *shed.Shedder
 	executor    *executor
+	told        *toldStatements
 	control     *control
 	reporter    *reporter
 
@@ -62,6 +63,7 @@
 		balancer:    choice.New(settings.Zone, choice.Without(settings.Without)),
 		quota:       quota.New(),
 		retryBudget: repeats.New(settings.Repeats),
+		told:        newToldStatements(),
 		shedder:     shed.New(shed.Without(settings.Without)),
 	}
 	r.responses = newResponseMetrics(r.metrics.Scope)
--- a/internal/app/router/seams.go
+++ b/internal/app/router/seams.go
@@ -74,9 +74,9 @@
 
 // RateLimit is the rate of requests that an instance takes from all hosts together, as one of its responses states it.
 type RateLimit struct {
-	// Stated means that the response states a limit, of PerSecond requests a second.
-	Stated    bool
-	PerSecond float64
+	// Stated means that there is a limit, of PerSecond requests a second.
+	Stated    bool    `msgpack:"stated"`
+	PerSecond float64 `msgpack:"perSecond"`
 	// Fault says what can't be read; without a readable value the response says nothing about the limit.
-	Fault string
+	Fault string `msgpack:"-"`
 }
--- a/internal/app/router/statement.go
+++ b/internal/app/router/statement.go
@@ -4,24 +4,29 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 )
 
-// statements follows what the instance on this host states about itself in its responses.
+// statements keeps what the instance on this host states about itself in its responses. All requests to the instance pass this daemon, so a
+// rate limit that is kept here holds for the requests of all daemons together.
 type statements struct {
 	heads   Heads
 	log     *logrus.Logger
 	metrics *telemetry.Metrics
+	pacer   *admission.Pacer
 
 	mu sync.Mutex
 	// of is the incarnation that made the statements, limit its rate limit.
-	of      routing.Incarnation
-	limit   RateLimit
-	leaving bool
+	of    routing.Incarnation
+	limit RateLimit
+	// heard means that this process has received a response of the incarnation.
+	heard bool
 	// logged has the headers that were logged as unread, and the faults.
 	logged []string
 }
@@ -29,7 +34,8 @@
 // maxLoggedHeaders bounds the headers and faults that are logged, each once.
 const maxLoggedHeaders = 64
 
-// observe records the header of a response of the incarnation to the request.
+// observe records the header of a response of the incarnation to the request. It is called when the header arrives, not at the end of the
+// body: a long response must not bring back what the instance stated at its beginning.
 func (s *statements) observe(of routing.Incarnation, requestID string, status int, header http.Header) {
 	if status == http.StatusMisdirectedRequest {
 		// Another instance has responded.
@@ -39,24 +45,64 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logUnread(of, header)
+	s.follow(of)
+	s.heard = true
+	s.readLimit(head, logrus.Fields{"instance": of.ID, "requestId": requestID, "status": status})
+}
+
+// adopt takes over the limit that another daemon was told, as long as this one hasn't received a response itself: it may have restarted since.
+func (s *statements) adopt(of routing.Incarnation, requestID string, told RateLimit) {
+	if !told.Stated {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.of == of && s.heard {
+		return
+	}
+	s.follow(of)
+	s.setLimit(told, logrus.Fields{"instance": of.ID, "requestId": requestID, "told": true})
+}
+
+// replaced drops the statements of an incarnation that another one has replaced.
+func (s *statements) replaced(by routing.Incarnation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(by)
+}
+
+// rateLimit returns the limit that the incarnation states.
+func (s *statements) rateLimit(of routing.Incarnation) RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.of != of {
-		s.of, s.limit, s.leaving = of, RateLimit{}, false
+		return RateLimit{}
+	}
+	return s.limit
+}
+
+// follow drops the statements of any other incarnation.
+func (s *statements) follow(of routing.Incarnation) {
+	if s.of == of {
+		return
 	}
-	fields := logrus.Fields{"instance": of.ID, "requestId": requestID, "status": status}
-	s.setLimit(head, fields)
-	s.setLeaving(head, fields)
+	s.of, s.heard = of, false
+	s.setLimit(RateLimit{}, logrus.Fields{"instance": of.ID, "replaced": true})
 }
 
-// setLimit takes over the limit that a response states. A limit ends with a response that is the instance's own and states none.
-func (s *statements) setLimit(head InstanceHead, fields logrus.Fields) {
+// readLimit takes over the limit that a response states. A limit ends with a response that is the instance's own and states none.
+func (s *statements) readLimit(head InstanceHead, fields logrus.Fields) {
 	next := head.RateLimit
 	if next.Fault != "" && s.firstTime("limit: "+next.Fault) {
 		s.log.WithFields(fields).WithField("fault", next.Fault).Warn("instance limit not read")
 	}
-	if !next.Stated && (next.Fault != "" || !head.Authentic) {
-		return
+	if next.Stated || next.Fault == "" && head.Authentic {
+		s.setLimit(RateLimit{Stated: next.Stated, PerSecond: next.PerSecond}, fields)
 	}
-	if next.Stated == s.limit.Stated && next.PerSecond == s.limit.PerSecond {
+}
+
+func (s *statements) setLimit(next RateLimit, fields logrus.Fields) {
+	if next == s.limit {
 		return
 	}
 	s.log.WithFields(fields).WithFields(logrus.Fields{
@@ -64,12 +110,10 @@
 	}).Info("instance limit")
 	s.limit = next
 	s.metrics.Gauge(telemetry.InstanceLimit).Update(next.PerSecond)
-}
-
-func (s *statements) setLeaving(head InstanceHead, fields logrus.Fields) {
-	if head.Leaving && !s.leaving {
-		s.leaving = true
-		s.log.WithFields(fields).Info("instance leaving")
+	if next.Stated {
+		s.pacer.Limit(next.PerSecond, time.Now())
+	} else {
+		s.pacer.Unlimit()
 	}
 }
 
--- a/internal/app/router/warmup.go
+++ b/internal/app/router/warmup.go
@@ -146,7 +146,7 @@
 
 // coldStarts returns the requests per second that the instance may receive while it is cold, and 0 if it is not.
 func (w *warmUp) coldStarts(now time.Time) float64 {
-	if interval := w.pacer.Interval(now); interval > 0 {
+	if interval := w.pacer.WarmUpInterval(now); interval > 0 {
 		return 1 / interval.Seconds()
 	}
 	return 0
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -145,6 +145,11 @@
 		Caller:   "Come back after Retry-After.",
 		Operator: "Expected for some seconds after a start. If it lasts, look for instances that crash again and again (`instance suspected` in the log).",
 	},
+	call.UpstreamLimited: {
+		Meaning:  "The upstream's responses state how many requests a second it takes, and more arrived; those with a higher priority took precedence.",
+		Caller:   "Come back after Retry-After.",
+		Operator: "Find out why the upstream limits itself; `instance limit` in the log of the daemon beside it says since when. Add instances if all of the service do.",
+	},
 	call.TimedOut: {
 		Meaning:  "The time that the caller or the operator allows ran out while the request was at work, so it may have run.",
 		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -110,6 +110,9 @@
 	t.item = queue.Item[*Ticket]{
 		Value: t, Organisation: t.Organisation, Weight: t.Weight, Priority: t.Priority, Cost: g.holdTimes.relativeCost(t.Operation),
 	}
+	if g.pacer != nil && g.pacer.nextLimited().After(t.startBy) {
+		return g.refuse(now, g.shortage(now))
+	}
 	wait := g.expectedWait(now, g.queue.Ahead(&t.item))
 	if g.queue.Len() > 0 && now.Add(wait).After(t.startBy) {
 		return g.refuse(now, g.shortage(now))
@@ -141,12 +144,16 @@
 	return g.pacer.Interval(now)
 }
 
-// shortage returns the reason of a refusal: the upstream is warming up, or all its slots are in use.
+// shortage returns the reason of a refusal: the upstream takes only so many requests a second, is warming up, or all its slots are in use.
 func (g *Gate) shortage(now time.Time) call.Reason {
-	if g.pace(now) > 0 && g.running < g.limit.Limit() {
+	switch {
+	case g.pace(now) == 0 || g.running >= g.limit.Limit():
+		return call.Overloaded
+	case g.pacer.limited(now):
+		return call.UpstreamLimited
+	default:
 		return call.WarmingUp
 	}
-	return call.Overloaded
 }
 
 // maxWaitOf returns how long the ticket may wait.
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -66,6 +66,8 @@
 	WarmingUp // warmingUp
 	// NoAllowedRegion means that no instance of the service is in a region in which the request may run.
 	NoAllowedRegion // noAllowedRegion
+	// UpstreamLimited means that the upstream takes only so many requests a second, as its responses state.
+	UpstreamLimited // upstreamLimited
 )
 
 // Priority orders requests under overload; a higher priority is shed later.
@@ -99,7 +101,8 @@
 // Temporary reports whether a client retry after a delay can succeed.
 func (r Reason) Temporary() bool {
 	switch r {
-	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided, ZoneDrained, WarmingUp, NoAllowedRegion:
+	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided, ZoneDrained, WarmingUp, NoAllowedRegion,
+		UpstreamLimited:
 		return true
 	default:
 		return false
@@ -114,7 +117,7 @@
 // Overload reports whether the reason is an overload: a lack of capacity to run the request in time.
 func (r Reason) Overload() bool {
 	switch r {
-	case Overloaded, DeadlineTooNear, UpstreamShed, WarmingUp:
+	case Overloaded, DeadlineTooNear, UpstreamShed, WarmingUp, UpstreamLimited:
 		return true
 	default:
 		return false
@@ -157,4 +160,5 @@
 	ZoneDrained:      statusUnavailable,
 	WarmingUp:        statusUnavailable,
 	NoAllowedRegion:  statusUnavailable,
+	UpstreamLimited:  statusUnavailable,
 }
--- a/internal/domain/call/reason_string.go
+++ b/internal/domain/call/reason_string.go
@@ -30,11 +30,12 @@
 	_ = x[ZoneDrained-19]
 	_ = x[WarmingUp-20]
 	_ = x[NoAllowedRegion-21]
+	_ = x[UpstreamLimited-22]
 }
 
-const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegion"
+const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegionupstreamLimited"
 
-var _Reason_index = [...]uint8{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219}
+var _Reason_index = [...]uint8{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219, 234}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
