Send nothing more to an instance that says in its responses that it leaves

Callers would have seen requests lost with the instance's end.

A daemon that was told by a result, or that passed it on, never sends the incarnation a request again, whatever is published and also when the daemon beside the instance restarts. That daemon refuses what still comes after half of the drain time, queued requests included, and reports no slots. Heartbeats spread it to all daemons, through groups as well, while the entry says nothing of it. Health checks count. All of a service leaving: noUpstream, not run, with Retry-After. A new incarnation at the address is served.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -165,6 +165,7 @@
 		},
 		Work: map[string]collect.Work{router.settings.Service: work}, Calls: router.executor.runs.Calls(),
 	}
+	hb.LeavingInstances = router.told.announced(view)
 	if leaving {
 		hb.Leaving = []netip.Addr{router.settings.Peers.Addr()}
 	}
@@ -250,6 +251,7 @@
 	if !disabled.Has(mechanism.LentRetries) {
 		r.router.retryBudget.Apply(reply.Grants, hb.Report.RetryRates, sent)
 	}
+	r.router.told.setReported(reply.LeavingInstances)
 	r.router.metrics.Gauge(telemetry.PlanAge).Update(time.Since(planMadeAt).Seconds())
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -72,6 +72,7 @@
 		heads: heads, instance: instance.New(settings.Instance), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
 		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
+	warm.observe = e.observeCheck
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
 	return e
@@ -130,6 +131,7 @@
 	e.stated.adopt(req.Instance, req.RequestID, req.RateLimit)
 	res := e.admit(ctx, req)
 	res.RateLimit = e.stated.rateLimit(req.Instance)
+	_, res.InstanceLeaving = e.stated.leavingFor(req.Instance, time.Now())
 	return res
 }
 
@@ -139,7 +141,7 @@
 	if !ok {
 		return refusedResult(call.Refuse(call.NoUpstream, unreachableRetryAfter), loadOf(gate))
 	}
-	if reason := e.closed(arrived); reason != call.None {
+	if reason := e.closedTo(req, arrived); reason != call.None {
 		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
 	}
 	deadline := arrived.Add(req.Remaining - min(responseReserve, req.Remaining/10))
@@ -155,7 +157,7 @@
 		return res
 	}
 	started := time.Now()
-	if reason := e.closed(started); reason != call.None {
+	if reason := e.closedTo(req, started); reason != call.None {
 		gate.Settle(started, ticket, admission.Result{Withdrawn: true})
 		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
 	}
--- a/internal/app/router/local_state.go
+++ b/internal/app/router/local_state.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -84,3 +85,26 @@
 		return call.None
 	}
 }
+
+// closedTo returns why the request must not reach the instance, or call.None: closed says so, or the instance has been about to end for a while
+// by its own word.
+func (e *executor) closedTo(req *runRequest, now time.Time) call.Reason {
+	if reason := e.closed(now); reason != call.None {
+		return reason
+	}
+	if since, leaving := e.stated.leavingFor(req.Instance, now); leaving && since > e.drainTime/2 {
+		return call.NoUpstream
+	}
+	return call.None
+}
+
+// observeCheck records what the response to a health check states. Without a signature it ends no limit.
+func (e *executor) observeCheck(status int, header http.Header) {
+	e.mu.Lock()
+	current, known := e.current, e.known
+	e.mu.Unlock()
+	id := e.heads.Answer(status, header).InstanceID
+	if known && (id == "" || id == current.ID) {
+		e.stated.observe(current.Incarnation(), "health check", status, header)
+	}
+}
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -55,6 +55,8 @@
 	Waited time.Duration `msgpack:"waited"`
 	// RateLimit is what the instance states.
 	RateLimit RateLimit `msgpack:"rateLimit"`
+	// InstanceLeaving means that the instance is about to end.
+	InstanceLeaving bool `msgpack:"instanceLeaving"`
 }
 
 // fetchRequest asks another daemon for everything newer than the given version and revision.
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
@@ -83,10 +84,10 @@
 	r.retryBudget.Earn(req.service, req.arrivedAt)
 }
 
-// candidates returns the instances that may be sent the request, without those whose daemon is leaving or has missed heartbeats unless there
+// candidates returns the instances that may be sent the request: those that aren't about to end, without those whose daemon is leaving or has missed heartbeats unless there
 // are no others.
 func (r *Router) candidates(req *request) []routing.Instance {
-	all := r.allowed(req, r.view.Load().InstancesOf(req.service))
+	all := r.told.staying(r.allowed(req, r.view.Load().InstancesOf(req.service)))
 	if !r.reporter.anyUnavailable() {
 		return all
 	}
@@ -177,7 +178,7 @@
 	if err != nil {
 		res = resultOfError(ctx, err)
 	} else {
-		r.told.record(inst.Incarnation(), res.RateLimit)
+		r.recordStatements(inst.Incarnation(), &res, now)
 	}
 	result := sendResult(res, err)
 	r.balancer.Record(inst, result, now.Sub(started), res.Load, now)
@@ -191,6 +192,14 @@
 	}
 }
 
+// recordStatements takes over what a result says of its instance. Other daemons hear early of an instance that is about to end.
+func (r *Router) recordStatements(of routing.Incarnation, res *runResult, now time.Time) {
+	if r.told.record(of, res, now) {
+		r.log.WithFields(logrus.Fields{"instance": of.ID}).Info("instance no longer used")
+		r.reporter.triggerEarly(now)
+	}
+}
+
 // observe records the saturation that one attempt's result reports.
 func (req *request) observe(res runResult) {
 	req.saturation = max(req.saturation, res.Saturation)
--- a/internal/app/router/report.go
+++ b/internal/app/router/report.go
@@ -81,7 +81,8 @@
 	if e.zoneDrained || e.warmUp.down.Load() {
 		return demand.Service{}
 	}
-	usable := e.known && !leaving && e.drainingSince.IsZero() && now.Sub(e.unreachableAt) > unreachableTTL
+	_, instanceLeaving := e.stated.leavingFor(e.current.Incarnation(), now)
+	usable := e.known && !leaving && !instanceLeaving && e.drainingSince.IsZero() && now.Sub(e.unreachableAt) > unreachableTTL
 	service := demand.Service{}
 	if usable {
 		service.Slots = e.gate.UsableSlots(now)
--- a/internal/app/router/seams.go
+++ b/internal/app/router/seams.go
@@ -60,6 +60,8 @@
 // InstanceHead has the fields of an instance's response header.
 type InstanceHead struct {
 	RequestID string
+	// InstanceID identifies the instance, in responses to health checks; it may be empty.
+	InstanceID string
 	// NotRun means that the instance declined and did not run the request.
 	NotRun bool
 	// Authentic means that the response has the instance's signature.
--- a/internal/app/router/statement.go
+++ b/internal/app/router/statement.go
@@ -25,8 +25,10 @@
 	// of is the incarnation that made the statements, limit its rate limit.
 	of    routing.Incarnation
 	limit RateLimit
-	// heard means that this process has received a response of the incarnation.
+	// heard means that this process has received a response of the incarnation that is its own or states a limit.
 	heard bool
+	// leavingSince is when the incarnation first said that it is about to end; zero if it hasn't.
+	leavingSince time.Time
 	// logged has the headers that were logged as unread, and the faults.
 	logged []string
 }
@@ -46,8 +48,13 @@
 	defer s.mu.Unlock()
 	s.logUnread(of, header)
 	s.follow(of)
-	s.heard = true
-	s.readLimit(head, logrus.Fields{"instance": of.ID, "requestId": requestID, "status": status})
+	s.heard = s.heard || head.Authentic || head.RateLimit.Stated
+	fields := logrus.Fields{"instance": of.ID, "requestId": requestID, "status": status}
+	s.readLimit(head, fields)
+	if head.Leaving && s.leavingSince.IsZero() {
+		s.leavingSince = time.Now()
+		s.log.WithFields(fields).Info("instance leaving")
+	}
 }
 
 // adopt takes over the limit that another daemon was told, as long as this one hasn't received a response itself: it may have restarted since.
@@ -81,12 +88,22 @@
 	return s.limit
 }
 
+// leavingFor returns how long ago the incarnation first said that it is about to end, and false if it hasn't.
+func (s *statements) leavingFor(of routing.Incarnation, now time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.of != of || s.leavingSince.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.leavingSince), true
+}
+
 // follow drops the statements of any other incarnation.
 func (s *statements) follow(of routing.Incarnation) {
 	if s.of == of {
 		return
 	}
-	s.of, s.heard = of, false
+	s.of, s.heard, s.leavingSince = of, false, time.Time{}
 	s.setLimit(RateLimit{}, logrus.Fields{"instance": of.ID, "replaced": true})
 }
 
--- a/internal/app/router/statement_test.go
+++ b/internal/app/router/statement_test.go
@@ -8,14 +8,15 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 )
 
-// statingHeads reads what an instance states from the headers Limit and Signature.
+// statingHeads reads what an instance states from the headers Limit, Leaving and Signature.
 type statingHeads struct{ coldHeads }
 
 func (statingHeads) Answer(_ int, h http.Header) InstanceHead {
-	head := InstanceHead{Authentic: h.Get("Signature") != ""}
+	head := InstanceHead{Authentic: h.Get("Signature") != "", Leaving: h.Get("Leaving") != ""}
 	if raw := h.Get("Limit"); raw != "" {
 		perSecond, err := strconv.ParseFloat(raw, 64)
 		head.RateLimit = RateLimit{Stated: err == nil, PerSecond: perSecond}
@@ -26,8 +27,6 @@
 	return head
 }
 
-func (statingHeads) Unread(http.Header) []string { return nil }
-
 // TestStatedLimit guards against a limit that an instance states and that is missed, kept after it has ended, or taken from another instance.
 func TestStatedLimit(t *testing.T) {
 	instance, successor := routing.Incarnation{ID: "i", Born: time.Unix(1, 0)}, routing.Incarnation{ID: "i", Born: time.Unix(2, 0)}
@@ -109,15 +108,65 @@
 
 func TestToldStatements(t *testing.T) {
 	// Guards against a daemon that restarts beside a limited instance, forgets the limit, and lets through all that waits for it.
+	now := time.Unix(1000, 0)
 	Convey("A daemon knows the limits of the listed instances until it is told otherwise", t, func() {
 		told, limited := newToldStatements(), routing.Instance{ID: "i"}
 		limit := RateLimit{Stated: true, PerSecond: 5}
-		told.record(limited.Incarnation(), limit)
-		told.record(routing.Incarnation{ID: "gone"}, limit)
+		told.record(limited.Incarnation(), &runResult{RateLimit: limit}, now)
+		told.record(routing.Incarnation{ID: "gone"}, &runResult{RateLimit: limit}, now)
 		told.retain([]routing.Instance{limited})
 		So(told.limit(limited.Incarnation()), ShouldResemble, limit)
 		So(told.limit(routing.Incarnation{ID: "gone"}).Stated, ShouldBeFalse)
-		told.record(limited.Incarnation(), RateLimit{})
+		told.record(limited.Incarnation(), &runResult{}, now)
 		So(told.limit(limited.Incarnation()).Stated, ShouldBeFalse)
 	})
+	// Guards against requests to an instance that has said that it leaves, because its daemon has restarted or its entry is away for a while.
+	Convey("A daemon that was told that an instance leaves never sends it a request again, whatever is listed", t, func() {
+		told := newToldStatements()
+		leaving, staying := routing.Instance{ID: "i", Born: time.Unix(1, 0)}, routing.Instance{ID: "j"}
+		restarted := routing.Instance{ID: "i", Born: time.Unix(2, 0)}
+		So(told.record(leaving.Incarnation(), &runResult{InstanceLeaving: true}, now), ShouldBeTrue)
+		So(told.record(leaving.Incarnation(), &runResult{}, now), ShouldBeFalse)
+		told.retain(nil)
+		So(told.staying([]routing.Instance{leaving, staying}), ShouldResemble, []routing.Instance{staying})
+		So(told.staying([]routing.Instance{restarted, staying}), ShouldResemble, []routing.Instance{restarted, staying})
+	})
+	Convey("What the collector names counts as long as it names it", t, func() {
+		told, instance := newToldStatements(), routing.Instance{ID: "i"}
+		told.setReported([]routing.Incarnation{instance.Incarnation()})
+		So(told.staying([]routing.Instance{instance}), ShouldBeEmpty)
+		told.setReported(nil)
+		So(told.staying([]routing.Instance{instance}), ShouldResemble, []routing.Instance{instance})
+	})
+}
+
+// TestLeavingStatement guards against requests that wait in the queue of an instance, or come from daemons that haven't heard, long after the
+// instance has said that it leaves.
+func TestLeavingStatement(t *testing.T) {
+	instance := routing.Incarnation{ID: "i", Born: time.Unix(1, 0)}
+	Convey("The daemon beside an instance that leaves refuses requests for it after half of the drain time, and reports no slots at once", t, func() {
+		e := newTestExecutor(Settings{DrainTime: 2 * time.Second})
+		defer e.stop()
+		e.stated.heads = statingHeads{}
+		local := serving(routing.Instance{ID: "i", Slots: 20, Born: instance.Born})
+		local.service = routing.Service{}
+		e.apply(local)
+		e.stated.observe(instance, "r", 200, http.Header{"Leaving": {"1"}})
+		service, _ := e.report(false, time.Now())
+		So(service.Slots, ShouldEqual, 0)
+		later := time.Now().Add(1100 * time.Millisecond)
+		So(e.closedTo(&runRequest{Instance: instance}, time.Now()), ShouldEqual, call.None)
+		So(e.closedTo(&runRequest{Instance: instance}, later), ShouldEqual, call.NoUpstream)
+		So(e.closedTo(&runRequest{Instance: routing.Incarnation{ID: "j"}}, later), ShouldEqual, call.None)
+	})
+	Convey("A health check says so as well", t, func() {
+		e := newTestExecutor(Settings{})
+		defer e.stop()
+		e.stated.heads = statingHeads{}
+		e.apply(serving(routing.Instance{ID: "i", Slots: 20, Born: instance.Born}))
+		e.warmUp.Checked(time.Now(), 200, http.Header{"Leaving": {"1"}, "Limit": {"5"}})
+		_, leaving := e.stated.leavingFor(instance, time.Now())
+		So(leaving, ShouldBeTrue)
+		So(e.stated.rateLimit(instance).PerSecond, ShouldEqual, 5)
+	})
 }
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -28,6 +28,7 @@
 	}
 	defer release()
 	res := r.executor.run(ctx, &req)
+	r.recordStatements(req.Instance, &res, time.Now())
 	r.logFailedRun(&req, &res)
 	return res
 }
--- a/internal/app/router/told.go
+++ b/internal/app/router/told.go
@@ -1,34 +1,55 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 )
 
-// toldStatements keeps what this daemon was told of the instances that it sends requests to. The daemons on their hosts keep to it; when one of
-// them restarts, it hears of it again with the next request.
+// toldStatements keeps what this daemon was told of instances by the daemons on their hosts, with the results of requests. Those keep to it as
+// well; when one of them restarts, it hears of a limit again with the next request, and gets none for an instance that is about to end.
 type toldStatements struct {
 	mu     sync.RWMutex
 	limits map[routing.Incarnation]RateLimit
+	// leaving has the instances that are about to end, with the time at which this daemon was told.
+	leaving map[routing.Incarnation]time.Time
+	// reported has those that the collector names. They count as long as it does, while what this daemon was told itself holds for good.
+	reported []routing.Incarnation
 }
 
+// leavingMemory is how long an instance that was about to end is remembered; it may run on for long.
+const leavingMemory = 24 * time.Hour
+
 func newToldStatements() *toldStatements {
-	return &toldStatements{limits: map[routing.Incarnation]RateLimit{}}
+	return &toldStatements{limits: map[routing.Incarnation]RateLimit{}, leaving: map[routing.Incarnation]time.Time{}}
 }
 
-// record takes over what the reply of the daemon on an instance's host says of the instance.
-func (t *toldStatements) record(of routing.Incarnation, limit RateLimit) {
-	if t.limit(of) == limit {
-		return
+// record takes over what a result says of an instance, and reports whether it is news that the instance is about to end.
+func (t *toldStatements) record(of routing.Incarnation, res *runResult, now time.Time) bool {
+	t.mu.RLock()
+	_, leaves := t.leaving[of]
+	known := t.limits[of] == res.RateLimit && (leaves || !res.InstanceLeaving)
+	t.mu.RUnlock()
+	if known {
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if limit.Stated {
-		t.limits[of] = limit
+	if res.RateLimit.Stated {
+		t.limits[of] = res.RateLimit
 	} else {
 		delete(t.limits, of)
 	}
+	if _, leaves = t.leaving[of]; leaves || !res.InstanceLeaving {
+		return false
+	}
+	maps.DeleteFunc(t.leaving, func(_ routing.Incarnation, since time.Time) bool { return now.Sub(since) > leavingMemory })
+	t.leaving[of] = now
+	return true
 }
 
 // limit returns the rate limit of an instance.
@@ -38,7 +59,44 @@
 	return t.limits[of]
 }
 
-// retain forgets the instances that aren't listed any more.
+// staying returns the instances that aren't about to end.
+func (t *toldStatements) staying(instances []routing.Instance) []routing.Instance {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if len(t.leaving) == 0 && len(t.reported) == 0 {
+		return instances
+	}
+	staying := make([]routing.Instance, 0, len(instances))
+	for i := range instances {
+		of := instances[i].Incarnation()
+		if _, leaves := t.leaving[of]; !leaves && !slices.Contains(t.reported, of) {
+			staying = append(staying, instances[i])
+		}
+	}
+	return staying
+}
+
+// setReported replaces the instances that are about to end by the collector's word.
+func (t *toldStatements) setReported(leaving []routing.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = leaving
+}
+
+// announced returns the listed instances of which this daemon was told that they are about to end, and of which nothing of the kind is published.
+func (t *toldStatements) announced(view *catalog.View) []routing.Incarnation {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var announced []routing.Incarnation
+	for of := range t.leaving {
+		if listed, ok := view.Instance(of.ID); ok && listed.Incarnation() == of && !listed.Draining {
+			announced = append(announced, of)
+		}
+	}
+	return announced
+}
+
+// retain forgets the limits of instances that aren't listed any more.
 func (t *toldStatements) retain(listed []routing.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/app/router/warmup.go
+++ b/internal/app/router/warmup.go
@@ -28,6 +28,8 @@
 	disabled bool
 	pacer    *admission.Pacer
 	monitor  *instance.Monitor
+	// observe receives the headers of responses to health checks.
+	observe func(status int, header http.Header)
 	// down means that the instance accepts no connections.
 	down atomic.Bool
 
@@ -163,6 +165,7 @@
 // Checked implements instance.MonitorObserver.
 func (w *warmUp) Checked(sent time.Time, status int, header http.Header) {
 	w.down.Store(false)
+	w.observe(status, header)
 	remaining, known := w.heads.Health(status, header)
 	if !known {
 		return
--- a/internal/app/router/warmup_test.go
+++ b/internal/app/router/warmup_test.go
@@ -23,6 +23,10 @@
 	return time.Duration(ms) * time.Millisecond, err == nil
 }
 
+func (coldHeads) Answer(int, http.Header) InstanceHead { return InstanceHead{} }
+
+func (coldHeads) Unread(http.Header) []string { return nil }
+
 // newTestExecutor returns an executor that writes no log and isn't started.
 func newTestExecutor(settings Settings) *executor {
 	log := logrus.New()
--- a/internal/fleet/collect/collector.go
+++ b/internal/fleet/collect/collector.go
@@ -1,9 +1,10 @@
 package collect
 
 import (
-	"maps"
+	"cmp"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/demand"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/graph"
 )
@@ -48,10 +50,10 @@
 	// observedAt is when the observer last received the shortages of a plan.
 	observedAt time.Time
 	// work is what the group's instances have done since the last group heartbeat, by service.
-	work map[string]Work
-	// leavingReports has the last report of each daemon on hosts whose daemons are shutting down.
-	leavingReports map[netip.AddrPort]leavingReport
-	monitor        heartbeatMonitor
+	work             map[string]Work
+	leavingDaemons   announcements[netip.Addr]
+	leavingInstances announcements[routing.Incarnation]
+	monitor          heartbeatMonitor
 	// groupReportedAt is when this daemon last sent a group heartbeat.
 	groupReportedAt time.Time
 	// otherReply is the last reply of another collector, which made its plan at otherPlanMadeAt.
@@ -59,12 +61,6 @@
 	otherPlanMadeAt time.Time
 }
 
-// leavingReport has the hosts that one daemon reported as shutting down.
-type leavingReport struct {
-	hosts []netip.Addr
-	at    time.Time
-}
-
 const (
 	// minPlanInterval limits how often a plan is computed: many daemons send a heartbeat within one interval.
 	minPlanInterval = 50 * time.Millisecond
@@ -72,7 +68,7 @@
 	minObserverInterval = 500 * time.Millisecond
 	// relayTTL is the maximum age of another collector's plan that is still relayed: two heartbeats.
 	relayTTL = 2 * Interval
-	// leavingTTL is how long a report of a leaving daemon is valid: by then the daemon has stopped or has restarted.
+	// leavingTTL is how long a report of a leaving daemon or instance is valid: by then the daemon has stopped or has restarted.
 	leavingTTL = 10 * time.Second
 )
 
@@ -80,7 +76,8 @@
 func New(observer Observer, disabled mechanism.Set) *Collector {
 	return &Collector{
 		observer: observer, disabled: disabled, demand: demand.New(), rates: quota.NewPool(), graph: graph.New(), planner: allot.New(),
-		work: map[string]Work{}, leavingReports: map[netip.AddrPort]leavingReport{}, monitor: newHeartbeatMonitor(),
+		work: map[string]Work{}, leavingDaemons: newAnnouncements[netip.Addr](), leavingInstances: newAnnouncements[routing.Incarnation](),
+		monitor: newHeartbeatMonitor(),
 	}
 }
 
@@ -106,7 +103,7 @@
 	c.monitor.record(hb, now)
 	return Reply{
 		Plan: c.currentPlan(hb, fleet.Daemons, now), Grants: c.demand.Grants(hb.Report.RetryRates, hb.Report.Daemons, now),
-		Leaving: c.leavingHosts(now), Missing: c.missing(fleet.Members, now),
+		Leaving: c.allLeavingDaemons(now), LeavingInstances: c.allLeavingInstances(now), Missing: c.missing(fleet.Members, now),
 	}
 }
 
@@ -214,34 +211,38 @@
 	return c.otherReply.Plan.Daemons > c.demand.Daemons() && now.Sub(c.otherPlanMadeAt) <= relayTTL
 }
 
-// recordLeaving records which hosts a daemon reports as shutting down.
+// recordLeaving records which daemons and instances are leaving.
 func (c *Collector) recordLeaving(hb Heartbeat, now time.Time) {
-	if len(hb.Leaving) == 0 {
-		delete(c.leavingReports, hb.From)
-		return
+	for _, host := range c.leavingDaemons.record(hb.From, hb.Leaving, now) {
+		c.observer.DaemonLeaving(host)
 	}
-	for _, host := range hb.Leaving {
-		if !slices.Contains(c.leavingReports[hb.From].hosts, host) {
-			c.observer.DaemonLeaving(host)
-		}
-	}
-	c.leavingReports[hb.From] = leavingReport{hb.Leaving, now}
+	c.leavingInstances.record(hb.From, hb.LeavingInstances, now)
 }
 
-// leavingHosts returns the hosts whose daemons are shutting down, as reported to this collector or by the other collector whose reply is
+// allLeavingDaemons returns the hosts whose daemons are shutting down, as reported to this collector or by the other collector whose reply is
 // current.
-func (c *Collector) leavingHosts(now time.Time) []netip.Addr {
-	maps.DeleteFunc(c.leavingReports, func(_ netip.AddrPort, report leavingReport) bool { return now.Sub(report.at) > leavingTTL })
-	var all []netip.Addr
-	for _, report := range c.leavingReports {
-		all = append(all, report.hosts...)
-	}
+func (c *Collector) allLeavingDaemons(now time.Time) []netip.Addr {
+	all := c.leavingDaemons.current(now, everyDaemon)
 	if now.Sub(c.otherPlanMadeAt) <= relayTTL {
 		all = append(all, c.otherReply.Leaving...)
 	}
 	return sortUnique(all)
 }
 
+// allLeavingInstances returns the instances that are about to end, from the same reports.
+func (c *Collector) allLeavingInstances(now time.Time) []routing.Incarnation {
+	all := c.leavingInstances.current(now, everyDaemon)
+	if now.Sub(c.otherPlanMadeAt) <= relayTTL {
+		all = append(all, c.otherReply.LeavingInstances...)
+	}
+	slices.SortFunc(all, compareIncarnations)
+	return slices.Compact(all)
+}
+
+func compareIncarnations(a, b routing.Incarnation) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), a.Born.Compare(b.Born))
+}
+
 // Apply records another collector's reply to a heartbeat that was sent at the given time, and returns when the reply's plan was made.
 func (c *Collector) Apply(reply Reply, sent time.Time) time.Time {
 	c.mu.Lock()
@@ -270,11 +271,9 @@
 	hb.Counts, hb.CountedFor = c.rates.Totals(now)
 	hb.Work, c.work = c.work, map[string]Work{}
 	hb.Calls = c.graph.Edges().Clone()
-	for from, report := range c.leavingReports {
-		if now.Sub(report.at) <= leavingTTL && !c.demand.IsGroup(from) {
-			hb.Leaving = append(hb.Leaving, report.hosts...)
-		}
-	}
+	member := func(from netip.AddrPort) bool { return !c.demand.IsGroup(from) }
+	hb.Leaving = append(hb.Leaving, c.leavingDaemons.current(now, member)...)
+	hb.LeavingInstances = append(hb.LeavingInstances, c.leavingInstances.current(now, member)...)
 }
 
 // Reporters returns the hosts from whose daemons this collector has recently received heartbeats.
--- a/internal/fleet/collect/message.go
+++ b/internal/fleet/collect/message.go
@@ -7,6 +7,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/allot"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/demand"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/graph"
 )
@@ -31,6 +32,8 @@
 	Calls graph.Edges `msgpack:"calls"`
 	// Leaving has the hosts whose daemons are shutting down.
 	Leaving []netip.Addr `msgpack:"leaving"`
+	// LeavingInstances has the instances whose responses say that they are about to end.
+	LeavingInstances []routing.Incarnation `msgpack:"leavingInstances"`
 	// Missing has the hosts of the group whose heartbeats are missing.
 	Missing []netip.Addr `msgpack:"silent"`
 	// Reporters has the hosts whose daemons sent heartbeats to the sender because they could not reach the collector.
@@ -58,6 +61,8 @@
 	// Leaving has the hosts whose daemons are shutting down, Missing those whose heartbeats are missing.
 	Leaving []netip.Addr `msgpack:"leaving"`
 	Missing []netip.Addr `msgpack:"silent"`
+	// LeavingInstances has the instances that are about to end.
+	LeavingInstances []routing.Incarnation `msgpack:"leavingInstances"`
 }
 
 // Plan is what a collector has decided, based on the reports of Daemons daemons.
