--- a/internal/app/router/report.go
+++ b/internal/app/router/report.go
@@ -75,8 +75,8 @@
 	return service, work
 }
 
-// serviceReport returns the saturation and the usable slots. The saturation of an instance that is cold, limits its rate or must receive no
-// requests says nothing about the load of its service, so it isn't counted.
+// serviceReport returns the saturation and the usable slots. The saturation of an instance that is cold or must receive no requests says nothing
+// about the load of its service, so it isn't counted.
 func (e *executor) serviceReport(leaving bool, now time.Time) demand.Service {
 	if e.zoneDrained || e.warmUp.down.Load() {
 		return demand.Service{}
@@ -87,7 +87,7 @@
 	if usable {
 		service.Slots = e.gate.UsableSlots(now)
 	}
-	if e.warmUp.pacer.Interval(now) > 0 {
+	if e.warmUp.coldStarts(now) > 0 {
 		return service
 	}
 	service.Instances, service.Saturation = 1, e.gate.Fullness(now, waitUnit)
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -288,22 +288,31 @@
 func (g *Gate) UsableSlots(now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	pace := g.pace(now)
+	return int(math.Round(g.slotsAt(g.pace(now))))
+}
+
+// slotsAt returns how much of the concurrency limit starts at the pace can fill, at least one slot.
+func (g *Gate) slotsAt(pace time.Duration) float64 {
+	slots := float64(g.limit.Limit())
 	if pace == 0 {
-		return g.limit.Limit()
+		return slots
 	}
-	startsPerHold := g.holdTimes.meanSeconds / pace.Seconds()
-	return min(max(int(math.Round(startsPerHold)), 1), g.limit.Limit())
+	return min(max(g.holdTimes.meanSeconds/pace.Seconds(), 1), slots)
 }
 
-// Fullness returns the saturation: the fraction of the slots in use, plus the expected wait in the queue in the given unit.
+// Fullness returns the saturation: the fraction of the slots in use, plus the expected wait in the queue in the given unit. Slots that the
+// upstream's rate limit leaves empty don't count.
 //
 // The queue's length alone says little: ten requests of 15 ms pass through 20 slots unnoticed, ten uploads don't.
 func (g *Gate) Fullness(now time.Time, unit time.Duration) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var pace time.Duration
+	if g.pacer != nil {
+		pace = g.pacer.limitInterval()
+	}
 	wait := g.expectedWait(now, g.queue.Len())
-	return float64(g.running)/float64(g.limit.Limit()) + wait.Seconds()/unit.Seconds()
+	return float64(g.running)/g.slotsAt(pace) + wait.Seconds()/unit.Seconds()
 }
 
 // Counts returns the totals since the start.
--- a/internal/decide/admission/pacer.go
+++ b/internal/decide/admission/pacer.go
@@ -122,6 +122,13 @@
 	return p.warmUp.interval
 }
 
+// limitInterval returns the time between two starts under the upstream's rate limit, 0 without one.
+func (p *Pacer) limitInterval() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.interval
+}
+
 // limited reports whether the upstream's rate limit paces the starts, rather than its warm-up.
 func (p *Pacer) limited(now time.Time) bool {
 	p.mu.Lock()
--- a/internal/decide/choice/choice.go
+++ b/internal/decide/choice/choice.go
@@ -38,6 +38,8 @@
 	zone    string
 	rand    func() float64
 	records map[routing.Incarnation]*record
+	// picks counts the picks for each service.
+	picks map[string]uint64
 	// disabled are the disabled mechanisms.
 	disabled mechanism.Set
 }
@@ -51,8 +53,11 @@
 	otherRequests int
 	loadUpdated   time.Time
 	// latency is the smoothed time of a served request in seconds; 0 means unknown.
-	latency        float64
-	latencyUpdated time.Time
+	latency float64
+	// pickedAt is when the instance was last picked, at pick number pickNumber of its service. renew means that its latency was stale then.
+	pickedAt   time.Time
+	pickNumber uint64
+	renew      bool
 	// faultRate is the smoothed fraction of requests that failed, were declined or were lost.
 	faultRate    float64
 	faultUpdated time.Time
@@ -72,7 +77,7 @@
 
 // New returns a balancer for a daemon in the availability zone.
 func New(zone string, opts ...Option) *Balancer {
-	b := &Balancer{zone: zone, rand: rand.Float64, records: map[routing.Incarnation]*record{}}
+	b := &Balancer{zone: zone, rand: rand.Float64, records: map[routing.Incarnation]*record{}, picks: map[string]uint64{}}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -91,9 +96,11 @@
 	spareTimeFraction    = 0.6
 	// latencyWeight is the weight of one request in the smoothed latency.
 	latencyWeight = 0.1
-	// latencyTTL is how long a latency counts without a new one. Otherwise an instance that was slow once would never be tried again
-	// while others are free.
-	latencyTTL = 3 * time.Second
+	// The latency of an instance that is slowFactor times slower than the others is stale once it has not been picked for staleAfter and for
+	// staleRounds picks of each instance of its service. Otherwise it would never be tried again while others are free.
+	slowFactor  = 5.0
+	staleAfter  = time.Second
+	staleRounds = 20
 	// faultWeight is the weight of one request in the fault rate: an instance that begins to fail half of its requests counts as faulty
 	// after four or five of them.
 	faultWeight = 0.15
@@ -139,10 +146,19 @@
 	if local.instance == nil || remote.instance != nil && !local.preferredTo(remote, remaining) {
 		chosen = remote
 	}
-	b.recordOf(chosen.instance).outstanding++
+	b.recordPick(chosen.instance, reference, now)
 	return *chosen.instance, true
 }
 
+// recordPick counts a request to the chosen instance.
+func (b *Balancer) recordPick(chosen *routing.Instance, reference averages, now time.Time) {
+	r := b.recordOf(chosen)
+	r.outstanding++
+	r.renew = r.renew || reference.stale(r, now)
+	b.picks[chosen.Service]++
+	r.pickedAt, r.pickNumber = now, b.picks[chosen.Service]
+}
+
 // scored is an instance with the expected time of the request in seconds, including penalties.
 type scored struct {
 	instance *routing.Instance
@@ -229,15 +245,41 @@
 	latency float64
 	// faultRate is the mean fault rate.
 	faultRate float64
+	// picks counts the picks for the service, and stalePicks is the number of later picks from which on a latency may be stale.
+	picks, stalePicks uint64
+	// sum and known are of all known latencies, in seconds.
+	sum   float64
+	known int
+}
+
+// latencyOf returns the smoothed latency in seconds, 0 if none is known that isn't stale.
+func (a *averages) latencyOf(r *record, now time.Time) float64 {
+	if a.stale(r, now) {
+		return 0
+	}
+	return r.latency
+}
+
+// stale reports whether the latency is that of a slow instance which hasn't been picked for long.
+func (a *averages) stale(r *record, now time.Time) bool {
+	if r.latency == 0 || now.Sub(r.pickedAt) < staleAfter || a.picks-r.pickNumber < a.stalePicks {
+		return false
+	}
+	return a.known > 1 && r.latency*float64(a.known-1) >= slowFactor*(a.sum-r.latency)
 }
 
 func (b *Balancer) averages(instances []routing.Instance, now time.Time) averages {
-	avg := averages{latency: defaultLatency}
-	sum, known := 0.0, 0
+	avg := averages{latency: defaultLatency, picks: b.picks[instances[0].Service], stalePicks: staleRounds * uint64(len(instances))}
 	for i := range instances {
 		r := b.recordOf(&instances[i])
 		avg.faultRate += r.currentFaultRate(now) / float64(len(instances))
-		if latency := r.currentLatency(now); latency > 0 {
+		if r.latency > 0 {
+			avg.sum, avg.known = avg.sum+r.latency, avg.known+1
+		}
+	}
+	sum, known := 0.0, 0
+	for i := range instances {
+		if latency := avg.latencyOf(b.recordOf(&instances[i]), now); latency > 0 {
 			sum, known = sum+latency, known+1
 		}
 	}
@@ -250,7 +292,7 @@
 // score returns the expected time of the request on the instance, increased by penalties for a cold start, load and faults.
 func (b *Balancer) score(i *routing.Instance, reference averages, now time.Time) scored {
 	r := b.recordOf(i)
-	seconds := r.currentLatency(now)
+	seconds := reference.latencyOf(r, now)
 	if seconds == 0 {
 		seconds = reference.latency
 	}
@@ -301,7 +343,7 @@
 	switch result {
 	case Served:
 		r.recordFault(0, now)
-		r.recordLatency(took.Seconds(), now)
+		r.recordLatency(took.Seconds())
 		r.unreachable, r.backoffUntil = 0, time.Time{}
 	case Failed, Declined, Lost:
 		r.recordFault(1, now)
@@ -318,21 +360,11 @@
 	r.faultUpdated = now
 }
 
-func (r *record) recordLatency(seconds float64, now time.Time) {
-	r.latency = r.currentLatency(now)
-	if r.latency == 0 {
-		r.latency = seconds
+func (r *record) recordLatency(seconds float64) {
+	if r.latency == 0 || r.renew {
+		r.latency, r.renew = seconds, false
 	}
 	r.latency += (seconds - r.latency) * latencyWeight
-	r.latencyUpdated = now
-}
-
-// currentLatency returns the smoothed latency in seconds, 0 if none is recent.
-func (r *record) currentLatency(now time.Time) float64 {
-	if now.Sub(r.latencyUpdated) >= latencyTTL {
-		return 0
-	}
-	return r.latency
 }
 
 // SetInstances replaces the list of instances: it removes the records of ended incarnations that have no outstanding requests.
--- a/internal/decide/choice/stale_latency_test.go
+++ b/internal/decide/choice/stale_latency_test.go
@@ -13,7 +13,7 @@
 // TestStaleLatency guards against an instance that was slow for a moment, or limited its rate, and is never sent a request again while another one
 // is free.
 func TestStaleLatency(t *testing.T) {
-	Convey("A latency counts only while it is recent", t, func() {
+	Convey("The latency of a slow instance counts until others have been picked many times", t, func() {
 		now := time.Unix(1000, 0)
 		b := New("a")
 		instances := []routing.Instance{{ID: "slow", Service: "s", Zone: "a", Slots: 8}, {ID: "fast", Service: "s", Zone: "a", Slots: 8}}
@@ -32,15 +32,27 @@
 			}
 			return count
 		}
-		b.Record(instances[0], Served, 250*time.Millisecond, load, now)
-		b.Record(instances[1], Served, time.Millisecond, load, now)
-		So(served(time.Second, time.Millisecond), ShouldEqual, 0)
+		for i, took := range []time.Duration{250 * time.Millisecond, time.Millisecond} {
+			b.Pick([]routing.Instance{instances[i]}, nil, time.Second, now)
+			b.Record(instances[i], Served, took, load, now)
+		}
+		So(served(staleAfter/2, time.Millisecond), ShouldEqual, 0)
 		Convey("an instance that is still slow is tried once in a while", func() {
-			So(served(4*latencyTTL, 250*time.Millisecond), ShouldBeBetweenOrEqual, 1, 8)
+			So(served(4*staleAfter, 250*time.Millisecond), ShouldBeBetweenOrEqual, 1, 3)
 		})
 		Convey("one that has recovered serves its part again", func() {
-			served(latencyTTL, time.Millisecond)
+			served(staleAfter, time.Millisecond)
 			So(served(time.Second, time.Millisecond), ShouldBeBetween, 20, 80)
 		})
+		Convey("one that few requests could have gone to keeps its latency", func() {
+			b.Pick([]routing.Instance{instances[0]}, nil, time.Second, now)
+			b.Record(instances[0], Served, 250*time.Millisecond, load, now)
+			for range 2*staleRounds - 1 {
+				now = now.Add(time.Second)
+				inst, _ := b.Pick([]routing.Instance{instances[0], instances[1]}, nil, time.Second, now)
+				So(inst.ID, ShouldEqual, "fast")
+				b.Record(inst, Served, time.Millisecond, load, now)
+			}
+		})
 	})
 }
--- a/internal/load/mesh/fleet.go
+++ b/internal/load/mesh/fleet.go
@@ -59,6 +59,7 @@
 		f.clock.After(time.Duration(f.random.Float64()*float64(collect.Interval)), h.sendHeartbeat)
 	}
 	f.scheduleRestarts()
+	f.scheduleLimits()
 	f.clock.Run(f.start.Add(length))
 	return f.result
 }
--- a/internal/load/mesh/host.go
+++ b/internal/load/mesh/host.go
@@ -40,6 +40,7 @@
 	delivered, retryable int
 
 	restartState
+	limitState
 }
 
 // startDaemon starts the host's daemon without any state of an earlier one.
@@ -49,7 +50,7 @@
 	h.balancer = choice.New(h.instance.Zone, choice.WithRand(f.random.Float64), choice.Without(f.scenario.Without))
 	h.retryBudget = repeats.New(f.scenario.RetryLimits)
 	h.retryBudget.SetDaemons(f.scenario.instanceCount())
-	h.pacer = &admission.Pacer{}
+	h.pacer, h.knownLimit = &admission.Pacer{}, 0
 	h.gate = newGate(h.service.Slots, h.pacer)
 	h.runs = lineage.New(lineage.WithRand(f.random.Float64))
 	h.holdTimes = map[string]allot.HoldTime{}
@@ -133,7 +134,7 @@
 
 // report returns what the daemon reports of its instance.
 func (h *host) report(saturation float64) demand.Service {
-	if h.paced() {
+	if h.pacer.WarmUpInterval(h.fleet.now()) > 0 {
 		return demand.Service{Slots: h.slots()}
 	}
 	return demand.Service{Instances: 1, Saturation: saturation, Slots: h.slots()}
--- a/internal/load/mesh/scene.go
+++ b/internal/load/mesh/scene.go
@@ -78,6 +78,9 @@
 	PowerLoss bool
 	// RestartFraction is the fraction of the service's instances that crash at From and are back, cold, after Duration.
 	RestartFraction float64
+	// LimitedFraction is the fraction of the service's instances that state a rate limit, of RateLimit requests a second, in their responses.
+	LimitedFraction float64
+	RateLimit       float64
 }
 
 func (f *Fault) active(at time.Duration) bool { return at >= f.From && at < f.From+f.Duration }
--- a/internal/load/mesh/tally.go
+++ b/internal/load/mesh/tally.go
@@ -25,6 +25,8 @@
 	Services map[string][]Sent
 	// Crashes counts the crashes of cold instances by service.
 	Crashes map[string]int
+	// LimitUse is the highest number of requests that an instance with a rate limit received in one window, as a fraction of the bound.
+	LimitUse float64
 }
 
 // Sent counts the first attempts and the retries sent to a service in an interval.
--- a/internal/load/mesh/visit.go
+++ b/internal/load/mesh/visit.go
@@ -119,6 +119,7 @@
 	f.started++
 	e.sequence = f.started
 	e.host.active[e] = true
+	e.host.countLimited()
 	if e.host.receive() {
 		return
 	}
@@ -202,6 +203,7 @@
 	}
 	e.ended = true
 	if a.delivered {
+		e.host.readLimit()
 		e.classifyFailure(&a)
 	}
 	e.release(a.result)
