--- a/internal/app/router/statement.go
+++ b/internal/app/router/statement.go
@@ -31,10 +31,16 @@
 	leavingSince time.Time
 	// logged has the headers that were logged as unread, and the faults.
 	logged []string
+	// observed counts the responses.
+	observed int
 }
 
-// maxLoggedHeaders bounds the headers and faults that are logged, each once.
-const maxLoggedHeaders = 64
+const (
+	// maxLoggedHeaders bounds the headers and faults that are logged, each once.
+	maxLoggedHeaders = 64
+	// unreadInterval is the number of responses for each one that is searched for unread headers, which takes longer than the rest.
+	unreadInterval = 16
+)
 
 // observe records the header of a response of the incarnation to the request. It is called when the header arrives, not at the end of the
 // body: a long response must not bring back what the instance stated at its beginning.
@@ -136,6 +142,10 @@
 
 // logUnread logs each header that nobody reads once: an instance may state something by it that would have to be kept.
 func (s *statements) logUnread(of routing.Incarnation, header http.Header) {
+	s.observed++
+	if s.observed%unreadInterval != 1 {
+		return
+	}
 	for _, name := range s.heads.Unread(header) {
 		if s.firstTime(name) {
 			s.log.WithFields(logrus.Fields{"instance": of.ID, "header": name, "value": truncate(header.Get(name))}).Info("response header not read")
