--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -84,8 +84,8 @@
 	r.retryBudget.Earn(req.service, req.arrivedAt)
 }
 
-// candidates returns the instances that may be sent the request: those that aren't about to end, without those whose daemon is leaving or has missed heartbeats unless there
-// are no others.
+// candidates returns the instances that may be sent the request: those that aren't about to end, without those whose daemon is leaving or has
+// missed heartbeats unless there are no others.
 func (r *Router) candidates(req *request) []routing.Instance {
 	all := r.told.staying(r.allowed(req, r.view.Load().InstancesOf(req.service)))
 	if !r.reporter.anyUnavailable() {
--- a/internal/app/router/statement.go
+++ b/internal/app/router/statement.go
@@ -64,13 +64,14 @@
 }
 
 // adopt takes over the limit that another daemon was told, as long as this one hasn't received a response itself: it may have restarted since.
+// The other daemon's list may be old, so another incarnation that is known here isn't dropped.
 func (s *statements) adopt(of routing.Incarnation, requestID string, told RateLimit) {
 	if !told.Stated {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.of == of && s.heard {
+	if known := s.of != (routing.Incarnation{}); s.heard || known && s.of != of {
 		return
 	}
 	s.follow(of)
--- a/internal/app/router/statement_test.go
+++ b/internal/app/router/statement_test.go
@@ -70,11 +70,10 @@
 				s.observe(instance, "r", 200, signed(""))
 				s.adopt(instance, "r", RateLimit{Stated: true, PerSecond: 5})
 			}, unlimited},
-			{"told of its predecessor", func(s *statements) {
-				s.observe(successor, "r", 200, signed(""))
-				s.replaced(successor)
-				s.adopt(successor, "r", RateLimit{})
-			}, unlimited},
+			{"told of its predecessor by a daemon with an old list", func(s *statements) {
+				s.observe(successor, "r", 200, signed("5"))
+				s.adopt(instance, "r", RateLimit{Stated: true, PerSecond: 9})
+			}, 5},
 		} {
 			Convey(c.name, func() {
 				e := newTestExecutor(Settings{})
