--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -25,6 +25,7 @@
 
 	runs   *lineage.Runs
 	warmUp *warmUp
+	// stated has what the instance says of itself.
 	stated *statements
 	// drainTime is the time after which an instance that has started to drain must receive no new requests.
 	drainTime time.Duration
@@ -135,6 +136,7 @@
 	return res
 }
 
+// admit waits for a slot and sends the request, or refuses it.
 func (e *executor) admit(ctx context.Context, req *runRequest) runResult {
 	arrived := time.Now()
 	gate, ok := e.gateFor(req.Instance)
--- a/internal/app/router/local_state.go
+++ b/internal/app/router/local_state.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// closedTo returns why the request must not reach the instance, or call.None: closed says so, or the instance has been about to end for a while
-// by its own word.
+// closedTo returns why the request must not reach the instance, or call.None: the instance must receive no new requests, or its responses have
+// said for a while that it is about to end.
 func (e *executor) closedTo(req *runRequest, now time.Time) call.Reason {
 	if reason := e.closed(now); reason != call.None {
 		return reason
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -42,9 +42,10 @@
 	retryBudget *repeats.Budget
 	shedder     *shed.Shedder
 	executor    *executor
-	told        *toldStatements
-	control     *control
-	reporter    *reporter
+	// told has what other daemons say of their instances.
+	told     *toldStatements
+	control  *control
+	reporter *reporter
 
 	callers  *httpd.Server
 	health   *httpd.Server
--- a/internal/app/router/seams.go
+++ b/internal/app/router/seams.go
@@ -31,7 +31,7 @@
 	Answer(status int, h http.Header) InstanceHead
 	// Health reads the remaining warm-up time from an instance's response to a health check; false means that it states none.
 	Health(status int, h http.Header) (coldFor time.Duration, known bool)
-	// Unread returns the names in an instance's response header whose meaning nobody here knows.
+	// Unread returns the names in an instance's response header that are neither standard nor known to the platform's adapter.
 	Unread(h http.Header) []string
 	// Refuse adds the fields for a caller to a response that is not an instance's.
 	Refuse(h http.Header, requestID string, retryAfter time.Duration)
--- a/internal/app/router/statement.go
+++ b/internal/app/router/statement.go
@@ -25,6 +25,8 @@
 	// of is the incarnation that made the statements, limit its rate limit.
 	of    routing.Incarnation
 	limit RateLimit
+	// limitLoggedAt is when a change of the limit was last logged.
+	limitLoggedAt time.Time
 	// heard means that this process has received a response of the incarnation that is its own or states a limit.
 	heard bool
 	// leavingSince is when the incarnation first said that it is about to end; zero if it hasn't.
@@ -38,6 +40,8 @@
 const (
 	// maxLoggedHeaders bounds the headers and faults that are logged, each once.
 	maxLoggedHeaders = 64
+	// limitLogInterval is the minimum time between two log lines on a limit that rises and falls with each response.
+	limitLogInterval = time.Second
 	// unreadInterval is the number of responses for each one that is searched for unread headers, which takes longer than the rest.
 	unreadInterval = 16
 )
@@ -129,13 +133,17 @@
 	if next == s.limit {
 		return
 	}
-	s.log.WithFields(fields).WithFields(logrus.Fields{
-		"limited": next.Stated, "perSecond": next.PerSecond, "wasLimited": s.limit.Stated, "wasPerSecond": s.limit.PerSecond,
-	}).Info("instance limit")
+	now := time.Now()
+	if next.Stated != s.limit.Stated || now.Sub(s.limitLoggedAt) >= limitLogInterval {
+		s.limitLoggedAt = now
+		s.log.WithFields(fields).WithFields(logrus.Fields{
+			"limited": next.Stated, "perSecond": next.PerSecond, "wasLimited": s.limit.Stated, "wasPerSecond": s.limit.PerSecond,
+		}).Info("instance limit")
+	}
 	s.limit = next
 	s.metrics.Gauge(telemetry.InstanceLimit).Update(next.PerSecond)
 	if next.Stated {
-		s.pacer.Limit(next.PerSecond, time.Now())
+		s.pacer.Limit(next.PerSecond, now)
 	} else {
 		s.pacer.Unlimit()
 	}
--- a/internal/app/router/told.go
+++ b/internal/app/router/told.go
@@ -10,14 +10,14 @@
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 )
 
-// toldStatements keeps what this daemon was told of instances by the daemons on their hosts, with the results of requests. Those keep to it as
-// well; when one of them restarts, it hears of a limit again with the next request, and gets none for an instance that is about to end.
+// toldStatements keeps what the daemons on instances' hosts have reported, with the results of requests, of what their instances state. When such
+// a daemon restarts, it hears of a rate limit again with the next request, and gets no requests for an instance that is about to end.
 type toldStatements struct {
 	mu     sync.RWMutex
 	limits map[routing.Incarnation]RateLimit
 	// leaving has the instances that are about to end, with the time at which this daemon was told.
 	leaving map[routing.Incarnation]time.Time
-	// reported has those that the collector names. They count as long as it does, while what this daemon was told itself holds for good.
+	// reported has those that the collector names. They count as long as it names them; leaving holds for good.
 	reported []routing.Incarnation
 }
 
