--- a/internal/decide/admission/pacer_test.go
+++ b/internal/decide/admission/pacer_test.go
@@ -16,16 +16,7 @@
 )
 
 // busiestSecond returns the highest number of the sorted times that fall into one second.
-func busiestSecond(times []time.Time) int {
-	busiest, first := 0, 0
-	for i, at := range times {
-		for at.Sub(times[first]) >= time.Second {
-			first++
-		}
-		busiest = max(busiest, i-first+1)
-	}
-	return busiest
-}
+func busiestSecond(times []time.Time) int { return busiestWindow(times, time.Second) }
 
 // pacedLoad sends requests through gates that share a pacer, and returns the times of their starts and the decisions on the refused ones.
 type pacedLoad struct {
