TestLimitedInstances: back to the bound and the share that it was written with

While it was written the bound on notices went from 0.8 to 0.75 and the share of limited instances from 0.4 to 0.2 after figures had missed them. Neither was a reason: the first was judged seed by seed instead of by the mean, the second by a simulation that ended with the measured time.

--- a/internal/load/mesh/limited_test.go
+++ b/internal/load/mesh/limited_test.go
@@ -19,11 +19,13 @@
 func TestLimitedInstances(t *testing.T) {
 	const from, to, until = 7 * time.Second, 14 * time.Second, 20 * time.Second
 	Convey("Where the other instances have room, the limits hold and callers notice nothing", t, func() {
-		for _, perSecond := range []float64{0.5, 3.5, 20} {
-			for _, seed := range seeds {
-				r := Simulate(limitedRecords(seed, 0.2, perSecond), until)
-				So(r.LimitUse, ShouldBeBetweenOrEqual, 0, 1)
-				So(worthBetween(r, from, to), ShouldBeGreaterThan, 0.95)
+		for _, c := range []struct{ fraction, minWorth float64 }{{0.2, 0.95}, {0.4, 0.9}} {
+			for _, perSecond := range []float64{0.5, 3.5, 20} {
+				for _, seed := range seeds {
+					r := Simulate(limitedRecords(seed, c.fraction, perSecond), until)
+					So(r.LimitUse, ShouldBeBetweenOrEqual, 0, 1)
+					So(worthBetween(r, from, to), ShouldBeGreaterThan, c.minWorth)
+				}
 			}
 		}
 	})
@@ -40,7 +42,7 @@
 			sum.failed += float64(notice.Failed+lookup.Failed) / float64(notice.Requests+lookup.Requests) / float64(len(seeds))
 			So(worthBetween(r, to+2*time.Second, until-2*time.Second), ShouldBeGreaterThan, 0.95)
 		}
-		So(sum.notices, ShouldBeGreaterThan, 0.75)
+		So(sum.notices, ShouldBeGreaterThan, 0.8)
 		So(sum.lookups, ShouldBeGreaterThan, 0.75*lookups)
 		So(sum.failed, ShouldBeLessThan, 0.1)
 	})
