Log responses that can't be sent as decided, and why a request's context ended

For the incident of the success without a signature: the line of a request tells what was decided and never what was written, and successes at the first attempt are sampled, so the hypotheses can't be told apart. Now each response whose status can't be written, or that is a success without an instance's signature, has a line and a counter, and the end of a request's context has a cause. No decision changes.

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -49,6 +49,8 @@
 	// saturation and subcallRefused combine the results of the attempts: see runResult.
 	saturation     float64
 	subcallRefused bool
+	// contextEnd is why the request's context ended before its response was written, nil if it didn't.
+	contextEnd error
 }
 
 // serve answers one request of a caller or of the instance on this host.
@@ -66,6 +68,7 @@
 			r.quota.Refund(req.organisation, req.quota)
 		}
 	}
+	req.contextEnd = context.Cause(in.Context())
 	r.recordRequest(req, answer)
 	r.write(w, req, answer)
 }
@@ -267,7 +270,9 @@
 		answer.Body = refusalBody(req.id, answer)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	w.WriteHeader(status(answer))
+	decided := status(answer)
+	r.reportDefect(req, answer, decided, writtenStatus(decided))
+	w.WriteHeader(decided)
 	_, _ = w.Write(answer.Body)
 }
 
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -75,6 +75,9 @@
 	if req.shed.RejectFraction > 0 {
 		fields["turnedAwayShare"], fields["planAgeMs"] = req.shed.RejectFraction, req.shed.Age.Milliseconds()
 	}
+	if req.contextEnd != nil {
+		fields["contextEnd"] = req.contextEnd.Error()
+	}
 	if len(req.attempts) > 0 {
 		fields["offers"] = req.attempts
 	}
--- a/internal/app/telemetry/metric.go
+++ b/internal/app/telemetry/metric.go
@@ -39,10 +39,11 @@
 	InstanceCold                     // instance_cold
 	InstanceSuspected                // instance_suspected
 	InstanceLimit                    // instance_limit
+	ResponsesReplaced                // responses_replaced
 )
 
 // MetricCount is the number of metrics.
-const MetricCount = int(InstanceLimit) + 1
+const MetricCount = int(ResponsesReplaced) + 1
 
 // Description describes a metric for operators.
 type Description struct {
@@ -87,6 +88,7 @@
 	InstanceCold:       {Meaning: "requests a second that the instance beside the daemon may get since it is cold, 0 once it is warm", Unit: "requests per second", Advice: "above 0 for longer than the warm-up of the service: the instance starts again and again"},
 	InstanceSuspected:  {Meaning: "times that the instance beside the daemon was suspected to have started again", Unit: "count", Advice: "grows: compare with the instance's own restarts; each suspicion lasts until the next health check is answered"},
 	InstanceLimit:      {Meaning: "requests a second that the instance beside the daemon takes from all hosts together, as its last responses state; 0 without a limit", Unit: "requests per second", Advice: "above 0: the instance asks for less; `instance limit` in the log has the response that said so"},
+	ResponsesReplaced:  {Meaning: "responses that could not be sent to their callers as they were, by what was wrong with them", Unit: "count", Tags: "defect", Advice: "above 0: a fault of foxtailhook or of an instance; `response replaced` in the log has the request"},
 	ZonesDrained:       {Meaning: "availability zones whose instances get no requests since the operator has drained them", Unit: "zones", Advice: "differs between hosts for more than 3 s, or all zones: `zoneDrained` refusals"},
 }
 
--- a/internal/wire/httpd/pipeline.go
+++ b/internal/wire/httpd/pipeline.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -18,6 +20,13 @@
 	maxUnsentBytes = 1 << 20
 )
 
+var (
+	// ErrDisconnected is the cause of the end of a request's context when its caller has disconnected.
+	ErrDisconnected = errors.New("http: the caller disconnected")
+	// ErrAnswered is the cause of the end of a request's context when its response has been written.
+	ErrAnswered = errors.New("http: the response was written")
+)
+
 // pipeline holds the requests of one connection that have been received and not answered, oldest first.
 //
 // With HTTP pipelining callers send requests without waiting for earlier responses. The requests run concurrently, so that
@@ -40,7 +49,7 @@
 type exchange struct {
 	writer http.ResponseWriter
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// work handles the request and writes its response.
 	work    func()
 	started bool
@@ -64,7 +73,7 @@
 func newExchange(w http.ResponseWriter, work func()) *exchange {
 	ctx := context.WithValue(context.Background(), arrivalKey{}, time.Now())
 	e := &exchange{writer: w, work: work, turn: make(chan struct{})}
-	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.ctx, e.cancel = context.WithCancelCause(ctx)
 	return e
 }
 
@@ -73,7 +82,7 @@
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
-		e.cancel()
+		e.cancel(ErrDisconnected)
 		return false
 	}
 	p.pending = append(p.pending, e)
@@ -130,7 +139,7 @@
 
 // finish removes an exchange whose response is written; it is the oldest unless the connection is closed.
 func (p *pipeline) finish(e *exchange) {
-	e.cancel()
+	e.cancel(ErrAnswered)
 	p.mu.Lock()
 	p.running--
 	for i, other := range p.pending {
@@ -181,7 +190,7 @@
 	p.mu.Lock()
 	p.closed = true
 	for _, e := range p.pending {
-		e.cancel()
+		e.cancel(ErrDisconnected)
 		if e.writeRefusal == nil {
 			e.grantTurn()
 		}
