--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -49,7 +49,7 @@
 
 // errorResult converts an error of the instance's client. The request counts as not run only if no byte of it was sent.
 func (e *executor) errorResult(ctx context.Context, err error, deadline time.Time) runResult {
-	cancelled := errors.Is(context.Cause(ctx), context.Canceled)
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	deadlinePassed := !time.Now().Before(deadline)
 	if errors.Is(err, instance.ErrUnsent) {
 		reason := call.NoUpstream
