A request's exchange is part of its context, not found by a pooled object's address

A request could take over the exchange of the answered one before it: its context, which was about to end, and its turn, which was granted. The exchange was found by the address of nbhttp's response object, and that is back in its pool before the exchange is off the list.

The exchange is now created when the request is complete, and the request's context holds it, so there is nothing to find. Arrival time, cancellation, turns and refusals are as before.

go test -run TestNextRequest -count 50 ./internal/wire/httpd before: 50 of 50 failed, Actual: 'context canceled'; now: 50 of 50 pass

Trial on the code before: a real server with 200 and 1,000 kept connections, one request at a time, a handler of 1 ms, GOMAXPROCS 2 and 12, beside 24 busy loops on 12 cores, 15 s each, 989,585 requests in all: no context ended while its caller waited. So the fault is shown to be possible, not to be what the users saw.

--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -38,10 +38,10 @@
 	headSize        int
 	bodyReserved    int64
 	timer           *time.Timer
-	// completeBytes is the size of the body of the complete request that is being delivered, nextWriter writes its
-	// response, and closeRequested says whether its caller asked to close the connection after it.
+	// completeBytes is the size of the body of the complete request that is being delivered, next is its exchange, and
+	// closeRequested says whether its caller asked to close the connection after it.
 	completeBytes  int64
-	nextWriter     http.ResponseWriter
+	next           *exchange
 	closeRequested bool
 
 	pipeline pipeline
@@ -208,25 +208,28 @@
 	}
 }
 
-// announce records the response writer of the request that is being delivered.
-func (g *guard) announce(w http.ResponseWriter, r *http.Request) {
-	g.nextWriter, g.closeRequested = w, r.Close
+// announce creates the exchange of the request that is being delivered. The request's context holds it: nbhttp's response
+// can't identify it, since the object is used again while its last exchange is still pending.
+func (g *guard) announce(r *http.Request) {
+	g.next, g.closeRequested = newExchange(g), r.Close
+	*r = *r.WithContext(g.next.ctx)
 }
 
 // enqueue adds a complete request to the pipeline; the parser calls it with the work that handles the request.
 func (g *guard) enqueue(work func()) bool {
-	bytes := g.completeBytes
+	bytes, exch := g.completeBytes, g.next
 	// A running request has its own deadline; the connection's read deadline must not end it.
 	_ = g.conn.SetReadDeadline(time.Time{})
 	if g.pipeline.len() >= maxPending {
+		exch.cancel(ErrAnswered)
 		g.server.bodyBytes.release(bytes)
 		g.refuse(Full)
 		return false
 	}
-	exch := newExchange(g.nextWriter, func() {
+	exch.work = func() {
 		work()
 		g.server.bodyBytes.release(bytes)
-	})
+	}
 	if !g.pipeline.enqueue(exch) {
 		g.server.bodyBytes.release(bytes)
 		return false
@@ -276,7 +279,7 @@
 	g.bodyReserved = 0
 	raw := g.server.refusal(f)
 	g.stopTimer()
-	exch := newExchange(nil, nil)
+	exch := newExchange(nil)
 	exch.writeRefusal = func() {
 		_, _ = g.conn.Write(raw)
 		time.AfterFunc(lingerTime, func() { _ = g.conn.Close() })
--- a/internal/wire/httpd/pipeline.go
+++ b/internal/wire/httpd/pipeline.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +46,8 @@
 
 // exchange is one request of a connection with its response.
 type exchange struct {
-	writer http.ResponseWriter
+	// guard is that of the connection; a refusal has none.
+	guard  *guard
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// work handles the request and writes its response.
@@ -70,13 +70,22 @@
 	return time.Now()
 }
 
-func newExchange(w http.ResponseWriter, work func()) *exchange {
+// exchangeKey is the context key of a request's exchange.
+type exchangeKey struct{}
+
+func newExchange(g *guard) *exchange {
+	e := &exchange{guard: g, turn: make(chan struct{})}
 	ctx := context.WithValue(context.Background(), arrivalKey{}, time.Now())
-	e := &exchange{writer: w, work: work, turn: make(chan struct{})}
-	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	e.ctx, e.cancel = context.WithCancelCause(context.WithValue(ctx, exchangeKey{}, e))
 	return e
 }
 
+// exchangeOf returns the exchange of the context's request, or false.
+func exchangeOf(ctx context.Context) (*exchange, bool) {
+	e, ok := ctx.Value(exchangeKey{}).(*exchange)
+	return e, ok
+}
+
 // enqueue adds a request, and starts it if the limits allow; false means that the connection is closed.
 func (p *pipeline) enqueue(e *exchange) bool {
 	p.mu.Lock()
@@ -152,18 +161,6 @@
 	p.advance()
 }
 
-// find returns the exchange of the given response writer, or nil.
-func (p *pipeline) find(w http.ResponseWriter) *exchange {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, e := range p.pending {
-		if e.writer == w {
-			return e
-		}
-	}
-	return nil
-}
-
 // isLast reports whether no request is pending after the exchange.
 func (p *pipeline) isLast(e *exchange) bool {
 	p.mu.Lock()
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -136,10 +136,10 @@
 	}
 }
 
-// announce passes a request's response writer to the guard of its connection.
+// announce tells the guard of a connection that a request is complete.
 func announce(w http.ResponseWriter, r *http.Request) {
 	if g, ok := guardOf(w); ok {
-		g.announce(w, r)
+		g.announce(r)
 	}
 }
 
--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -13,29 +13,21 @@
 // wrap returns a handler that writes its response in the order of the requests, with a context that is cancelled when the caller disconnects.
 func (s *Server) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g, e := exchangeOf(w)
-		if e == nil {
+		e, ok := exchangeOf(r.Context())
+		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
-		res := &responseWriter{ResponseWriter: w, guard: g, exchange: e, closeRequested: r.Close}
+		res := &responseWriter{ResponseWriter: w, guard: e.guard, exchange: e, closeRequested: r.Close}
 		// nbhttp would close the connection while the response is still in its send queue.
 		r.Close = false
 		defer crashOnPanic()
+		// The handler gets a copy: nbhttp clears its own and uses it again.
 		next.ServeHTTP(res, r.WithContext(e.ctx))
 		res.finish()
 	})
 }
 
-// exchangeOf returns the guard of the writer's connection and the writer's exchange; the exchange is nil if there is none.
-func exchangeOf(w http.ResponseWriter) (*guard, *exchange) {
-	g, ok := guardOf(w)
-	if !ok {
-		return nil, nil
-	}
-	return g, g.pipeline.find(w)
-}
-
 // guardOf returns the guard of the connection of an nbhttp response writer, or false.
 func guardOf(w http.ResponseWriter) (*guard, bool) {
 	res, ok := w.(*nbhttp.Response)
