A caller is sent only an instance's own, signed success, or a failure of ours

What callers saw: a success without a signature. The default was open: call.Outcome's zero value meant a whole response, the caller's daemon took over any result of another daemon without a look, and a request that counted as cancelled got 499, for which the HTTP library writes 200.

- The zero value of call.Outcome is Unset, no outcome.
Each result of an attempt is checked too, so that a request that may be repeated is tried elsewhere.
What nobody decided, or is a success without a signature, of another request, encoded, or of no final status, becomes a lost response, counted and logged with what was wrong with it.
- The status of a response of our own follows from its reason and is never taken from another daemon; one that may have run never gets 503.
- A request that counts as cancelled gets 503 if it did not run, else 502.
Another daemon's cancelled isn't final while the caller waits.
- Headers that an instance's Connection header names are removed before the check, so a signature can't be lost after it.

--- a/internal/app/router/defect.go
+++ b/internal/app/router/defect.go
@@ -11,58 +11,61 @@
 
 //go:generate stringer -type=defect -linecomment
 
-// defect is what is wrong with a response to a caller.
+// defect is what is wrong with a response, so that no caller may be sent it.
 type defect uint8
 
 const (
 	// sound means that nothing is wrong.
 	sound defect = iota // none
-	// unwritableStatus means that the status can't be written, or isn't one of a final response.
-	unwritableStatus // unwritableStatus
-	// ownSuccess means that a response of this daemon's own has a status below 400.
-	ownSuccess // ownSuccess
+	// undecided means that there is no outcome.
+	undecided // undecided
+	// badStatus means that the status is none that a final response has.
+	badStatus // badStatus
 	// unsigned means that a response with a status below 400 has no signature of an instance.
 	unsigned // unsigned
 	// foreign means that an instance's response belongs to another request.
 	foreign // foreign
+	// encoded means that the body is not the instance's own bytes.
+	encoded // encoded
 )
 
-// defectOf returns what is wrong with the response.
-func (r *Router) defectOf(req *request, answer call.Answer, decided int) defect {
-	head := r.heads.Answer(decided, answer.Header)
-	switch {
-	case writtenStatus(decided) != decided:
-		return unwritableStatus
-	case decided >= http.StatusBadRequest:
+// maxStatus is the highest HTTP status.
+const maxStatus = 999
+
+// defectOf returns what is wrong with the response to the request.
+func (r *Router) defectOf(req *request, answer call.Answer) defect {
+	switch answer.Outcome {
+	case call.NotRun, call.Unknown:
 		return sound
-	case answer.Outcome != call.Whole:
-		return ownSuccess
-	case !head.Authentic:
-		return unsigned
-	case head.RequestID != "" && head.RequestID != req.id:
-		return foreign
+	case call.Whole:
+		return r.defectOfInstance(req, answer)
 	default:
-		return sound
+		return undecided
 	}
 }
 
-// writtenStatus returns the status that the HTTP library writes for the one that was decided.
-func writtenStatus(decided int) int {
-	if http.StatusText(decided) == "" {
-		return http.StatusOK
+// defectOfInstance returns what is wrong with an instance's response.
+func (r *Router) defectOfInstance(req *request, answer call.Answer) defect {
+	head := r.heads.Answer(answer.Status, answer.Header)
+	switch {
+	case answer.Status < http.StatusOK || answer.Status > maxStatus:
+		return badStatus
+	case head.RequestID != "" && head.RequestID != req.id:
+		return foreign
+	case head.Encoded:
+		return encoded
+	case !head.Authentic && answer.Status < http.StatusBadRequest:
+		return unsigned
+	default:
+		return sound
 	}
-	return decided
 }
 
-// reportDefect counts and logs a response to a caller that has a defect.
-func (r *Router) reportDefect(req *request, answer call.Answer, decided, written int) {
-	found := r.defectOf(req, answer, decided)
-	if found == sound {
-		return
-	}
+// reportDefect counts and logs a response that its caller isn't sent. The instance is empty if the response isn't the result of one attempt.
+func (r *Router) reportDefect(req *request, answer call.Answer, found defect, instance string) {
 	r.metrics.Tagged(map[string]string{"defect": found.String()}).Counter(telemetry.ResponsesReplaced).Inc(1)
 	r.log.WithFields(logrus.Fields{
-		"requestId": req.id, "defect": found.String(), "outcome": answer.Outcome.String(), "reason": answer.Reason.String(),
-		"decidedStatus": decided, "writtenStatus": written, "bodyBytes": len(answer.Body), "offers": req.attempts,
+		"requestId": req.id, "instance": instance, "defect": found.String(), "outcome": answer.Outcome.String(), "status": answer.Status,
+		"bodyBytes": len(answer.Body), "offers": req.attempts,
 	}).Warn("response replaced")
 }
--- a/internal/app/router/defect_string.go
+++ b/internal/app/router/defect_string.go
@@ -9,15 +9,16 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[sound-0]
-	_ = x[unwritableStatus-1]
-	_ = x[ownSuccess-2]
+	_ = x[undecided-1]
+	_ = x[badStatus-2]
 	_ = x[unsigned-3]
 	_ = x[foreign-4]
+	_ = x[encoded-5]
 }
 
-const _defect_name = "noneunwritableStatusownSuccessunsignedforeign"
+const _defect_name = "noneundecidedbadStatusunsignedforeignencoded"
 
-var _defect_index = [...]uint8{0, 4, 20, 30, 38, 45}
+var _defect_index = [...]uint8{0, 4, 13, 22, 30, 37, 44}
 
 func (i defect) String() string {
 	idx := int(i) - 0
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -69,8 +67,9 @@
 		}
 	}
 	req.contextEnd = context.Cause(in.Context())
-	r.recordRequest(req, answer)
-	r.write(w, req, answer)
+	res := r.respond(req, answer)
+	r.recordRequest(req, answer, res.status)
+	res.write(w)
 }
 
 // defaultTimeout applies to a request for which neither the caller nor the operator sets a timeout.
@@ -237,54 +236,6 @@
 	return body, err
 }
 
-// connectionHeaders are the canonical names of headers that concern only the connection on which they arrive, or that this daemon sets itself.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host",
-}
-
-// removeConnectionHeaders removes the headers that concern only one connection, and those that its Connection header names as such.
-func removeConnectionHeaders(header http.Header) http.Header {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		delete(header, name)
-	}
-	return header
-}
-
-// write sends the response to the caller: an instance's response as it is, any other with a body and headers that state the Retry-After
-// delay.
-func (r *Router) write(w http.ResponseWriter, req *request, answer call.Answer) {
-	h := w.Header()
-	if answer.Outcome == call.Whole {
-		for name, values := range removeConnectionHeaders(answer.Header) {
-			h[name] = values
-		}
-	} else {
-		r.heads.Refuse(h, req.id, answer.RetryAfter)
-		h.Set("Content-Type", "application/json")
-		answer.Body = refusalBody(req.id, answer)
-	}
-	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	decided := status(answer)
-	r.reportDefect(req, answer, decided, writtenStatus(decided))
-	w.WriteHeader(decided)
-	_, _ = w.Write(answer.Body)
-}
-
-// status returns the response's HTTP status. A request that did not run for lack of time gets 503: a 504 leaves open whether it ran, so the
-// caller would have to find out what became of, say, a payment that was never started.
-func status(answer call.Answer) int {
-	if answer.Outcome == call.NotRun && answer.Status == http.StatusGatewayTimeout {
-		return http.StatusServiceUnavailable
-	}
-	return answer.Status
-}
-
 // refuseFault returns the response to a request that was refused before it was fully received.
 func (r *Router) refuseFault(fault httpd.Fault) (int, http.Header, []byte) {
 	refusal := call.Refuse(call.BadRequest, 0)
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -59,6 +60,34 @@
 	InstanceLeaving bool `msgpack:"instanceLeaving"`
 }
 
+// answer returns the response that the result stands for. The status of a response that isn't an instance's follows from its reason.
+func (res *runResult) answer() call.Answer {
+	switch res.Outcome {
+	case call.Whole:
+		return call.Answer{Outcome: call.Whole, Status: res.Status, Header: removeConnectionHeaders(http.Header(res.Header)), Body: res.Body}
+	case call.NotRun:
+		return call.Refuse(res.Reason, res.RetryAfter)
+	case call.Unknown:
+		return call.UnknownOutcome(lostReason(res.Reason))
+	default:
+		return call.Answer{}
+	}
+}
+
+// lostReason returns the reason of an unknown outcome. A daemon that decided nothing gives none.
+func lostReason(stated call.Reason) call.Reason {
+	if stated == call.None {
+		return call.AnswerLost
+	}
+	return stated
+}
+
+// lose makes the result a lost response; the instance may have run the request.
+func (res *runResult) lose(reason call.Reason) {
+	lost := call.UnknownOutcome(reason)
+	res.Outcome, res.Reason, res.Status, res.Header, res.Body, res.Arrived = lost.Outcome, lost.Reason, lost.Status, nil, nil, true
+}
+
 // fetchRequest asks another daemon for everything newer than the given version and revision.
 type fetchRequest struct {
 	Version  uint64 `msgpack:"version"`
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -180,16 +180,35 @@
 	} else {
 		r.recordStatements(inst.Incarnation(), &res, now)
 	}
+	answer := r.resultAnswer(ctx, req, inst, &res)
 	result := sendResult(res, err)
 	r.balancer.Record(inst, result, now.Sub(started), res.Load, now)
 	req.attempts.add(inst, result, res, now.Sub(started))
 	req.observe(res)
-	return attemptResult{
-		answer: call.Answer{
-			Outcome: res.Outcome, Reason: res.Reason, Status: res.Status, Header: res.Header, Body: res.Body, RetryAfter: res.RetryAfter,
-		},
-		sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed,
+	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed}
+}
+
+// resultAnswer returns the response that an attempt's result stands for, and makes a result that no caller may be sent a lost response. A
+// daemon that says cancelled means an end on its own side: while the request's context goes on, its caller waits.
+func (r *Router) resultAnswer(ctx context.Context, req *request, inst routing.Instance, res *runResult) call.Answer {
+	answer := res.answer()
+	if found := r.defectOf(req, answer); found != sound {
+		r.reportDefect(req, answer, found, inst.ID)
+		res.lose(call.AnswerLost)
+		return res.answer()
+	}
+	if answer.Reason == call.Cancelled && ctx.Err() == nil {
+		return cancelledElsewhere(answer)
+	}
+	return answer
+}
+
+// cancelledElsewhere returns the response to a request that another daemon cancelled although its caller waits.
+func cancelledElsewhere(answer call.Answer) call.Answer {
+	if answer.Outcome == call.NotRun {
+		return call.Refuse(call.NoUpstream, noInstanceRetryAfter)
 	}
+	return call.UnknownOutcome(call.AnswerLost)
 }
 
 // recordStatements takes over what a result says of its instance. Other daemons hear early of an instance that is about to end.
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -44,16 +44,16 @@
 
 // recordRequest counts and logs the result of a caller's request. Requests that succeed at the first attempt are sampled; every refusal,
 // failure and retry is logged.
-func (r *Router) recordRequest(req *request, answer call.Answer) {
+func (r *Router) recordRequest(req *request, answer call.Answer, status int) {
 	took := time.Since(req.arrivedAt)
 	r.responses.add(answer, took)
-	succeeded := answer.Outcome == call.Whole && answer.Status < statusFailed && len(req.attempts) == 1
+	succeeded := answer.Outcome == call.Whole && status < statusFailed && len(req.attempts) == 1
 	if succeeded && !r.responses.sample() {
 		return
 	}
 	view := r.view.Load()
 	fields := logrus.Fields{
-		"requestId": req.id, "method": req.method, "outcome": answer.Outcome.String(), "status": status(answer), "tookMs": took.Milliseconds(),
+		"requestId": req.id, "method": req.method, "outcome": answer.Outcome.String(), "status": status, "tookMs": took.Milliseconds(),
 		"version": version(view), "revision": view.Revision,
 	}
 	if answer.Reason != call.None {
--- a/internal/domain/call/answer.go
+++ b/internal/domain/call/answer.go
@@ -27,7 +27,11 @@
 
 // Refuse returns the response to a request that was not run; a zero retryAfter means that a client retry can't succeed.
 func Refuse(reason Reason, retryAfter time.Duration) Answer {
-	return Answer{Outcome: NotRun, Reason: reason, Status: reason.Status(), RetryAfter: retryAfter}
+	status := reason.Status()
+	if reason == Cancelled {
+		status = statusUnavailable
+	}
+	return Answer{Outcome: NotRun, Reason: reason, Status: status, RetryAfter: retryAfter}
 }
 
 // UnknownOutcome returns the response to a request that may have been run.
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -6,12 +6,14 @@
 //go:generate stringer -type=Reason -linecomment
 //go:generate stringer -type=Priority -linecomment
 
-// Outcome tells a caller whether its request was run.
+// Outcome tells a caller whether its request was run. Its zero value is no outcome, and callers are sent a failure for it.
 type Outcome uint8
 
 const (
+	// Unset means that nothing was decided.
+	Unset Outcome = iota // unset
 	// Whole means that the upstream's complete response is passed on.
-	Whole Outcome = iota // whole
+	Whole // whole
 	// NotRun means that no upstream executed any part of the request.
 	NotRun // notRun
 	// Unknown means that an upstream may have executed the request.
@@ -54,7 +56,7 @@
 	UpstreamShed // upstreamShed
 	// AnswerLost means that the request was sent and no complete response was received.
 	AnswerLost // answerLost
-	// Cancelled means that the caller closed the connection.
+	// Cancelled means that the caller closed the connection. A caller that reads on nevertheless is sent an ordinary failure.
 	Cancelled // cancelled
 	// Undecided means that hosts that may know the idempotency key are unreachable.
 	Undecided // undecided
@@ -132,7 +134,6 @@
 	statusConflict        = 409
 	statusTooLarge        = 413
 	statusTooManyRequests = 429
-	statusClientClosed    = 499
 	statusBadGateway      = 502
 	statusUnavailable     = 503
 	statusTimeout         = 504
@@ -154,7 +155,7 @@
 	Repeated:         statusConflict,
 	UpstreamShed:     statusUnavailable,
 	AnswerLost:       statusBadGateway,
-	Cancelled:        statusClientClosed,
+	Cancelled:        statusBadGateway,
 	Undecided:        statusUnavailable,
 	TimedOut:         statusTimeout,
 	ZoneDrained:      statusUnavailable,
--- a/internal/domain/call/outcome_string.go
+++ b/internal/domain/call/outcome_string.go
@@ -8,14 +8,15 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[Whole-0]
-	_ = x[NotRun-1]
-	_ = x[Unknown-2]
+	_ = x[Unset-0]
+	_ = x[Whole-1]
+	_ = x[NotRun-2]
+	_ = x[Unknown-3]
 }
 
-const _Outcome_name = "wholenotRunoutcomeUnknown"
+const _Outcome_name = "unsetwholenotRunoutcomeUnknown"
 
-var _Outcome_index = [...]uint8{0, 5, 11, 25}
+var _Outcome_index = [...]uint8{0, 5, 10, 16, 30}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
