The embedded interface writes a success only for an upstream's whole response

respond, through which each response of the callers' handler passes, checks what was decided: a whole response needs a final status and no reason, a refusal or failure a reason and a status of 400 or above that has a name. Anything else becomes outcomeUnknown with 502 and a warning "response replaced" with the request's id, what was decided and the status written. A request that counts as cancelled is written as 502 too, never as 499, which the library would write as 200; it is logged only if its caller still waits.

--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
@@ -41,7 +42,7 @@
 	if answer.Outcome == call.NotRun {
 		d.rateLimiter.returnToken(&a)
 	}
-	d.respond(w, &a.request, answer, started)
+	d.respond(r.Context(), w, &a.request, answer, started)
 }
 
 // reject logs and writes the response to a request that was not admitted.
@@ -52,16 +53,51 @@
 		"path": request.Path, "method": request.Method, "depth": request.Depth,
 		"outcome": refusal.Outcome.String(), "reason": refusal.Reason.String(), "retryAfterMs": refusal.RetryAfter.Milliseconds(),
 	}).Info("door")
-	d.respond(w, request, refusal, started)
+	d.respond(r.Context(), w, request, refusal, started)
 }
 
-func (d *Daemon) respond(w http.ResponseWriter, r *call.Request, a call.Answer, started time.Time) {
-	d.responses.add(a, time.Since(started))
-	if a.Outcome == call.Whole {
-		writeAnswer(w, r, a)
+// respond writes the response to an admitted or refused request. It is the only place that does, and writes a success only
+// if it is an upstream's whole response.
+func (d *Daemon) respond(ctx context.Context, w http.ResponseWriter, r *call.Request, a call.Answer, started time.Time) {
+	callerLeft := a.Reason == call.Cancelled && ctx.Err() != nil
+	written, counted := a, a
+	if !isDecided(a) || a.Reason == call.Cancelled {
+		written = call.UnknownOutcome(call.AnswerLost)
+		if !callerLeft {
+			counted = written
+			d.logReplaced(r, a, written)
+		}
+	}
+	d.responses.add(counted, time.Since(started))
+	if written.Outcome == call.Whole {
+		writeAnswer(w, r, written)
 		return
 	}
-	writeRefusal(w, r, a)
+	writeRefusal(w, r, written)
+}
+
+// isDecided reports whether the answer is an upstream's whole response, or a refusal or failure with a reason and a status
+// for it.
+func isDecided(a call.Answer) bool {
+	switch a.Outcome {
+	case call.Whole:
+		return a.Reason == call.None && a.Status >= http.StatusOK && a.Status <= maxStatus
+	case call.NotRun, call.Unknown:
+		return a.Reason != call.None && a.Status >= http.StatusBadRequest && http.StatusText(a.Status) != ""
+	default:
+		return false
+	}
+}
+
+// maxStatus is the highest status of three digits.
+const maxStatus = 999
+
+// logReplaced logs a response that was not written as decided.
+func (d *Daemon) logReplaced(r *call.Request, decided, written call.Answer) {
+	d.log.WithFields(logrus.Fields{
+		"requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
+		"outcome": decided.Outcome.String(), "reason": decided.Reason.String(), "status": decided.Status, "written": written.Status,
+	}).Warn("response replaced")
 }
 
 func writeAnswer(w http.ResponseWriter, r *call.Request, a call.Answer) {
--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -63,8 +65,8 @@
 }
 
 // respondTo writes the response to a caller that has sent the request.
-func respondTo(d *Daemon, w http.ResponseWriter, _ *http.Request, r *call.Request, answer call.Answer) {
-	d.respond(w, r, answer, time.Now())
+func respondTo(d *Daemon, w http.ResponseWriter, from *http.Request, r *call.Request, answer call.Answer) {
+	d.respond(from.Context(), w, r, answer, time.Now())
 }
 
 // Guards against a response that nobody decided, or decided otherwise, which reaches its caller as a success.
@@ -90,6 +92,7 @@
 		{"not run with a success's status", call.Answer{Outcome: call.NotRun, Reason: call.Overloaded, Status: http.StatusOK}, lost},
 		{"unknown with a success's status", call.Answer{Outcome: call.Unknown, Reason: call.AnswerLost, Status: http.StatusOK}, lost},
 		{"unknown with a redirection's status", call.Answer{Outcome: call.Unknown, Reason: call.AnswerLost, Status: http.StatusFound}, lost},
+		{"not run with a status without a name", call.Answer{Outcome: call.NotRun, Reason: call.Overloaded, Status: 599}, lost},
 		{"an outcome that doesn't exist", call.Answer{Outcome: 200, Status: http.StatusOK, Body: []byte("body")}, lost},
 		{"cancelled while the caller waits", call.UnknownOutcome(call.Cancelled), lost},
 		{"cancelled before it ran while the caller waits", call.Refuse(call.Cancelled, 0), lost},
@@ -115,3 +118,41 @@
 		})
 	}
 }
+
+// TestReplacedResponsesAreLogged guards against a response that differs from what was decided and shows nowhere.
+func TestReplacedResponsesAreLogged(t *testing.T) {
+	cancelled := call.UnknownOutcome(call.Cancelled)
+	for _, c := range []struct {
+		name       string
+		answer     call.Answer
+		callerLeft bool
+		want       string
+	}{
+		{"a decided refusal", call.Refuse(call.Overloaded, 0), false, ""},
+		{"nothing decided", call.Answer{}, false, "response replaced r1 0 502"},
+		{"cancelled while the caller waits", cancelled, false, "response replaced r1 499 502"},
+		{"cancelled by the caller", cancelled, true, ""},
+	} {
+		Convey(c.name, t, func() {
+			var out bytes.Buffer
+			d := respondingDaemon()
+			d.log = telemetry.NewLog(&out, d.settings.LogLevel)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.callerLeft {
+				cancel()
+			}
+			d.respond(ctx, httptest.NewRecorder(), &call.Request{ID: "r1"}, c.answer, time.Now())
+			var line struct {
+				Msg, RequestID  string
+				Status, Written int
+			}
+			if c.want == "" {
+				So(out.String(), ShouldBeEmpty)
+				return
+			}
+			So(json.Unmarshal(out.Bytes(), &line), ShouldBeNil)
+			So(fmt.Sprintf("%s %s %d %d", line.Msg, line.RequestID, line.Status, line.Written), ShouldEqual, c.want)
+		})
+	}
+}
