Another daemon's word that a request is cancelled is final while its caller waits: failing test

Two stand-ins for other daemons reply to forwarded requests with a reply without fields, with statuses that don't exist, with a refusal with status 200, and with "cancelled".

--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -11,15 +11,19 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -156,3 +160,99 @@
 		})
 	}
 }
+
+// forwardingDaemon returns a daemon whose service runs on two other hosts, whose daemons reply as the function says.
+func forwardingDaemon(t *testing.T, reply func(req runRequest) runResult) *Daemon {
+	d := respondingDaemon()
+	d.peers = peer.New(loopback.Address())
+	d.control = &control{failures: make(chan hostFailure, maxPendingFailures)}
+	d.dedup = newDeduplicator(d)
+	respond := func(_ context.Context, _ netip.AddrPort, req runRequest) runResult { return reply(req) }
+	hosts, nodes := &lists.Hosts{}, []*peer.Node{d.peers}
+	for _, host := range []string{"away-1", "away-2"} {
+		address := loopback.Address()
+		away := peer.New(address)
+		peer.Handle(away, peer.KindCall, respond)
+		peer.Handle(away, peer.KindRunOnce, respond)
+		nodes = append(nodes, away)
+		hosts.Hosts = append(hosts.Hosts, lists.Host{Host: host, Service: "lookup", Zone: "a", Peer: address})
+	}
+	d.view.Store(lists.NewView([lists.Kinds]uint64{1, 1, 1, 1}, nil, nil, nil, hosts))
+	for _, node := range nodes {
+		if err := node.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(node.Stop)
+	}
+	return d
+}
+
+// route dispatches the request of a caller and writes the response.
+func route(d *Daemon, w http.ResponseWriter, r *http.Request, key string, idempotent bool) {
+	a := admittedRequest{account: budget.New(8), request: call.Request{
+		ID: "r1", Organisation: "dealer", Operation: "lookup.book", Service: "lookup", Method: http.MethodPost, Path: r.URL.Path,
+		IdempotencyKey: key, Idempotent: idempotent, Budget: 8, Deadline: time.Now().Add(5 * time.Second),
+	}}
+	respondTo(d, w, r, &a.request, d.dedup.route(r.Context(), a))
+}
+
+// Guards against a reply of another daemon that isn't a decision on the request, or that gives it up while its caller waits.
+func TestRepliesOfOtherDaemons(t *testing.T) {
+	lost := received{status: http.StatusBadGateway, outcome: call.Unknown.String()}
+	noUpstream := received{status: http.StatusServiceUnavailable, outcome: call.NotRun.String()}
+	served := received{status: http.StatusOK, outcome: call.Whole.String()}
+	whole := func(status int) runResult {
+		return runResult{Outcome: call.Whole, Status: status, Body: []byte("body"), BudgetLeft: 7}
+	}
+	withBudget := func(a call.Answer, left int) runResult {
+		a.BudgetLeft = left
+		return newRunResult(a)
+	}
+	cancelledRun := withBudget(call.UnknownOutcome(call.Cancelled), 7)
+	cancelledBefore := withBudget(call.Refuse(call.Cancelled, 0), 8)
+	cases := []struct {
+		name string
+		// replies are those to the attempts of one request, in turn; the last one is repeated.
+		replies    []runResult
+		key        string
+		idempotent bool
+		want       received
+	}{
+		{"empty", []runResult{{}}, "", false, lost},
+		{"empty, with a key", []runResult{{}}, "k", false, lost},
+		{"status 0", []runResult{whole(0)}, "", false, lost},
+		{"status 99", []runResult{whole(99)}, "", false, lost},
+		{"status 1000", []runResult{whole(1000)}, "", false, lost},
+		{"status 1000, with a key", []runResult{whole(1000)}, "k", false, lost},
+		{"not run, status 200", []runResult{{Outcome: call.NotRun, Reason: call.Overloaded, Status: http.StatusOK}}, "", false, lost},
+		{"unknown, status 0", []runResult{{Outcome: call.Unknown, Reason: call.AnswerLost}}, "", false, lost},
+		{"cancelled while it ran", []runResult{cancelledRun}, "", false, lost},
+		{"cancelled while it ran, with a key", []runResult{cancelledRun}, "k", false, lost},
+		{"cancelled before it ran", []runResult{cancelledBefore}, "", false, noUpstream},
+		{"cancelled before it ran, with a key", []runResult{cancelledBefore}, "k", false, noUpstream},
+		{"whole", []runResult{whole(http.StatusOK)}, "", false, served},
+		{"whole, with a key", []runResult{whole(http.StatusOK)}, "k", false, served},
+		{"cancelled while it ran, then served", []runResult{cancelledRun, whole(http.StatusOK)}, "", true, served},
+		{"cancelled before it ran, then served", []runResult{cancelledBefore, whole(http.StatusOK)}, "", false, served},
+		{"status 0, not to be repeated", []runResult{whole(0), whole(http.StatusOK)}, "", false, lost},
+	}
+	attempts := make([]atomic.Int64, len(cases))
+	d := forwardingDaemon(t, func(req runRequest) runResult {
+		number, _ := strconv.Atoi(strings.TrimPrefix(req.Path, "/"))
+		replies := cases[number].replies
+		return replies[min(int(attempts[number].Add(1)), len(replies))-1]
+	})
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		number, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		route(d, w, r, cases[number].key, cases[number].idempotent)
+	})
+	for number, c := range cases {
+		Convey(c.name, t, func() {
+			read, err := get(address, number)
+			So(err, ShouldBeNil)
+			So(read.status, ShouldEqual, c.want.status)
+			So(read.outcome, ShouldEqual, c.want.outcome)
+			So(read.refusal.Reason, ShouldNotEqual, call.Cancelled.String())
+		})
+	}
+}
