--- a/internal/app/daemon/spreading_test.go
+++ b/internal/app/daemon/spreading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
 	"time"
 
@@ -16,7 +17,9 @@
 	// once, its host would run short of memory for the upstream.
 	Convey("Peers that fetch a large list at once get it one after another, and the last ones get nothing", t, func() {
 		now := time.Unix(1_000_000, 0)
-		c := &control{archive: &spread.Archive{}}
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		c := &control{archive: &spread.Archive{}, ctx: ended}
 		c.archive.Store(lists.Value{Kind: lists.KindKeys, Version: 1, Raw: bytes.Repeat([]byte{' '}, 1<<20)})
 		c.archive.Store(lists.Value{Kind: lists.KindPlans, Version: 1, Raw: []byte(`{"organisations":[]}`)})
 		whole := 0
