Another daemon's reply is checked where it arrives, and cancelled isn't final while the caller waits

A reply that decides nothing counts as a lost response, before it is retried upon, learnt from or kept for an idempotency key. A reply "cancelled" is passed on only if this daemon's own caller has left. Otherwise a request that didn't run counts as not run for want of an upstream and may go to another host, and one that may have run as lost, which is repeated only if the operation is idempotent.

--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -170,7 +170,7 @@
 	}
 	reply, err := peer.Call[runRequest, runResult](ctx, d.peers, host.Peer, peer.KindCall, newRunRequest(r, time.Now()))
 	if err == nil {
-		return reply.answer()
+		return reply.decision(ctx)
 	}
 	return d.forwardingFailure(r, err)
 }
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -83,7 +83,8 @@
 	case call.Whole:
 		return a.Reason == call.None && a.Status >= http.StatusOK && a.Status <= maxStatus
 	case call.NotRun, call.Unknown:
-		return a.Reason != call.None && a.Status >= http.StatusBadRequest && http.StatusText(a.Status) != ""
+		known := http.StatusText(a.Status) != "" || a.Status == a.Reason.Status()
+		return a.Reason != call.None && a.Status >= http.StatusBadRequest && known
 	default:
 		return false
 	}
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
@@ -92,6 +94,26 @@
 	}
 }
 
+// decision returns the response that another daemon's reply stands for.
+//
+// A reply that decides nothing counts as lost. One that gives the request up though its caller here still waits is no
+// decision of that caller: the other daemon's link may have ended. Such a request that did not run may go to another host.
+func (res *runResult) decision(ctx context.Context) call.Answer {
+	answer := res.answer()
+	switch {
+	case !isDecided(answer):
+		return call.UnknownOutcome(call.AnswerLost)
+	case answer.Reason != call.Cancelled || errors.Is(ctx.Err(), context.Canceled):
+		return answer
+	case answer.Outcome == call.NotRun:
+		answer.Reason, answer.RetryAfter = call.NoUpstream, time.Second
+	default:
+		answer.Reason = call.AnswerLost
+	}
+	answer.Status = answer.Reason.Status()
+	return answer
+}
+
 func (d *Daemon) handleRunRequest(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
 	defer d.inFlight.begin().end()
 	r := req.request(time.Now())
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -139,7 +139,7 @@
 func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request) call.Answer {
 	reply, err := peer.Call[runRequest, runResult](ctx, d.daemon.peers, host.Peer, peer.KindRunOnce, newRunRequest(sent, time.Now()))
 	if err == nil {
-		return reply.answer()
+		return reply.decision(ctx)
 	}
 	answer := d.daemon.forwardingFailure(sent, err)
 	// The holder may be in another region, where this daemon exchanges no digests with it. Unless failed requests are
