An instance's status below 100 is skipped like an interim response: failing test

The test reads a response with each status of three digits. Those from 000 to 099, which HTTP doesn't have, are skipped like 103, and what follows is read as the response. Seen in a trial with a case for each status: 100 of 1,000 fail, "Expected '<nil>' to NOT be nil".

--- a/internal/wire/instance/belongs_test.go
+++ b/internal/wire/instance/belongs_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,3 +147,26 @@
 		})
 	}
 }
+
+// TestStatusesOfInstances guards against a status that HTTP doesn't have: a lower one was skipped like an interim response.
+func TestStatusesOfInstances(t *testing.T) {
+	Convey("Each status of three digits is passed on, skipped or refused", t, func() {
+		for status := range 1000 {
+			head := fmt.Sprintf("HTTP/1.1 %03d X\r\nX-Request: 1\r\nContent-Length: 0\r\n\r\n", status)
+			cn := &conn{reader: bufio.NewReader(strings.NewReader(head + response("1", "next")))}
+			r := request("1")
+			req, err := r.httpRequest()
+			So(err, ShouldBeNil)
+			res, err := New(netip.AddrPort{}).readResponse(cn, r, req)
+			switch {
+			case status < http.StatusContinue, status == http.StatusSwitchingProtocols:
+				So(err, ShouldNotBeNil)
+			case status < http.StatusOK:
+				So(string(res.Body), ShouldEqual, "next")
+			default:
+				So(err, ShouldBeNil)
+				So(res.Status, ShouldEqual, status)
+			}
+		}
+	})
+}
