--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -218,6 +218,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if res.StatusCode < http.StatusContinue {
+			return nil, errors.Errorf("status %03d does not exist", res.StatusCode)
+		}
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return res, nil
 		}
