A health check takes a response that was there before it: failing test

An instance answers a health check twice. If the next one is sent just as the second answer has been read, that answer is reported as the response to it (Expected '<nil>' to NOT be nil): an instance that no longer is healthy counts as healthy for one check more, and the health check's own response then counts as one to no health check.

--- a/internal/wire/instance/monitor_test.go
+++ b/internal/wire/instance/monitor_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -150,3 +152,29 @@
 		So(second.at.Sub(first.at), ShouldBeGreaterThanOrEqualTo, checkInterval)
 	})
 }
+
+// TestEarlierHealthResponse guards against a second response to a health check that is taken for the response to the next one.
+func TestEarlierHealthResponse(t *testing.T) {
+	Convey("What was there before the health check isn't its response", t, func() {
+		var err error
+		events := make(eventRecorder, 10)
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer func() { _ = near.Close() }()
+			m := NewMonitor(netip.AddrPort{}, events)
+			m.SetPath("/health")
+			responses, done := make(chan *http.Response), make(chan struct{})
+			defer close(done)
+			go readResponses(near, responses, done)
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCold: again\r\n\r\n")
+			time.Sleep(time.Millisecond)
+			go respond(far, bufio.NewReader(far), "Cold: own\r\n")
+			_, err = m.check(near, responses)
+			_ = near.Close()
+			synctest.Wait()
+		})
+		So(err, ShouldNotBeNil)
+		So(events.await("checking").name, ShouldEqual, "checking")
+		So(events, ShouldBeEmpty)
+	})
+}
