A response that began before a health check was sent isn't the check's

It ends the connection, like a response between two health checks. A second response that arrives after the next health check was sent still can't be told apart, since health checks bear no id.

--- a/internal/wire/instance/monitor.go
+++ b/internal/wire/instance/monitor.go
@@ -46,6 +46,7 @@
 
 var (
 	errUnanswered = errors.New("instance: health check not answered")
+	errUnasked    = errors.New("instance: a response to no health check")
 	errClosed     = errors.New("instance: the monitor's connection was closed")
 )
 
@@ -114,7 +115,7 @@
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	responses := make(chan *http.Response)
+	responses := make(chan healthResponse)
 	done := make(chan struct{})
 	defer close(done)
 	go readResponses(c, responses, done)
@@ -124,7 +125,7 @@
 			if !open {
 				return true, errClosed
 			}
-			return true, errors.New("instance: a response to no health check")
+			return true, errUnasked
 		case <-m.requests:
 		case <-time.After(time.Until(m.lastCheck.Add(checkInterval))):
 			m.clearRequest()
@@ -137,7 +138,7 @@
 }
 
 // check sends one health check and passes the response on.
-func (m *Monitor) check(c net.Conn, responses <-chan *http.Response) (*http.Response, error) {
+func (m *Monitor) check(c net.Conn, responses <-chan healthResponse) (*http.Response, error) {
 	sent := time.Now()
 	m.lastCheck = sent
 	m.observer.Checking(sent)
@@ -150,18 +151,32 @@
 		if !open {
 			return nil, errClosed
 		}
+		if res.begun.Before(sent) {
+			return nil, errUnasked
+		}
 		m.observer.Checked(sent, res.StatusCode, res.Header)
-		return res, nil
+		return res.Response, nil
 	case <-time.After(checkTimeout):
 		return nil, errUnanswered
 	}
 }
 
+// healthResponse is a response on the monitor's connection.
+type healthResponse struct {
+	*http.Response
+	// begun is when its first byte was read: a response that began before a health check was sent isn't the check's.
+	begun time.Time
+}
+
 // readResponses passes on the responses on the connection, without their bodies, until it ends or the receiver is done.
-func readResponses(c net.Conn, responses chan<- *http.Response, done <-chan struct{}) {
+func readResponses(c net.Conn, responses chan<- healthResponse, done <-chan struct{}) {
 	defer close(responses)
 	reader := bufio.NewReader(c)
 	for {
+		if _, err := reader.Peek(1); err != nil {
+			return
+		}
+		begun := time.Now()
 		res, err := readHeader(reader, nil)
 		if err != nil {
 			return
@@ -172,7 +187,7 @@
 			return
 		}
 		select {
-		case responses <- res:
+		case responses <- healthResponse{res, begun}:
 		case <-done:
 			return
 		}
--- a/internal/wire/instance/monitor_test.go
+++ b/internal/wire/instance/monitor_test.go
@@ -163,7 +163,7 @@
 			defer func() { _ = near.Close() }()
 			m := NewMonitor(netip.AddrPort{}, events)
 			m.SetPath("/health")
-			responses, done := make(chan *http.Response), make(chan struct{})
+			responses, done := make(chan healthResponse), make(chan struct{})
 			defer close(done)
 			go readResponses(near, responses, done)
 			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCold: again\r\n\r\n")
