A response to HEAD that states a length is lost: failing test

Expected: nil, Actual: 'EOF'. The client allocates the stated length and waits for the body, which a response to HEAD doesn't have. 204 and 304 with a stated length are read as they should.

--- a/internal/wire/instance/belongs_test.go
+++ b/internal/wire/instance/belongs_test.go
@@ -170,3 +170,28 @@
 		}
 	})
 }
+
+// TestResponsesWithoutBody guards against the wait for a body that the request's method or the status rules out, or for its loss.
+func TestResponsesWithoutBody(t *testing.T) {
+	for _, c := range []struct {
+		name, method string
+		status       int
+	}{
+		{"HEAD", http.MethodHead, http.StatusOK},
+		{"no content", http.MethodGet, http.StatusNoContent},
+		{"not modified", http.MethodGet, http.StatusNotModified},
+	} {
+		Convey(c.name, t, func() {
+			head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request: 1\r\nContent-Length: 4\r\n\r\n", c.status)
+			cn := &conn{reader: bufio.NewReader(strings.NewReader(head))}
+			r := request("1")
+			r.Method = c.method
+			req, err := r.httpRequest()
+			So(err, ShouldBeNil)
+			res, err := New(netip.AddrPort{}).readResponse(cn, r, req)
+			So(err, ShouldBeNil)
+			So(res.Status, ShouldEqual, c.status)
+			So(res.Body, ShouldBeEmpty)
+		})
+	}
+}
