--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -229,6 +229,9 @@
 
 // readAll reads the body, up to one byte beyond the limit, into one allocation if its size is known.
 func (c *Client) readAll(res *http.Response) ([]byte, error) {
+	if res.Request != nil && res.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if res.ContentLength < 0 || res.ContentLength > min(c.maxResponse, maxPreallocatedBody) {
 		return io.ReadAll(io.LimitReader(res.Body, c.maxResponse+1))
 	}
