--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -35,7 +35,9 @@
 	Deadline time.Time
 	// Idempotent requests may be retried: such a request may use a connection that has been idle for longer.
 	Idempotent bool
-	// Matches reports whether the response with this header belongs to the request.
+	// Matches reports whether the response with this header may belong to the request. A response that also matches the connection's previous
+	// request is not taken. The request itself bears its id in the same header field, so that a connection on which the same id was used before
+	// can be avoided. The idle connection keeps the function, so it must not hold the request's body.
 	Matches func(http.Header) bool
 	// Observe, if not nil, receives status and header of the response that belongs to the request, before its body is read.
 	Observe func(status int, header http.Header)
@@ -122,7 +124,10 @@
 
 func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
 	if cn := c.pool.get(r.Idempotent, time.Now()); cn != nil {
-		return cn, nil
+		if !cn.belongsToEarlier(r.Header) {
+			return cn, nil
+		}
+		cn.close()
 	}
 	c.opened.Add(1)
 	dialer := net.Dialer{Timeout: dialTimeout, Deadline: r.Deadline, KeepAliveConfig: keepAlive}
@@ -171,6 +176,7 @@
 		}
 		return Response{}, errors.Wrapf(ErrLost, "%v", err)
 	}
+	cn.previous = r.Matches
 	if !stop() || !cn.writtenWhole(written) {
 		cn.reusable = false
 	}
@@ -185,6 +191,9 @@
 			return Response{}, err
 		}
 		matches := r.Matches(header.Header)
+		if matches && cn.belongsToEarlier(header.Header) {
+			return Response{}, errors.New("the response may belong to an earlier request")
+		}
 		if matches && r.Observe != nil {
 			r.Observe(header.StatusCode, header.Header)
 		}
@@ -209,6 +218,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if res.StatusCode < http.StatusContinue {
+			return nil, errors.Errorf("status %03d does not exist", res.StatusCode)
+		}
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return res, nil
 		}
@@ -217,6 +229,9 @@
 
 // readAll reads the body, up to one byte beyond the limit, into one allocation if its size is known.
 func (c *Client) readAll(res *http.Response) ([]byte, error) {
+	if res.Request != nil && res.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if res.ContentLength < 0 || res.ContentLength > min(c.maxResponse, maxPreallocatedBody) {
 		return io.ReadAll(io.LimitReader(res.Body, c.maxResponse+1))
 	}
