--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
@@ -93,8 +94,13 @@
 // maxStatus is the highest status of three digits.
 const maxStatus = 999
 
-// logReplaced logs a response that was not written as decided.
+// logReplaced counts and logs a response that was not written as decided.
 func (d *Daemon) logReplaced(r *call.Request, decided, written call.Answer) {
+	defect := "undecided"
+	if decided.Reason == call.Cancelled {
+		defect = call.Cancelled.String()
+	}
+	d.metrics.Tagged(map[string]string{"defect": defect}).Counter(telemetry.ResponsesReplaced).Inc(1)
 	d.log.WithFields(logrus.Fields{
 		"requestId": r.ID, "organisation": r.Organisation, "operation": r.Operation,
 		"outcome": decided.Outcome.String(), "reason": decided.Reason.String(), "status": decided.Status, "written": written.Status,
