--- a/internal/wire/httpd/backlog_linux.go
+++ b/internal/wire/httpd/backlog_linux.go
@@ -32,7 +32,7 @@
 		return errors.Wrap(err, "http: close port")
 	}
 	var filterErr error
-	_ = raw.Control(func(fd uintptr) { filterErr = dropSYN(int(fd)) })
+	_ = raw.Control(func(fd uintptr) { filterErr = attachFilter(int(fd)) })
 	start := time.Now()
 	for time.Since(start) < maxBacklogTime {
 		time.Sleep(backlogPollInterval)
@@ -54,6 +54,9 @@
 	acceptedLength = 1 << 18
 )
 
+// attachFilter is dropSYN; some machines refuse socket filters.
+var attachFilter = dropSYN
+
 // dropSYN attaches a filter to the socket that drops SYN packets.
 func dropSYN(fd int) error {
 	filter := []unix.SockFilter{
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -67,6 +67,9 @@
 func WithClosing(closing func() bool) Option { return func(s *Server) { s.closing = closing } }
 
 // New returns a server for the address; each request's context is cancelled when its caller disconnects.
+//
+// A caller that closes only its sending side counts as disconnected, and gets no more responses: it can't be told from one
+// that has ended, for which no work should go on.
 func New(address netip.AddrPort, handler http.Handler, opts ...Option) *Server {
 	s := &Server{
 		address:    address,
--- a/internal/wire/httpd/server_test.go
+++ b/internal/wire/httpd/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -50,6 +51,31 @@
 	})
 }
 
+func TestCallerClosesItsSendingSide(t *testing.T) {
+	// Guards against a part of a response, or another's, to a caller that counts as disconnected once it sends no more.
+	started, ended := make(chan struct{}), make(chan error, 1)
+	s, _ := startStoppable(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		w.Header().Set("Content-Length", "4")
+		_, _ = io.WriteString(w, "body")
+		ended <- r.Context().Err()
+	})
+	Convey("Its request's context is cancelled, and nothing is sent", t, func() {
+		conn := dial(s)
+		defer func() { _ = conn.Close() }()
+		pipelineRequests(conn, "/")
+		<-started
+		So(conn.(*net.TCPConn).CloseWrite(), ShouldBeNil)
+		So(<-ended, ShouldEqual, context.Canceled)
+		for s.connectionCount() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		raw, _ := io.ReadAll(conn)
+		So(string(raw), ShouldBeEmpty)
+	})
+}
+
 func TestManyWaitingHandlers(t *testing.T) {
 	// Guards against quick requests that wait because thousands of others wait for a slow service, as they would
 	// with a pool of handlers of fixed size.
