--- a/internal/app/router/respond.go
+++ b/internal/app/router/respond.go
@@ -45,13 +45,15 @@
 	}
 }
 
-// write writes the response.
+// write writes the response. Without a body the server knows whether a length may be stated: that of a HEAD response isn't 0.
 func (res *response) write(w http.ResponseWriter) {
 	header := w.Header()
 	for name, values := range res.header {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	if len(res.body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	}
 	w.WriteHeader(res.status)
 	_, _ = w.Write(res.body)
 }
