Embedded interface: a caller that leaves is no lost response

Since the end of a request's context has a cause, net/http's transport returns that cause, which isn't context.Canceled: a caller that left counted as a response that the upstream had lost, or as a bad request if nothing was sent, and its host as one that doesn't answer. The client goes by the context's own error now.

TestCallerThatLeavesIsNoLostResponse (from the review) failed with a cause: Expected "cancelled" Actual "answerLost", and "badRequest" unsent.

--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -98,7 +98,7 @@
 	}
 	res, err := c.transport(r).RoundTrip(req)
 	if err != nil {
-		return answerOfError(tracker, err)
+		return answerOfError(ctx, tracker, err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	return c.readResponse(res)
@@ -122,12 +122,14 @@
 }
 
 // answerOfError converts a transport error: the request counts as not run only if
-// it is certain that no byte of it was sent to the upstream.
-func answerOfError(tracker *sendTracker, err error) call.Answer {
+// it is certain that no byte of it was sent to the upstream. That the caller left is told by the context: the error may be
+// the cause of the context's end.
+func answerOfError(ctx context.Context, tracker *sendTracker, err error) call.Answer {
 	notSent := tracker.sealUnsent()
+	cancelled := errors.Is(ctx.Err(), context.Canceled)
 	var opErr *net.OpError
 	switch {
-	case notSent && errors.Is(err, context.Canceled):
+	case notSent && cancelled:
 		return call.Refuse(call.Cancelled, 0)
 	case notSent && errors.Is(err, context.DeadlineExceeded):
 		return call.Refuse(call.DeadlineTooNear, 0)
@@ -135,7 +137,7 @@
 		return call.Refuse(call.NoUpstream, unreachableRetryAfter)
 	case notSent:
 		return call.Refuse(call.BadRequest, 0)
-	case errors.Is(err, context.Canceled):
+	case cancelled:
 		return call.UnknownOutcome(call.Cancelled)
 	default:
 		return call.UnknownOutcome(call.AnswerLost)
