The embedded interface's client takes no response with another request's id, and none to another protocol

A second, late response on a kept connection was returned as the next request's own, also if it bore another request's id: a success (Expected Outcome(2), Actual Outcome(0)), or a refusal that claims that a request which was sent has not run (Actual Outcome(1)). Both now count as a lost response, and the connection is closed. A response without an id is still taken, since upstreams needn't echo it.

--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -101,9 +101,19 @@
 		return answerOfError(ctx, tracker, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if !isFinalResponse(res, r.ID) {
+		tracker.closeConn()
+		return call.UnknownOutcome(call.AnswerLost)
+	}
 	return c.readResponse(res)
 }
 
+// isFinalResponse reports whether the response is final and doesn't bear the id of another request.
+func isFinalResponse(res *http.Response, id string) bool {
+	stated := res.Header.Get(HeaderRequestID)
+	return res.StatusCode >= http.StatusOK && (stated == "" || stated == id)
+}
+
 func (c *Client) build(ctx context.Context, r *call.Request, token string, body *nonRewindableBody) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.address.String()+r.Path, body)
 	if err != nil {
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -114,3 +114,32 @@
 		})
 	})
 }
+
+// TestResponsesToOtherRequests guards against a response that isn't the request's own, or isn't final, and is passed on as its own.
+func TestResponsesToOtherRequests(t *testing.T) {
+	answered := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nFoxtailhook-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok"
+	}
+	refused := "HTTP/1.1 503 Busy\r\nFoxtailhook-Request-Id: 0\r\nFoxtailhook-Outcome: notRun\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name, response string
+		outcome        call.Outcome
+	}{
+		{"its own id", answered("1"), call.Whole},
+		{"no id", okResponse, call.Whole},
+		{"another request's id", answered("0"), call.Unknown},
+		{"another request's refusal", refused, call.Unknown},
+		{"another request's id first, then its own", answered("0") + answered("1"), call.Unknown},
+		{"another protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", call.Unknown},
+	} {
+		Convey(c.name, t, func() {
+			address, counts := startRaw(t, c.response, okResponse)
+			client := New(address)
+			So(client.Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, c.outcome)
+			So(client.Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Whole)
+			if c.outcome != call.Whole {
+				So(counts.conns.Load(), ShouldEqual, 2)
+			}
+		})
+	}
+}
--- a/internal/wire/upstream/proof.go
+++ b/internal/wire/upstream/proof.go
@@ -110,3 +110,12 @@
 	defer t.mu.Unlock()
 	return t.conn != nil
 }
+
+// closeConn closes the request's connection, on which responses no longer match requests.
+func (t *sendTracker) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
