An idle connection to the instance doesn't hold the last request's body

A connection keeps the function that tells its previous request's responses until the next request on it ends. That function captured the whole request, so each of up to 256 idle connections could hold a body of the largest size for as long as the connection stayed idle. It captures only the id now.

--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -33,11 +33,12 @@
 }
 
 func (e *executor) send(ctx context.Context, req *runRequest, header http.Header, deadline time.Time) runResult {
+	id := req.RequestID
 	resp, err := e.instance.Do(ctx, &instance.Request{
 		Method: req.Method, Target: req.Target, Host: req.HTTPHost, Header: header, Body: req.Body, Deadline: deadline, Idempotent: req.Idempotent,
 		Matches: func(h http.Header) bool {
-			id := e.heads.Answer(http.StatusOK, h).RequestID
-			return id == "" || id == req.RequestID
+			stated := e.heads.Answer(http.StatusOK, h).RequestID
+			return stated == "" || stated == id
 		},
 		Observe: func(status int, h http.Header) { e.stated.observe(req.Instance, req.RequestID, status, h) },
 	})
