A connection to the instance remembers the ids of more than its previous request

An instance may answer a request twice, the second time late. A connection knew only its previous request, so with another request in between, a second response to an earlier attempt was taken for the response to a further attempt with the same id: its caller got the earlier attempt's success, or a refusal that said "not run" of a request that ran.

A connection holds the last 64 ids now, in place, so that no request allocates for it. A response with one of them, or with none, on a used connection counts as lost, and a request whose id is among them is not sent on the connection. Beyond 64 a late response would have to arrive after 64 others and just during a further attempt on the same connection; that isn't told apart, and the constant says so. The request states its id and how to read one from a response's header, instead of a function that matches, so that an idle connection keeps only strings.

TestLateResponseToEarlierAttempt failed before: "Expected: own, Actual: again" for the success and "Expected: 200, Actual: 503" for the refusal. Its instance answered "first" on every new connection and so couldn't pass where the request avoids the used one ("Expected: own, Actual: first" with this change). It is now in belongs_test.go, in two parts: on the used connection the response must be lost, and through the client the request must get its own response, over a second connection. A third case puts the earlier attempt as far back as ids are remembered. With only the last id remembered, each case of both parts fails.

--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -33,13 +33,10 @@
 }
 
 func (e *executor) send(ctx context.Context, req *runRequest, header http.Header, deadline time.Time) runResult {
-	id := req.RequestID
 	resp, err := e.instance.Do(ctx, &instance.Request{
 		Method: req.Method, Target: req.Target, Host: req.HTTPHost, Header: header, Body: req.Body, Deadline: deadline, Idempotent: req.Idempotent,
-		Matches: func(h http.Header) bool {
-			stated := e.heads.Answer(http.StatusOK, h).RequestID
-			return stated == "" || stated == id
-		},
+		ID:      req.RequestID,
+		IDOf:    func(h http.Header) string { return e.heads.Answer(http.StatusOK, h).RequestID },
 		Observe: func(status int, h http.Header) { e.stated.observe(req.Instance, req.RequestID, status, h) },
 	})
 	if err != nil {
--- a/internal/wire/instance/belongs_test.go
+++ b/internal/wire/instance/belongs_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,12 +21,19 @@
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
-// exchangeAfter sends request "2" on a connection on which the request with the given id was answered, and on which the bytes have arrived
+// exchangeAfter sends request "2" on a connection on which the requests with the given ids were answered, and on which the bytes have arrived
 // after the check that the connection is empty. The instance answers request "2" with the second string.
-func exchangeAfter(t *testing.T, earlier, arrived, answer string) (Response, error) {
+func exchangeAfter(t *testing.T, earlier []string, arrived, answer string) (Response, error) {
 	instance := startInstance(t, func(_ int64, c net.Conn, r *bufio.Reader) {
-		if _, _, ok := readRequest(r); ok {
-			_, _ = io.WriteString(c, response(earlier, "one")+arrived)
+		for n, id := range earlier {
+			if _, _, ok := readRequest(r); !ok {
+				return
+			}
+			sent := response(id, "one")
+			if n == len(earlier)-1 {
+				sent += arrived
+			}
+			_, _ = io.WriteString(c, sent)
 		}
 		if _, _, ok := readRequest(r); ok {
 			_, _ = io.WriteString(c, answer)
@@ -33,20 +41,20 @@
 		_, _ = r.ReadByte()
 	})
 	client := New(instance.address)
-	first := request(earlier)
-	cn, err := client.connection(t.Context(), first)
+	cn, err := client.connection(t.Context(), request("2"))
 	if err != nil {
 		return Response{}, err
 	}
 	defer cn.close()
-	for _, r := range []*Request{first, request("2")} {
+	for n, id := range append(slices.Clone(earlier), "2") {
+		r := request(id)
 		r.Deadline = time.Now().Add(2 * time.Second)
 		req, err := r.httpRequest()
 		if err != nil {
 			return Response{}, err
 		}
 		res, err := client.exchange(t.Context(), cn, r, req)
-		if err != nil || r != first {
+		if err != nil || n == len(earlier) {
 			return res, err
 		}
 	}
@@ -88,7 +96,7 @@
 			if c.sameID {
 				earlier = "2"
 			}
-			res, err := exchangeAfter(t, earlier, c.arrived, c.answer)
+			res, err := exchangeAfter(t, []string{earlier}, c.arrived, c.answer)
 			if c.wantBody == "" {
 				So(errors.Is(err, ErrLost), ShouldBeTrue)
 				return
@@ -99,6 +107,56 @@
 	}
 }
 
+// TestLateResponseToEarlierAttempt guards against a second response to an earlier attempt with the same id, two requests ago or more, that is
+// taken for the request's own.
+func TestLateResponseToEarlierAttempt(t *testing.T) {
+	refusal := strings.Replace(strings.Replace(response("2", "again"), "200", "503", 1), "X-Request", "X-Refused: 1\r\nX-Request", 1)
+	most := []string{"2"}
+	for n := range maxRecentIDs - 1 {
+		most = append(most, fmt.Sprint("other", n))
+	}
+	for _, c := range []struct {
+		name, second string
+		earlier      []string
+	}{
+		{"a success", response("2", "again"), []string{"2", "1"}},
+		{"a refusal", refusal, []string{"2", "1"}},
+		{"a success, as many requests ago as are remembered", response("2", "again"), most},
+	} {
+		Convey(c.name+" on the connection of the earlier attempt is not taken", t, func() {
+			_, err := exchangeAfter(t, c.earlier, "", c.second+response("2", "own"))
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+		})
+		Convey(c.name+" isn't met, since the attempt uses another connection", t, func() {
+			instance := startInstance(t, func(number int64, conn net.Conn, r *bufio.Reader) {
+				for n := 0; ; n++ {
+					id, _, ok := readRequest(r)
+					switch {
+					case !ok:
+						return
+					case number > 1:
+						_, _ = io.WriteString(conn, response(id, "own"))
+					case n == len(c.earlier):
+						_, _ = io.WriteString(conn, c.second+response(id, "own"))
+					default:
+						_, _ = io.WriteString(conn, response(id, "first"))
+					}
+				}
+			})
+			client := New(instance.address)
+			for _, id := range c.earlier {
+				_, err := client.Do(t.Context(), request(id))
+				So(err, ShouldBeNil)
+			}
+			res, err := client.Do(t.Context(), request("2"))
+			So(err, ShouldBeNil)
+			So(res.Status, ShouldEqual, http.StatusOK)
+			So(string(res.Body), ShouldEqual, "own")
+			So(client.Opened(), ShouldEqual, 2)
+		})
+	}
+}
+
 // TestFirstResponseWithoutID guards against the loss of an instance's refusal that bears no id, on a connection that no other request has used.
 func TestFirstResponseWithoutID(t *testing.T) {
 	Convey("It is the request's own", t, func() {
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -35,10 +35,11 @@
 	Deadline time.Time
 	// Idempotent requests may be retried: such a request may use a connection that has been idle for longer.
 	Idempotent bool
-	// Matches reports whether the response with this header may belong to the request. A response that also matches the connection's previous
-	// request is not taken. The request itself bears its id in the same header field, so that a connection on which the same id was used before
-	// can be avoided. The idle connection keeps the function, so it must not hold the request's body.
-	Matches func(http.Header) bool
+	// ID is the request's id. Attempts that may get each other's responses have the same one.
+	ID string
+	// IDOf returns the id that a response's header states, empty if none. A response with another id is skipped; one that may also
+	// belong to an earlier request on the connection is not taken.
+	IDOf func(http.Header) string
 	// Observe, if not nil, receives status and header of the response that belongs to the request, before its body is read.
 	Observe func(status int, header http.Header)
 }
@@ -124,7 +125,7 @@
 
 func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
 	if cn := c.pool.get(r.Idempotent, time.Now()); cn != nil {
-		if !cn.belongsToEarlier(r.Header) {
+		if !cn.used.mayInclude(r.ID) {
 			return cn, nil
 		}
 		cn.close()
@@ -176,7 +177,7 @@
 		}
 		return Response{}, errors.Wrapf(ErrLost, "%v", err)
 	}
-	cn.previous = r.Matches
+	cn.used.add(r.ID)
 	if !stop() || !cn.writtenWhole(written) {
 		cn.reusable = false
 	}
@@ -190,8 +191,9 @@
 		if err != nil {
 			return Response{}, err
 		}
-		matches := r.Matches(header.Header)
-		if matches && cn.belongsToEarlier(header.Header) {
+		id := r.IDOf(header.Header)
+		matches := id == "" || id == r.ID
+		if matches && cn.used.mayInclude(id) {
 			return Response{}, errors.New("the response may belong to an earlier request")
 		}
 		if matches && r.Observe != nil {
--- a/internal/wire/instance/client_test.go
+++ b/internal/wire/instance/client_test.go
@@ -67,7 +67,7 @@
 func request(id string) *Request {
 	return &Request{
 		Method: "GET", Target: "/a/b?c=d", Host: "h.example", Header: http.Header{idHeader: {id}}, Deadline: time.Now().Add(20 * time.Second),
-		Idempotent: true, Matches: func(h http.Header) bool { return h.Get(idHeader) == "" || h.Get(idHeader) == id },
+		Idempotent: true, ID: id, IDOf: func(h http.Header) string { return h.Get(idHeader) },
 	}
 }
 
--- a/internal/wire/instance/conn.go
+++ b/internal/wire/instance/conn.go
@@ -23,14 +23,10 @@
 	idleSince  time.Time
 	// idleTimeout is how long the instance keeps the connection open while idle, 0 if it did not state it.
 	idleTimeout time.Duration
-	// previous is Matches of the connection's previous request, nil if there was none.
-	previous func(http.Header) bool
+	// used holds the ids of the requests that were answered on the connection.
+	used recentIDs
 }
 
-// belongsToEarlier reports whether the response may also be a second one to the connection's previous request: it has no id, or both requests
-// have the same.
-func (cn *conn) belongsToEarlier(h http.Header) bool { return cn.previous != nil && cn.previous(h) }
-
 // Write writes to the connection and records that it did.
 func (cn *conn) Write(p []byte) (int, error) {
 	n, err := cn.Conn.Write(p)
