A repeated attempt leaves the idle connection of the earlier one and takes another

A connection on which the request's id was used before can't serve the request, since a second response to the earlier attempt couldn't be told from its own. Such a connection was taken from the pool and closed, and a new one was opened, once for each repeated attempt, although the others in the pool would do and the closed one would do for any other request. The pool passes over it now and gives the next idle one that is fresh enough.

--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -124,11 +124,8 @@
 }
 
 func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
-	if cn := c.pool.get(r.Idempotent, time.Now()); cn != nil {
-		if !cn.used.mayInclude(r.ID) {
-			return cn, nil
-		}
-		cn.close()
+	if cn := c.pool.get(r, time.Now()); cn != nil {
+		return cn, nil
 	}
 	c.opened.Add(1)
 	dialer := net.Dialer{Timeout: dialTimeout, Deadline: r.Deadline, KeepAliveConfig: keepAlive}
--- a/internal/wire/instance/client_test.go
+++ b/internal/wire/instance/client_test.go
@@ -256,7 +256,7 @@
 			near, far := net.Pipe()
 			defer func() { _ = far.Close() }()
 			p.put(&conn{Conn: near, reader: bufio.NewReader(near), idleSince: start, idleTimeout: c.idleTimeout})
-			So(p.get(c.idempotent, start.Add(c.idleFor)) != nil, ShouldEqual, c.wantReuse)
+			So(p.get(&Request{ID: "1", Idempotent: c.idempotent}, start.Add(c.idleFor)) != nil, ShouldEqual, c.wantReuse)
 		})
 	}
 	Convey("A sweep closes connections idle for too long", t, func() {
@@ -269,6 +269,50 @@
 	})
 }
 
+// TestRepeatedAttemptKeepsConnections guards against a connection that is opened for each repeated attempt although another idle one would do.
+func TestRepeatedAttemptKeepsConnections(t *testing.T) {
+	Convey("The attempt uses the other idle connection", t, func() {
+		both := make(chan struct{}, 2)
+		release := make(chan struct{})
+		instance := startInstance(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+			for n := 0; ; n++ {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				if n == 0 {
+					both <- struct{}{}
+					<-release
+				}
+				_, _ = io.WriteString(conn, response(id, "x"))
+			}
+		})
+		client := New(instance.address)
+		done := make(chan error, 2)
+		for _, id := range []string{"1", "2"} {
+			go func() {
+				_, err := client.Do(t.Context(), request(id))
+				done <- err
+			}()
+		}
+		<-both
+		<-both
+		close(release)
+		So(<-done, ShouldBeNil)
+		So(<-done, ShouldBeNil)
+		top := client.pool.idle[len(client.pool.idle)-1]
+		id := "1"
+		if !top.used.mayInclude("1") {
+			id = "2"
+		}
+		r := request(id)
+		r.Deadline = time.Now().Add(2 * time.Second)
+		_, err := client.Do(t.Context(), r)
+		So(err, ShouldBeNil)
+		So(client.Opened(), ShouldEqual, 2)
+	})
+}
+
 func TestTargetsAreSentUnchanged(t *testing.T) {
 	Convey("The instance receives path and query unchanged", t, func() {
 		seen := make(chan string, 1)
--- a/internal/wire/instance/pool.go
+++ b/internal/wire/instance/pool.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,9 +30,9 @@
 func newPool() pool { return pool{nonIdempotentMaxIdle: defaultNonIdempotentMaxIdle} }
 
 // get returns an idle connection that may be used for the request, or nil.
-func (p *pool) get(idempotent bool, now time.Time) *conn {
+func (p *pool) get(r *Request, now time.Time) *conn {
 	for {
-		cn := p.pop(idempotent, now)
+		cn := p.take(r, now)
 		if cn == nil || cn.isOpenAndEmpty() {
 			return cn
 		}
@@ -39,19 +40,26 @@
 	}
 }
 
-func (p *pool) pop(idempotent bool, now time.Time) *conn {
+// take removes and returns the topmost connection that was not idle for too long and not used for a request with the same id. Connections used
+// for one stay: they serve other requests.
+func (p *pool) take(r *Request, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
-	}
-	cn := p.idle[last]
-	if idleFor := now.Sub(cn.idleSince); idleFor > cn.maxIdle() || !idempotent && idleFor > p.nonIdempotentMaxIdle {
-		return nil
+	for i, cn := range slices.Backward(p.idle) {
+		if !p.isFresh(cn, r.Idempotent, now) {
+			return nil
+		}
+		if !cn.used.mayInclude(r.ID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return cn
+		}
 	}
-	p.idle = p.idle[:last]
-	return cn
+	return nil
+}
+
+func (p *pool) isFresh(cn *conn, idempotent bool, now time.Time) bool {
+	idleFor := now.Sub(cn.idleSince)
+	return idleFor <= cn.maxIdle() && (idempotent || idleFor <= p.nonIdempotentMaxIdle)
 }
 
 // maxIdle returns how long the connection may be idle and still be reused.
