The status of another daemon's refusal or failure follows from its reason

While daemons of two versions run, an earlier one refuses a request that it gave up before it ran with "cancelled" and 499. 499 has no standard text and is no longer the reason's status, so the reply counted as undecided: the caller got 502 "may have run" for a request that did not run, and no other host was tried. Other statuses were taken over as stated, 503 for a request that may have run among them.

The status follows from outcome and reason now, before the reply is judged. A reply whose status isn't one of a failure still decides nothing. Of the reasons of a request that may have run, Undecided keeps 503, Repeated 409 and TimedOut 504; any other, also one that this version doesn't know, gets 502.

A case added to TestRepliesOfOtherDaemons, 499 and then served by the other host, failed with "Expected: 200, Actual: 502". All pass now.

--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -210,6 +210,7 @@
 	}
 	cancelledRun := withBudget(call.UnknownOutcome(call.Cancelled), 7)
 	cancelledBefore := withBudget(call.Refuse(call.Cancelled, 0), 8)
+	cancelledEarlier := runResult{Outcome: call.NotRun, Reason: call.Cancelled, Status: 499, BudgetLeft: 8}
 	cases := []struct {
 		name string
 		// replies are those to the attempts of one request, in turn; the last one is repeated.
@@ -234,6 +235,7 @@
 		{"whole, with a key", []runResult{whole(http.StatusOK)}, "k", false, served},
 		{"cancelled while it ran, then served", []runResult{cancelledRun, whole(http.StatusOK)}, "", true, served},
 		{"cancelled before it ran, then served", []runResult{cancelledBefore, whole(http.StatusOK)}, "", false, served},
+		{"cancelled before it ran by an earlier version, then served", []runResult{cancelledEarlier, whole(http.StatusOK)}, "", false, served},
 		{"status 0, not to be repeated", []runResult{whole(0), whole(http.StatusOK)}, "", false, lost},
 	}
 	attempts := make([]atomic.Int64, len(cases))
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -87,11 +87,31 @@
 	}
 }
 
+// answer returns the response as stated, but with this daemon's own status for a refusal or failure: its reason decides, since other versions
+// have other statuses.
 func (res *runResult) answer() call.Answer {
-	return call.Answer{
+	answer := call.Answer{
 		Outcome: res.Outcome, Reason: res.Reason, Status: res.Status, Header: res.Header, Body: res.Body,
 		RetryAfter: res.RetryAfter, BudgetLeft: res.BudgetLeft, Load: res.Load,
 	}
+	if res.Outcome != call.Whole && res.Status >= http.StatusBadRequest {
+		answer.Status = reasonStatus(res.Outcome, res.Reason)
+	}
+	return answer
+}
+
+// reasonStatus returns the status of a refusal or failure. A request that may have run gets that of a refusal only where that is meant, not for
+// a reason that stands for refusals or that this version doesn't know.
+func reasonStatus(outcome call.Outcome, reason call.Reason) int {
+	if outcome == call.NotRun {
+		return call.Refuse(reason, 0).Status
+	}
+	switch reason {
+	case call.Undecided, call.Repeated, call.TimedOut:
+		return reason.Status()
+	default:
+		return http.StatusBadGateway
+	}
 }
 
 // decision returns the response that another daemon's reply stands for.
@@ -110,7 +130,7 @@
 	default:
 		answer.Reason = call.AnswerLost
 	}
-	answer.Status = answer.Reason.Status()
+	answer.Status = reasonStatus(answer.Outcome, answer.Reason)
 	return answer
 }
 
