The embedded interface states no length for a response without a body

A response to HEAD got Content-Length 0 whatever the upstream had stated, which says that the resource is empty, and 304 likewise. As in the router, the server states the length of an empty body where one may be stated.

The new TestLengthOfNoBody, which reads the responses as a caller, failed before for HEAD and 304 with `Expected: "", Actual: "0"`; with 204, an empty body and a body it passed before and after.

--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -107,6 +107,7 @@
 	}).Warn("response replaced")
 }
 
+// writeAnswer writes an upstream's response. Without a body the server knows whether a length may be stated: that of a HEAD response isn't 0.
 func writeAnswer(w http.ResponseWriter, r *call.Request, a call.Answer) {
 	for name, values := range a.Header {
 		switch name {
@@ -119,7 +120,9 @@
 	}
 	w.Header().Set(upstream.HeaderOutcome, a.Outcome.String())
 	w.Header().Set(upstream.HeaderRequestID, r.ID)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if len(a.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -161,6 +161,47 @@
 	}
 }
 
+// TestHeadStatesNoWrongLength guards against a response to HEAD that says that the resource is empty.
+func TestHeadStatesNoWrongLength(t *testing.T) {
+	Convey("The length of a body that isn't there isn't stated as 0", t, func() {
+		w := httptest.NewRecorder()
+		header := http.Header{"Content-Length": {"7"}}
+		writeAnswer(w, &call.Request{ID: "1", Method: http.MethodHead}, call.Answer{Outcome: call.Whole, Status: 200, Header: call.Header(header)})
+		So(w.Header().Get("Content-Length"), ShouldNotEqual, "0")
+	})
+}
+
+// TestLengthOfNoBody guards against the length 0 where there is a resource, and against none where the body is empty, as a caller reads them.
+func TestLengthOfNoBody(t *testing.T) {
+	for _, c := range []struct {
+		name, method, body string
+		status             int
+		want               string
+	}{
+		{"HEAD", http.MethodHead, "", http.StatusOK, ""},
+		{"not modified", http.MethodGet, "", http.StatusNotModified, ""},
+		{"no content", http.MethodGet, "", http.StatusNoContent, ""},
+		{"an empty body", http.MethodGet, "", http.StatusOK, "0"},
+		{"a body", http.MethodGet, "body", http.StatusOK, "4"},
+	} {
+		Convey(c.name, t, func() {
+			address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				writeAnswer(w, &call.Request{ID: "1", Method: c.method}, call.Answer{Outcome: call.Whole, Status: c.status, Body: []byte(c.body)})
+			})
+			req, err := http.NewRequestWithContext(t.Context(), c.method, "http://"+address.String()+"/", nil)
+			So(err, ShouldBeNil)
+			req.Close = true
+			res, err := http.DefaultClient.Do(req)
+			So(err, ShouldBeNil)
+			defer func() { _ = res.Body.Close() }()
+			raw, err := io.ReadAll(res.Body)
+			So(err, ShouldBeNil)
+			So(string(raw), ShouldEqual, c.body)
+			So(res.Header.Get("Content-Length"), ShouldEqual, c.want)
+		})
+	}
+}
+
 // forwardingDaemon returns a daemon whose service runs on two other hosts, whose daemons reply as the function says.
 func forwardingDaemon(t *testing.T, reply func(req runRequest) runResult) *Daemon {
 	d := respondingDaemon()
