A success without the request's id is a lost response

Late ones on used connections are refused already; a success has to state its request's id now as it has to be signed, beside the instance and at the caller's daemon. Instances echo the id.

--- a/internal/app/router/defect.go
+++ b/internal/app/router/defect.go
@@ -23,7 +23,7 @@
 	badStatus // badStatus
 	// unsigned means that a response with a status below 400 has no signature of an instance.
 	unsigned // unsigned
-	// foreign means that an instance's response belongs to another request.
+	// foreign means that an instance's response states another request's id, or is a success and states none.
 	foreign // foreign
 	// encoded means that the body is not the instance's own bytes.
 	encoded // encoded
@@ -47,14 +47,15 @@
 // defectOfInstance returns what is wrong with an instance's response.
 func (r *Router) defectOfInstance(req *request, answer call.Answer) defect {
 	head := r.heads.Answer(answer.Status, answer.Header)
+	success := answer.Status < http.StatusBadRequest
 	switch {
 	case answer.Status < http.StatusOK || answer.Status > maxStatus:
 		return badStatus
-	case head.RequestID != "" && head.RequestID != req.id:
+	case head.RequestID != req.id && (success || head.RequestID != ""):
 		return foreign
 	case head.Encoded:
 		return encoded
-	case !head.Authentic && answer.Status < http.StatusBadRequest:
+	case success && !head.Authentic:
 		return unsigned
 	default:
 		return sound
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return e.errorResult(ctx, err, deadline)
 	}
-	return e.responseResult(resp)
+	return e.responseResult(req, resp)
 }
 
 // errorResult converts an error of the instance's client. The request counts as not run only if no byte of it was sent.
@@ -71,13 +71,14 @@
 }
 
 // responseResult returns the instance's response as it is, unless it can't be the instance's own complete response.
-func (e *executor) responseResult(resp instance.Response) runResult {
+func (e *executor) responseResult(req *runRequest, resp instance.Response) runResult {
 	head := e.heads.Answer(resp.Status, resp.Header)
 	if head.NotRun {
 		answer := call.Refuse(call.UpstreamShed, declinedRetryAfter)
 		return runResult{Outcome: answer.Outcome, Reason: answer.Reason, Status: answer.Status, RetryAfter: answer.RetryAfter, Arrived: true}
 	}
-	if head.Encoded || !head.Authentic && resp.Status < http.StatusBadRequest {
+	own := head.Authentic && head.RequestID == req.RequestID
+	if head.Encoded || !own && resp.Status < http.StatusBadRequest {
 		lost := call.UnknownOutcome(call.AnswerLost)
 		return runResult{Outcome: lost.Outcome, Reason: lost.Reason, Status: lost.Status, Arrived: true}
 	}
