The only host of a service is dialed again when its handshake is late

Cause: a dial gives the handshake 500 ms, so that requests go on to another host. The dial's failure is shared by all requests that wait for it, and where no other host is left they were refused; a key's holder has no other host ever.

Now a request dials such a host again, up to three times in all, while the host is no suspect, the caller's key is valid and 1.2 s are left, which is more than a connect and a handshake may take, so the refusal still comes before the deadline. Nothing was sent on a connection without a handshake, so nothing can run twice. ErrNoHandshake tells such a dial from one that the kernel refused or never answered; those are refused as before, and so is all where another host is left.

--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -168,7 +168,7 @@
 	if host.Host == d.settings.Host {
 		return d.executor.run(ctx, r, keyValid)
 	}
-	reply, err := peer.Call[runRequest, runResult](ctx, d.peers, host.Peer, peer.KindCall, newRunRequest(r, time.Now()))
+	reply, err := d.forward(ctx, peer.KindCall, host, r, keyValid)
 	if err == nil {
 		return reply.decision(ctx)
 	}
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -131,13 +131,13 @@
 	if sent.Budget = d.daemon.drawBudget(ctx, a); sent.Budget == 0 {
 		return noBudgetRefusal(ctx)
 	}
-	answer := d.forwardToHolder(ctx, host, &sent)
+	answer := d.forwardToHolder(ctx, host, &sent, a.keyValid)
 	a.account.Settle(sent.Budget, answer.BudgetLeft)
 	return answer
 }
 
-func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request) call.Answer {
-	reply, err := peer.Call[runRequest, runResult](ctx, d.daemon.peers, host.Peer, peer.KindRunOnce, newRunRequest(sent, time.Now()))
+func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request, keyValid func() bool) call.Answer {
+	reply, err := d.daemon.forward(ctx, peer.KindRunOnce, host, sent, keyValid)
 	if err == nil {
 		return reply.decision(ctx)
 	}
--- a/internal/wire/peer/dial.go
+++ b/internal/wire/peer/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -62,23 +63,36 @@
 	n.enforceMaxLinks()
 	c, err := n.connect(key.to)
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", key.to, err)
+		return nil, errors.Wrapf(err, "dial %s", key.to)
 	}
 	return n.addDialed(key, c)
 }
 
-// connect dials from the node's own address, so that a host with several addresses uses the one that its peers know.
+// connect dials from the node's own address, so that a host with several addresses uses the one that its peers know; the error is
+// ErrNotSent.
 func (n *Node) connect(to netip.AddrPort) (*nbio.Conn, error) {
 	dialer := net.Dialer{Timeout: n.dialTimeout, LocalAddr: localAddr(n.address.Addr()), KeepAliveConfig: keepAlive}
 	c, err := dialer.Dial("tcp", to.String())
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
 	if err := dialerHandshake(c, n.secrets[0], n.dialTimeout); err != nil {
 		_ = c.Close()
-		return nil, err
+		return nil, errors.Wrapf(handshakeFault(err), "%v", err)
 	}
-	return nbio.NBConn(c)
+	nonblocking, err := nbio.NBConn(c)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "%v", err)
+	}
+	return nonblocking, nil
+}
+
+// handshakeFault returns ErrNoHandshake if the handshake ran out of time, and ErrNotSent if it failed for another reason.
+func handshakeFault(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrNoHandshake
+	}
+	return ErrNotSent
 }
 
 // keepAlive detects dead connections while they are idle, before a request is sent on them.
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -16,6 +16,9 @@
 // ErrNotSent means that the message was not sent whole, so the peer can't have acted on it.
 var ErrNotSent = errors.New("peer: not sent")
 
+// ErrNoHandshake is an ErrNotSent: the peer accepted the connection but did not finish the handshake in time.
+var ErrNoHandshake = errors.WithMessage(ErrNotSent, "peer: no handshake")
+
 // ErrLost means that the message was sent and no response arrived; the peer may have acted on it.
 var ErrLost = errors.New("peer: response lost")
 
