A search for tokens doesn't count the time in which its process did not run

The log of one refused run shows the refusals 0.5 ms after the lists were confirmed again, and a request that had been placed before the pause, 3.0 s earlier: on a busy machine the process reads requests after the signal that stops it was sent. Their search for tokens begins, is paused before its first question, and finds its 500 ms gone when it resumes, so it refuses without having asked a home.

Now the time between two steps of a search beyond 100 ms, which no step takes while the process runs, moves its time limit on. The limit of 500 ms stays for homes that hang (TestSearchTimesOutWhenHomesHang), and no token is lent or spent otherwise than before: the homes are only asked where they were not.

Evidence: TestSearchContinuesAfterPause; without the step's line it fails with "the request was refused".

--- a/internal/app/daemon/seek.go
+++ b/internal/app/daemon/seek.go
@@ -33,8 +33,14 @@
 	done       bool
 	exhausted  bool
 	retryAfter time.Duration
-	// lastToken is when a waiting request last got a token, or when the search began.
+	// lastToken is when a waiting request last got a token, or when the search began, moved on by the time in which the process did not run.
 	lastToken time.Time
+	// lastStep is when the search last took a step, or when it began.
+	lastStep time.Time
+}
+
+func newTokenSearch(now time.Time) *tokenSearch {
+	return &tokenSearch{changed: make(chan struct{}), retryAfter: time.Second, lastToken: now, lastStep: now}
 }
 
 // Spend takes a token of the organisation. If none is cached, it waits, for a bounded time, until homes lend one; false
@@ -87,7 +93,7 @@
 	defer r.searches.mu.Unlock()
 	s, ok := r.searches.active[organisation]
 	if !ok {
-		s = &tokenSearch{changed: make(chan struct{}), retryAfter: time.Second, lastToken: time.Now()}
+		s = newTokenSearch(time.Now())
 		r.searches.active[organisation] = s
 		go r.runSearch(organisation, s)
 	}
@@ -114,6 +120,7 @@
 	need := rate.Waiting
 	for s.hasWaiters() {
 		var certain bool
+		s.step(time.Now())
 		deadline := s.deadline()
 		if !time.Now().Before(deadline) {
 			return wait, true
@@ -193,6 +200,27 @@
 	return s.lastToken.Add(searchTimeout)
 }
 
+// maxStepTime is longer than any step of a search takes while its process runs.
+const maxStepTime = 2 * leaseTimeout
+
+// step records that the search takes its next step now. The time limit doesn't count the time in which the process did not run: after a pause
+// of the process, requests within their rates would be refused although no home has been asked.
+func (s *tokenSearch) step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if paused := now.Sub(s.lastStep) - maxStepTime; paused > 0 {
+		s.lastToken = earlier(s.lastToken.Add(paused), now)
+	}
+	s.lastStep = now
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (s *tokenSearch) leave() {
 	s.mu.Lock()
 	s.waiters--
--- a/internal/app/daemon/seek_test.go
+++ b/internal/app/daemon/seek_test.go
@@ -76,6 +76,50 @@
 	}
 }
 
+// The process is paused between a request's arrival and the question for its token, and the request is refused though homes have tokens.
+func TestSearchContinuesAfterPause(t *testing.T) {
+	const pause = 3 * time.Second
+	cases := []struct {
+		name           string
+		before, during time.Duration
+	}{
+		{"before the first question", pause, 0},
+		{"during the first question", 0, pause},
+		{"before and during it", pause, pause},
+	}
+	for _, c := range cases {
+		Convey("After a pause "+c.name+", a request below the rate limit gets a token", t, func() {
+			metrics := telemetry.NewMetrics("h", "a")
+			synctest.Test(t, func(t *testing.T) {
+				r := delayedRateLimiter(metrics, time.Millisecond)
+				requestTokens, during := r.requestTokens, c.during
+				r.requestTokens = func(ctx context.Context, ask rate.Ask) time.Duration {
+					if during == 0 {
+						return requestTokens(ctx, ask)
+					}
+					time.Sleep(during)
+					during = 0
+					return rate.UnsettledWait
+				}
+				s := newTokenSearch(time.Now())
+				r.searches.active["dealer"] = s
+				served := make(chan bool)
+				go func() {
+					_, _, ok := r.Spend(t.Context(), "dealer")
+					served <- ok
+				}()
+				time.Sleep(c.before)
+				synctest.Wait()
+				go r.runSearch("dealer", s)
+				if !<-served {
+					t.Error("the request was refused")
+				}
+				time.Sleep(time.Minute) // Lets the last search end.
+			})
+		})
+	}
+}
+
 // All homes hang. A request must be refused early enough for its caller, instead of waiting until its deadline.
 func TestSearchTimesOutWhenHomesHang(t *testing.T) {
 	Convey("A request is refused after searchTimeout", t, func() {
