A request that arrived before a pause waits for the lists to be confirmed

Cause, read in the code: the wait of up to 2 s was counted from the request's arrival where the lists stopped to count as current after it. A request that is read right before a pause of more than 2 s is then refused at once when the process resumes, although peers confirm the lists within milliseconds.

Now the wait counts from when the lists stopped to count as current, and is at most half of the time that the request then had left. Nothing changes for requests that arrive later, or for isolated daemons.

--- a/internal/app/daemon/door_test.go
+++ b/internal/app/daemon/door_test.go
@@ -91,6 +91,7 @@
 	// A daemon's process was paused and resumes with callers' requests in its buffers. It may not accept them until peers
 	// have confirmed its lists, but the callers are within their rate limits and can wait for a moment.
 	long, short := settings.Default().DefaultTimeout, 100*time.Millisecond
+	const pause = 3 * time.Second
 	cases := []struct {
 		name      string
 		standing  spread.Standing
@@ -106,6 +107,11 @@
 		{"not confirmed within half of the caller's timeout", spread.Waking, 0, time.Hour, short, false, short / 2},
 		{"unconfirmed for long", spread.Starting, -time.Minute, time.Hour, long, false, 0},
 		{"isolated", spread.Isolated, 0, time.Hour, long, false, 0},
+		// A process is paused right after a request arrived, and refuses it at once when it resumes.
+		{"confirmed after a pause since the arrival", spread.Waking, pause, pause + 28*time.Millisecond, long, true, pause + 30*time.Millisecond},
+		{"not confirmed after a pause since the arrival", spread.Waking, pause, time.Hour, 20 * time.Second, false, pause + maxConfirmWait},
+		{"not confirmed within half of what a pause has left", spread.Waking, pause, time.Hour, pause + time.Second, false, pause + time.Second/2},
+		{"the pause has left nothing", spread.Waking, pause, time.Hour, pause, false, pause},
 	}
 	Convey("A request waits for the confirmation of the lists, but no longer than useful", t, func() {
 		for _, c := range cases {
@@ -121,6 +127,7 @@
 					})
 					r := httptest.NewRequest(http.MethodGet, "/lookup/", nil)
 					r.Header.Set(headerTimeout, strconv.FormatInt(c.timeout.Milliseconds(), 10))
+					time.Sleep(c.since)
 					accepts = d.waitToAccept(r, arrived)
 					after = time.Since(arrived)
 				})
--- a/internal/app/daemon/standing.go
+++ b/internal/app/daemon/standing.go
@@ -37,11 +37,7 @@
 	if d.acceptsCallers(arrived) {
 		return true
 	}
-	wait := maxConfirmWait
-	if timeout, ok := d.timeout(r); ok {
-		wait = min(wait, timeout/2)
-	}
-	for time.Now().Before(d.unconfirmedSince(arrived).Add(wait)) && r.Context().Err() == nil {
+	for time.Now().Before(d.confirmDeadline(r, arrived)) && r.Context().Err() == nil {
 		sleep(r.Context(), confirmPollInterval)
 		if d.acceptsCallers(time.Now()) {
 			return true
@@ -50,14 +46,26 @@
 	return false
 }
 
-// unconfirmedSince returns when the lists stopped to count as current or when the request arrived, whichever was earlier.
+// confirmDeadline returns until when a request waits for the lists to be confirmed: at most half of the time that it had left when its wait
+// began.
+func (d *Daemon) confirmDeadline(r *http.Request, arrived time.Time) time.Time {
+	since := d.unconfirmedSince(arrived)
+	wait := maxConfirmWait
+	if timeout, ok := d.timeout(r); ok {
+		elapsed := max(since.Sub(arrived), 0)
+		wait = min(wait, (timeout-elapsed)/2)
+	}
+	return since.Add(wait)
+}
+
+// unconfirmedSince returns when the lists stopped to count as current, or when the request arrived if that is not known yet. It may be after
+// the arrival: a process that is paused between the two would otherwise refuse the request as soon as it resumes, without a wait.
 // For an isolated daemon it returns the zero time, so that its requests don't wait.
 func (d *Daemon) unconfirmedSince(arrived time.Time) time.Time {
-	s := d.servingState.Load()
-	switch {
-	case s.Standing == spread.Isolated:
+	switch s := d.servingState.Load(); s.Standing {
+	case spread.Isolated:
 		return time.Time{}
-	case s.Standing == spread.Serving, s.since.After(arrived):
+	case spread.Serving:
 		return arrived
 	default:
 		return s.since
