A connection on which a response belonged to another request is sealed before it is closed

The transport may give it to one more request before it notices the close; that request certainly wasn't sent.

--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -120,7 +120,7 @@
 	answered := func(id string) string {
 		return "HTTP/1.1 200 OK\r\nFoxtailhook-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok"
 	}
-	refused := "HTTP/1.1 503 Busy\r\nFoxtailhook-Request-Id: 0\r\nFoxtailhook-Outcome: notRun\r\nContent-Length: 0\r\n\r\n"
+	refused := "HTTP/1.1 503 Busy\r\nFoxtailhook-Request-Id: 0\r\nFoxtailhook-Outcome: notRun\r\nContent-Length: 2\r\n\r\nno"
 	for _, c := range []struct {
 		name, response string
 		outcome        call.Outcome
--- a/internal/wire/upstream/proof.go
+++ b/internal/wire/upstream/proof.go
@@ -111,11 +111,13 @@
 	return t.conn != nil
 }
 
-// closeConn closes the request's connection, on which responses no longer match requests.
+// closeConn closes the request's connection, on which responses no longer match requests. It is sealed too, since the transport may give it to
+// one more request before it notices the close; that request then certainly wasn't sent.
 func (t *sendTracker) closeConn() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil {
+		t.conn.seal(t.conn.writeCount())
 		_ = t.conn.Close()
 	}
 }
