An idle connection to the instance outlives the deadline of its last request

The deadline of a request stayed on its connection, so the check before the next use failed once it had passed, and a good connection was closed and another opened. TestIdleConnectionOutlivesTheLastDeadline failed before: two connections opened instead of one. Found by reading.

--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -119,6 +119,8 @@
 		cn.close()
 		return res, nil
 	}
+	// The deadline was the request's; a connection past it can't be looked at before its next use.
+	_ = cn.SetDeadline(time.Time{})
 	c.pool.put(cn)
 	return res, nil
 }
