--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -173,7 +173,7 @@
 
 // TestLengthOfNoBody guards against the length 0 where there is a resource, and against none where the body is empty, as a caller reads them.
 func TestLengthOfNoBody(t *testing.T) {
-	for _, c := range []struct {
+	cases := []struct {
 		name, method, body string
 		status             int
 		want               string
@@ -183,12 +183,15 @@
 		{"no content", http.MethodGet, "", http.StatusNoContent, ""},
 		{"an empty body", http.MethodGet, "", http.StatusOK, "0"},
 		{"a body", http.MethodGet, "body", http.StatusOK, "4"},
-	} {
+	}
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		number, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		c := cases[number]
+		writeAnswer(w, &call.Request{ID: "1", Method: c.method}, call.Answer{Outcome: call.Whole, Status: c.status, Body: []byte(c.body)})
+	})
+	for number, c := range cases {
 		Convey(c.name, t, func() {
-			address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
-				writeAnswer(w, &call.Request{ID: "1", Method: c.method}, call.Answer{Outcome: call.Whole, Status: c.status, Body: []byte(c.body)})
-			})
-			req, err := http.NewRequestWithContext(t.Context(), c.method, "http://"+address.String()+"/", nil)
+			req, err := http.NewRequestWithContext(t.Context(), c.method, fmt.Sprintf("http://%s/%d", address, number), nil)
 			So(err, ShouldBeNil)
 			req.Close = true
 			res, err := http.DefaultClient.Do(req)
