--- a/internal/load/mesh/host.go
+++ b/internal/load/mesh/host.go
@@ -51,7 +51,7 @@
 	h.retryBudget = repeats.New(f.scenario.RetryLimits)
 	h.retryBudget.SetDaemons(f.scenario.instanceCount())
 	h.pacer, h.knownLimit = &admission.Pacer{}, 0
-	h.gate = newGate(h.service.Slots, h.pacer)
+	h.gate = newGate(h.service.Slots, h.pacer, f.random.Float64)
 	h.runs = lineage.New(lineage.WithRand(f.random.Float64))
 	h.holdTimes = map[string]allot.HoldTime{}
 	h.saturationSum, h.saturationCount, h.delivered, h.retryable = 0, 0, 0, 0
--- a/internal/load/mesh/visit.go
+++ b/internal/load/mesh/visit.go
@@ -21,8 +21,9 @@
 	declineDelay        = time.Millisecond
 )
 
-func newGate(slots int, pacer *admission.Pacer) *admission.Gate {
-	return admission.New(limit.NewFixed(max(int(float64(slots)*limitFraction), 1)), admission.WithWait(maxQueueWait), admission.WithPacer(pacer))
+func newGate(slots int, pacer *admission.Pacer, random func() float64) *admission.Gate {
+	usable := limit.NewFixed(max(int(float64(slots)*limitFraction), 1))
+	return admission.New(usable, admission.WithWait(maxQueueWait), admission.WithPacer(pacer), admission.WithRand(random))
 }
 
 // execution is one attempt of a request at the host of an instance.
