A request whose caller has left isn't sent to the instance

A daemon that stalls reads a request and its cancellation together and sends it all the same. Now the executor looks at the context once it has the slot.

--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -159,7 +159,12 @@
 		return res
 	}
 	started := time.Now()
-	if reason := e.closedTo(req, started); reason != call.None {
+	reason := e.closedTo(req, started)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		// The gate gives a free slot without a look at the context.
+		reason = call.Cancelled
+	}
+	if reason != call.None {
 		gate.Settle(started, ticket, admission.Result{Withdrawn: true})
 		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
 	}
