A fleet that starts as a whole: seeds read the store, the list spreads along a tree

Cause: after a loss of power all daemons, the seeds among them, started together.

Change: only seeds read at once. Who has read the store announces it along a tree that all compute from the host list; each fetches from the one that told it. A seed bounds the copies that it sends unannounced and announces when it is busy. Without a seed a daemon reads after a random wait that keeps the number of readers small at any size. A failed read keeps its pages. In fleets with groups, daemons without current information follow the store after such a wait. A collector without a configuration is not believed. Callers of a daemon that isn't ready are told to return after as long as it has waited.

Measured: TestStartReadsOfTheStore, 24 daemons: 24 complete reads before, and no configuration after a minute where the store refuses the seeds; passes now.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -236,8 +236,20 @@
 
 // followsStore reports whether this daemon must follow the configuration store itself: it is one of the readers, or receives nothing
 // current from them.
+//
+// In a fleet with groups, daemons that receive nothing current begin to follow the store one after the other: their heartbeats bring what the
+// first ones read to all others.
 func (r *reporter) followsStore(now time.Time) bool {
-	return r.topology().Position(r.router.settings.Peers.Addr()) < storeReaders || !r.router.control.fresh.Current(now)
+	topology, control := r.topology(), r.router.control
+	switch {
+	case topology.Position(r.router.settings.Peers.Addr()) < storeReaders:
+		return true
+	case control.fresh.Current(now):
+		control.takeover.Reset()
+		return false
+	default:
+		return topology.Flat() || control.takeover.Due(topology.Size(), now)
+	}
 }
 
 // apply applies the collector's reply to this daemon's heartbeat.
@@ -284,8 +296,12 @@
 	r.router.metrics.Gauge(telemetry.OrganisationSurges).Update(float64(len(surges)))
 }
 
-// fetchNewer records the age of the collector's snapshot of the store, and fetches what the collector has beyond this daemon's.
+// fetchNewer records the age of the collector's snapshot of the store, and fetches what the collector has beyond this daemon's. A collector
+// without a configuration has just started and says nothing about the store.
 func (r *reporter) fetchNewer(host netip.Addr, hb collect.Heartbeat, reply collect.Reply, sent time.Time) {
+	if reply.Version == 0 {
+		return
+	}
 	r.router.control.fresh.ObserveCollector(sent, reply.StoreAge)
 	if reply.Version > hb.Version || reply.Revision > hb.Revision {
 		r.fetchStated(host, statedState{version: reply.Version, revision: reply.Revision})
--- a/internal/app/router/collecting.go
+++ b/internal/app/router/collecting.go
@@ -26,6 +26,10 @@
 		r.router.control.fresh.ObserveReader(now, hb.StoreAge)
 	}
 	reply := r.collector.Handle(hb, fleet, now)
+	if view.Table == nil {
+		// This daemon doesn't know the rates yet; its plan would admit all requests of organisations beyond theirs.
+		reply.Plan.Settled = false
+	}
 	reply.Version, reply.Revision, reply.StoreAge = version(view), view.Revision, r.storeAge(now)
 	return reply
 }
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/bootstrap"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/fresh"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -28,7 +29,12 @@
 	// drainedZones are the availability zones that were drained when they were last logged.
 	drainedZones []string
 	fresh        fresh.State
-	tasks        chan func()
+	// takeover decides when this daemon follows the configuration store although it isn't one of the regular readers.
+	takeover  *fresh.Takeover
+	loader    *bootstrap.Loader
+	announcer *bootstrap.Announcer
+	copies    *bootstrap.Limiter
+	tasks     chan func()
 	// fetchQueue holds the address of a daemon that reported something newer.
 	fetchQueue chan netip.AddrPort
 	ctx        context.Context
@@ -50,7 +56,13 @@
 
 func newControl(r *Router, source Source) *control {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &control{router: r, source: source, catalog: catalog.New(), tasks: make(chan func()), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel}
+	c := &control{
+		router: r, source: source, catalog: catalog.New(), takeover: fresh.NewRandomTakeover(), copies: bootstrap.NewLimiter(r.settings.LinkBytes),
+		tasks: make(chan func()), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel,
+	}
+	c.loader = bootstrap.NewLoader(c, r.settings.Peers, r.settings.Seeds)
+	c.announcer = bootstrap.NewAnnouncer(c, r.settings.Peers)
+	return c
 }
 
 func (c *control) start() {
@@ -109,15 +121,16 @@
 func (c *control) fetch(from netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 	defer cancel()
-	if reply, ok := c.requestChanges(ctx, from); ok {
+	if reply, ok := c.requestChanges(ctx, from, false); ok {
 		c.applyChanges(reply.Changes, from.String())
 	}
 }
 
-// requestChanges asks another daemon for what it has beyond this one.
-func (c *control) requestChanges(ctx context.Context, from netip.AddrPort) (fetchReply, bool) {
+// requestChanges asks another daemon for what it has beyond this one, which may be starting.
+func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, starting bool) (fetchReply, bool) {
 	view := c.router.view.Load()
-	reply, err := peer.Call[fetchRequest, fetchReply](ctx, c.router.peers, from, peer.KindChanges, fetchRequest{Version: version(view), Revision: view.Revision})
+	request := fetchRequest{Version: version(view), Revision: view.Revision, Starting: starting}
+	reply, err := peer.Call[fetchRequest, fetchReply](ctx, c.router.peers, from, peer.KindChanges, request)
 	if err != nil {
 		c.router.log.WithError(err).WithField("from", from.String()).Debug("fetch")
 	}
@@ -152,11 +165,17 @@
 
 func (c *control) handleFetch(_ context.Context, _ netip.AddrPort, req fetchRequest) fetchReply {
 	now := time.Now()
-	reply := fetchReply{StoreAge: min(c.fresh.Age(now), c.fresh.CollectorAge(now))}
-	c.do(func() {
-		reply.Changes = c.catalog.Since(req.Version, req.Revision, now)
-		reply.Whole = c.catalog.Version() > 0 && len(c.catalog.Instances()) > 0
-	})
+	view := c.router.view.Load()
+	reply := fetchReply{StoreAge: min(c.fresh.Age(now), c.fresh.CollectorAge(now)), Whole: view.Complete(), Daemons: len(view.Hosts())}
+	if req.Starting && (!reply.current() || !reply.Whole) {
+		return reply
+	}
+	if req.Starting && !c.copies.Allow(view.CopyBytes(), now) {
+		reply.Busy = true
+		c.announce("busy")
+		return reply
+	}
+	c.do(func() { reply.Changes = c.catalog.Since(req.Version, req.Revision, now) })
 	return reply
 }
 
@@ -186,6 +205,7 @@
 			c.publish()
 			c.logCatalog(from)
 		}
+		c.setLoaded(from)
 		if outcome.Configured {
 			c.configure()
 		}
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -93,7 +93,7 @@
 	}
 	req.header = removeConnectionHeaders(in.Header)
 	if r.stopsBefore(req) {
-		return call.Refuse(call.Draining, notReadyRetryAfter), false
+		return call.Refuse(call.Draining, drainingRetryAfter), false
 	}
 	if req.subcall {
 		req.inherit(r.executor.runs.Parent(req.route.Name, req.arrivedAt.Add(head.Timeout)))
@@ -105,7 +105,7 @@
 func (r *Router) recognise(req *request, in *http.Request, head CallerHead) (call.Answer, bool) {
 	table := r.view.Load().Table
 	if table == nil {
-		return call.Refuse(call.NotReady, notReadyRetryAfter), false
+		return call.Refuse(call.NotReady, r.notReadyRetryAfter(req.arrivedAt)), false
 	}
 	route, ok := table.Match(in.Host, in.URL.Path)
 	if !ok {
@@ -178,8 +178,21 @@
 	}
 }
 
-// notReadyRetryAfter is the Retry-After of a daemon without a configuration; it reads one within several hundred milliseconds.
-const notReadyRetryAfter = 300 * time.Millisecond
+const (
+	// minNotReadyRetryAfter is the shortest Retry-After of a daemon without a configuration: alone, it gets one within that time.
+	minNotReadyRetryAfter = 300 * time.Millisecond
+	// maxNotReadyRetryAfter bounds the Retry-After of a daemon that has waited for long.
+	maxNotReadyRetryAfter = 2 * time.Second
+	// drainingRetryAfter is the Retry-After of a daemon that is about to end; callers find another one at once.
+	drainingRetryAfter = 300 * time.Millisecond
+)
+
+// notReadyRetryAfter returns the Retry-After of a daemon without a configuration: as long as it has waited already. How long a start takes depends
+// on how many daemons start at the same time, which this one doesn't know. With a short fixed time, callers would return and be refused again.
+func (r *Router) notReadyRetryAfter(now time.Time) time.Duration {
+	waited := now.Sub(r.reporter.startedAt)
+	return min(max(waited, minNotReadyRetryAfter), maxNotReadyRetryAfter)
+}
 
 // faultyRouteRetryAfter is the Retry-After of a route that can't be served; the operator's next version may fix it.
 const faultyRouteRetryAfter = time.Second
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -99,6 +99,8 @@
 type fetchRequest struct {
 	Version  uint64 `msgpack:"version"`
 	Revision uint64 `msgpack:"revision"`
+	// Starting means that the sender has just started, and needs a complete copy that is current. It may be told to wait.
+	Starting bool `msgpack:"starting,omitempty"`
 }
 
 // fetchReply is the reply to a fetchRequest.
@@ -108,4 +110,11 @@
 	Whole bool `msgpack:"whole"`
 	// StoreAge is the age of the newer of two snapshots of the configuration store: the daemon's own and its collector's.
 	StoreAge time.Duration `msgpack:"storeAge"`
+	// Busy means that the daemon has sent as many copies as its link allows; it announces to the fleet that it has one.
+	Busy bool `msgpack:"busy,omitempty"`
+	// Daemons is the number of daemons that the daemon knows of.
+	Daemons int `msgpack:"daemons,omitempty"`
 }
+
+// confirmation is the reply to an announcement.
+type confirmation struct{}
--- a/internal/app/router/settings.go
+++ b/internal/app/router/settings.go
@@ -30,11 +30,13 @@
 	Metrics netip.AddrPort
 	// Instance is the address of the instance on this host.
 	Instance netip.AddrPort
-	// Seeds are peers that a starting daemon asks for the published configuration and instances before it reads the store, and while the
-	// store doesn't answer.
+	// Seeds are peers that a starting daemon asks for the published configuration and instances, instead of reading the store, and while the
+	// store doesn't answer. A daemon that is a seed itself reads the store at its start.
 	Seeds []netip.AddrPort
 	// MemoryBytes is the maximum memory of the process, 0 if unknown.
 	MemoryBytes int64
+	// LinkBytes is the bandwidth of the host's link in bytes per second, 0 if unknown.
+	LinkBytes int
 	// Descriptors is the maximum number of open files and sockets of the process, 0 if unknown.
 	Descriptors int
 	// Repeats limits the retries of all daemons together.
--- /dev/null
+++ b/internal/app/router/start_test.go
@@ -0,0 +1,147 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/bootstrap"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
+)
+
+// slowSource is a store that many daemons read at once: a read takes long, and it is counted.
+type slowSource struct {
+	changes  catalog.Changes
+	reads    *atomic.Int64
+	refusing bool
+}
+
+// slowRead is longer than daemons used to wait for the seeds.
+const slowRead = 400 * time.Millisecond
+
+func (s slowSource) Read(ctx context.Context) (catalog.Changes, error) {
+	s.reads.Add(1)
+	sleep(ctx, slowRead)
+	if s.refusing || ctx.Err() != nil {
+		return catalog.Changes{}, errors.New("refused")
+	}
+	return s.changes, nil
+}
+
+func (s slowSource) Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.Changes, error) {
+	sleep(ctx, wait)
+	return catalog.Changes{Revision: after}, nil
+}
+
+// startedFleet is a fleet whose daemons start at the same time, the seeds last.
+type startedFleet struct {
+	routers []*Router
+	reads   atomic.Int64
+}
+
+// startFleet starts the daemons; the store refuses the seeds if so told.
+func startFleet(t *testing.T, size int, refusesSeeds bool) *startedFleet {
+	const seeds = 3
+	f := &startedFleet{}
+	var hosts []netip.Addr
+	for range size {
+		hosts = append(hosts, loopback.Address().Addr())
+	}
+	changes := zoneChanges(hosts, 7)
+	changes.Entries = append(changes.Entries, catalog.Entry{Revision: 7, Config: &routing.Config{
+		Version: 1, Services: map[string]routing.Service{"s": {}},
+	}})
+	var seedAddresses []netip.AddrPort
+	for _, host := range hosts[size-seeds:] {
+		seedAddresses = append(seedAddresses, netip.AddrPortFrom(host, 1002))
+	}
+	for n, host := range hosts {
+		source := slowSource{changes: changes, reads: &f.reads, refusing: refusesSeeds && n >= size-seeds}
+		r := New(Settings{
+			Host: host.String(), Zone: "a", Service: "s", Callers: netip.AddrPortFrom(host, 1001), Peers: netip.AddrPortFrom(host, 1002),
+			Health: netip.AddrPortFrom(host, 1003), Instance: netip.AddrPortFrom(host, 1004), Seeds: seedAddresses,
+			Repeats: repeats.Limits{Ratio: 1, Slack: 1000, Window: 10 * time.Second}, LeaveTime: time.Millisecond,
+		}, source, signedHeads{}, telemetry.NewLog(io.Discard, logrus.InfoLevel))
+		if err := r.start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.stop)
+		f.routers = append(f.routers, r)
+	}
+	return f
+}
+
+// awaitLoaded waits until all daemons have the configuration and all instances.
+func (f *startedFleet) awaitLoaded(t *testing.T) {
+	for _, r := range f.routers {
+		for end := time.Now().Add(time.Minute); !r.view.Load().Complete(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("a daemon has no configuration after a minute")
+			}
+		}
+	}
+}
+
+// TestStartReadsOfTheStore guards against reads of the whole store by all daemons of a fleet that restarts, which exceed what the store can do.
+func TestStartReadsOfTheStore(t *testing.T) {
+	const size = 24
+	Convey("Only the seeds read everything when a fleet starts as a whole", t, func() {
+		f := startFleet(t, size, false)
+		f.awaitLoaded(t)
+		So(f.reads.Load(), ShouldBeLessThan, size/2)
+	})
+	Convey("If the store refuses the seeds, the fleet gets what one of the others has read", t, func() {
+		f := startFleet(t, size, true)
+		f.awaitLoaded(t)
+		for _, r := range f.routers {
+			So(r.view.Load().Hosts(), ShouldHaveLength, size)
+		}
+	})
+}
+
+// TestCollectorWithoutConfiguration guards against a collector that has just started: its plan would admit all requests of an organisation
+// beyond its rate, and its missing information about the store would make all daemons follow the store.
+func TestCollectorWithoutConfiguration(t *testing.T) {
+	Convey("The plan of a collector without a configuration is not settled, and its reply leaves the daemon's information current", t, func() {
+		f := startZoneFleet(t)
+		reporter := f.fetching.reporter
+		hb := reporter.heartbeat(f.fetching.view.Load(), time.Now())
+		So(hb.Version, ShouldEqual, 0)
+		reply := reporter.handle(t.Context(), f.collector.address, hb)
+		So(reply.Plan.Settled, ShouldBeFalse)
+		f.fetching.control.fresh.ObserveCollector(time.Now(), 0)
+		reporter.fetchNewer(f.collector.address.Addr(), hb, reply, time.Now())
+		So(f.fetching.control.fresh.Current(time.Now()), ShouldBeTrue)
+	})
+}
+
+// TestBusySeed guards against copies for a whole fleet that share the link of one seed, so that all arrive too late.
+func TestBusySeed(t *testing.T) {
+	Convey("A seed sends the copies that its link allows and tells further daemons to wait", t, func() {
+		f := startFleet(t, 4, false)
+		f.awaitLoaded(t)
+		seed := f.routers[3]
+		seed.control.copies = bootstrap.NewLimiter(1)
+		busy := 0
+		for range 4 {
+			if reply := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Starting: true}); reply.Busy {
+				busy++
+				So(reply.Changes.Entries, ShouldBeEmpty)
+			}
+		}
+		So(busy, ShouldBeGreaterThan, 0)
+		announced := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{})
+		So(announced.Changes.Entries, ShouldNotBeEmpty)
+	})
+}
--- a/internal/app/router/watch.go
+++ b/internal/app/router/watch.go
@@ -1,17 +1,13 @@
 package router
 
 import (
-	"context"
 	"math/rand/v2"
-	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/fresh"
 )
 
 const (
@@ -26,18 +22,13 @@
 	maxRetryPause = 500 * time.Millisecond
 	// outageThreshold is how long calls to the store must have failed to count as an outage: one lost connection doesn't.
 	outageThreshold = 700 * time.Millisecond
-	// seedsTimeout is how long a starting daemon asks the seeds for what is published before it reads the store; callers are refused
-	// meanwhile. seedsInterval is the pause between two rounds, and seedTimeout bounds one request.
-	seedsTimeout  = 100 * time.Millisecond
-	seedsInterval = 20 * time.Millisecond
-	seedTimeout   = 50 * time.Millisecond
 	// idleInterval is how often a daemon that doesn't follow the store checks whether it has to.
 	idleInterval = 50 * time.Millisecond
 )
 
 // watch follows the configuration store until the daemon stops.
 func (c *control) watch() {
-	revision := c.loadFromSeeds()
+	revision := c.load()
 	pause := minRetryPause
 	failingSince := time.Time{}
 	for c.ctx.Err() == nil {
@@ -47,6 +38,7 @@
 			sleep(c.ctx, idleInterval)
 			continue
 		}
+		starting := !c.loader.IsLoaded()
 		changes, err := c.readStore(revision)
 		now = time.Now()
 		switch {
@@ -61,6 +53,9 @@
 			}
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
+		case starting && c.loader.IsLoaded():
+			failingSince, pause = time.Time{}, minRetryPause
+			revision = c.router.view.Load().Revision
 		default:
 			c.fresh.RecordFailure()
 			if failingSince.IsZero() {
@@ -69,47 +64,19 @@
 			c.storeFailed(failingSince, now, err)
 			sleep(c.ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, maxRetryPause)
-		}
-	}
-}
-
-// loadFromSeeds loads what is published from one of the seeds and returns its revision, or 0 if none of them has it.
-//
-// In a large fleet, all that is published takes several pages. If each daemon read them from the store at its start, the calls would grow
-// with the square of the fleet, all in the second after a loss of power. The seeds themselves read the store.
-func (c *control) loadFromSeeds() uint64 {
-	seeds := c.router.settings.Seeds
-	if slices.Contains(seeds, c.router.settings.Peers) {
-		return 0
-	}
-	for end := time.Now().Add(seedsTimeout); len(seeds) > 0 && time.Now().Before(end); sleep(c.ctx, seedsInterval) {
-		for _, i := range rand.Perm(len(seeds)) {
-			if revision := c.loadFromSeed(seeds[i]); revision > 0 {
-				return revision
+			if revision == 0 && starting {
+				// All others that the store doesn't answer would repeat their reads as well.
+				if revision = c.load(); revision > 0 {
+					failingSince, pause = time.Time{}, minRetryPause
+				}
 			}
 		}
 	}
-	return 0
-}
-
-// loadFromSeed loads what one seed has, if that is complete and current.
-func (c *control) loadFromSeed(seed netip.AddrPort) uint64 {
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, seedTimeout)
-	defer cancel()
-	reply, ok := c.requestChanges(ctx, seed)
-	if !ok || !reply.Whole || reply.StoreAge >= fresh.MaxAge {
-		return 0
-	}
-	c.applyChanges(reply.Changes, seed.String())
-	c.fresh.ObserveCollector(sent, reply.StoreAge)
-	c.router.reporter.trigger()
-	return reply.Changes.Revision
 }
 
 func (c *control) readStore(revision uint64) (catalog.Changes, error) {
 	if revision == 0 {
-		changes, err := c.source.Read(c.ctx)
+		changes, err := c.readAll()
 		c.count("all", err)
 		return changes, err
 	}
--- /dev/null
+++ b/internal/fleet/bootstrap/announcer.go
@@ -0,0 +1,150 @@
+package bootstrap
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Announcement says that a daemon has what is published up to a version and a revision.
+type Announcement struct {
+	// Root is the daemon that began to announce; the tree along which announcements are passed on starts there.
+	Root netip.Addr `msgpack:"root"`
+	// Source is the daemon from which it can be fetched.
+	Source netip.AddrPort `msgpack:"source"`
+	// Version is that of the configuration, Revision that of the instances.
+	Version  uint64 `msgpack:"version"`
+	Revision uint64 `msgpack:"revision"`
+}
+
+// Tree says to which hosts a host passes on what the root announces.
+type Tree interface {
+	Children(root, host netip.Addr) []netip.Addr
+}
+
+// Daemon is what an announcer needs of its daemon.
+type Daemon interface {
+	// Has reports whether the daemon has what is announced.
+	Has(announced Announcement) bool
+	// FetchAnnounced fetches what the daemon at the address has announced.
+	FetchAnnounced(ctx context.Context, from netip.AddrPort)
+	// Tree returns the tree of the listed hosts.
+	Tree() Tree
+	// SendAnnouncement sends an announcement to the daemon on a host; an error means that it may not have arrived.
+	SendAnnouncement(ctx context.Context, to netip.Addr, announced Announcement) error
+}
+
+const (
+	// sendTimeout bounds the wait for one daemon to confirm an announcement.
+	sendTimeout = 400 * time.Millisecond
+	// announcedFetchTimeout bounds the fetch of what is announced: a daemon sends a complete copy to all its children at a time.
+	announcedFetchTimeout = time.Second
+	// maxSends is the maximum number of announcements on their way from one daemon at a time.
+	maxSends = 16
+	// maxReceived is the maximum number of announcements that one daemon passes on at a time: one from each seed, and from a few readers.
+	maxReceived = 16
+	// announceInterval is the shortest time between two announcements that one daemon begins.
+	announceInterval = time.Second
+)
+
+// Announcer tells the daemons of a fleet, along a tree, that one of them has what is published. Each fetches it from the daemon that told it,
+// so that no daemon sends more than a few copies, in a fleet of any size.
+type Announcer struct {
+	daemon Daemon
+	self   netip.AddrPort
+	slots  chan struct{}
+	// fetching has room for one fetch, so that announcements from several roots cause one fetch.
+	fetching chan struct{}
+	received chan struct{}
+
+	mu          sync.Mutex
+	announcedAt time.Time
+}
+
+// NewAnnouncer returns the announcer of the daemon at the address.
+func NewAnnouncer(daemon Daemon, self netip.AddrPort) *Announcer {
+	return &Announcer{daemon: daemon, self: self, slots: make(chan struct{}, maxSends), fetching: make(chan struct{}, 1), received: make(chan struct{}, maxReceived)}
+}
+
+// Announce tells all daemons that this one has what is published, at most once per announceInterval; false means that it was too early.
+func (a *Announcer) Announce(ctx context.Context, version, revision uint64, now time.Time) bool {
+	if !a.due(now) {
+		return false
+	}
+	a.passOn(ctx, a.self.Addr(), Announcement{Root: a.self.Addr(), Source: a.self, Version: version, Revision: revision})
+	return true
+}
+
+func (a *Announcer) due(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.announcedAt) < announceInterval {
+		return false
+	}
+	a.announcedAt = now
+	return true
+}
+
+// Receive fetches what is announced, unless this daemon has it, and passes the announcement on. Beyond maxReceived announcements at a time it
+// drops them: daemons that still wait ask the seeds again.
+func (a *Announcer) Receive(ctx context.Context, announced Announcement) {
+	select {
+	case a.received <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-a.received }()
+	if a.fetch(ctx, announced) {
+		announced.Source = a.self
+	}
+	a.passOn(ctx, a.self.Addr(), announced)
+}
+
+// fetch reports whether this daemon has what is announced after fetching it.
+func (a *Announcer) fetch(ctx context.Context, announced Announcement) bool {
+	if !acquire(ctx, a.fetching) {
+		return false
+	}
+	defer func() { <-a.fetching }()
+	if !a.daemon.Has(announced) {
+		ctx, cancel := context.WithTimeout(ctx, announcedFetchTimeout)
+		defer cancel()
+		a.daemon.FetchAnnounced(ctx, announced.Source)
+	}
+	return a.daemon.Has(announced)
+}
+
+// passOn sends the announcement to the daemons to which the one on the host passes it on. The place of a daemon that doesn't confirm is taken
+// by this one, so that a lost daemon doesn't keep the announcement from those behind it.
+func (a *Announcer) passOn(ctx context.Context, host netip.Addr, announced Announcement) {
+	var sends sync.WaitGroup
+	for _, child := range a.daemon.Tree().Children(announced.Root, host) {
+		sends.Go(func() {
+			if !a.send(ctx, child, announced) && ctx.Err() == nil {
+				a.passOn(ctx, child, announced)
+			}
+		})
+	}
+	sends.Wait()
+}
+
+func (a *Announcer) send(ctx context.Context, to netip.Addr, announced Announcement) bool {
+	if !acquire(ctx, a.slots) {
+		return false
+	}
+	defer func() { <-a.slots }()
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	return a.daemon.SendAnnouncement(ctx, to, announced) == nil
+}
+
+// acquire takes one of the places in the channel; false means that the context ended first.
+func acquire(ctx context.Context, places chan struct{}) bool {
+	select {
+	case places <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/fleet/catalog/view.go
+++ b/internal/fleet/catalog/view.go
@@ -54,6 +54,26 @@
 	return view
 }
 
+// Complete reports whether there are a configuration and instances.
+func (v *View) Complete() bool { return v.Table != nil && len(v.instances) > 0 }
+
+const (
+	// Estimates of the encoded sizes of an instance, an organisation and a route.
+	instanceBytes     = 256
+	organisationBytes = 128
+	routeBytes        = 256
+)
+
+// CopyBytes estimates the size of a message with all that the view shows.
+func (v *View) CopyBytes() int {
+	bytes := len(v.instances) * instanceBytes
+	if v.Table != nil {
+		config := v.Table.Config()
+		bytes += len(config.Organisations)*organisationBytes + len(config.Routes)*routeBytes
+	}
+	return bytes
+}
+
 // InstancesOf returns the instances of a service outside drained zones, including draining instances; the slice must not be changed.
 func (v *View) InstancesOf(service string) []routing.Instance { return v.services[service] }
 
--- a/internal/fleet/collect/message.go
+++ b/internal/fleet/collect/message.go
@@ -72,7 +72,7 @@
 	// Age is the plan's age when it was relayed; 0 for a collector's own plan.
 	Age time.Duration `msgpack:"age"`
 	// Rates has the allocations of the organisations that are above their rate limit and of those that the heartbeat named. They are valid
-	// only if Settled, which means that the collector has received the demand of all daemons.
+	// only if Settled, which means that the collector has a configuration and has received the demand of all daemons.
 	Rates   map[string]quota.Allocation `msgpack:"rates"`
 	Settled bool                        `msgpack:"settled"`
 	// Allocations has the classes that can't be admitted in full.
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -34,7 +34,9 @@
 	KindProbe // probe
 	// KindLayouts announces the layouts of the messages that a node handles.
 	KindLayouts // layouts
+	// KindAnnouncement announces that a daemon has what is published.
+	KindAnnouncement // announcement
 )
 
 // Kinds is the last kind plus one; no message has kind 0.
-const Kinds = int(KindLayouts) + 1
+const Kinds = int(KindAnnouncement) + 1
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -22,11 +22,12 @@
 	_ = x[KindChanges-12]
 	_ = x[KindProbe-13]
 	_ = x[KindLayouts-14]
+	_ = x[KindAnnouncement-15]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayouts"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayoutsannouncement"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77, 89}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
