Spare readers of the store pause for longer after changes

Cause: three readers ask for each change, and in a large fleet something changes all the time: 30 calls a second, though two of the readers only stand by. Change: all but the first wait 400 ms after changes instead of 100. Test: TestReadersOfTheStore.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -252,6 +252,14 @@
 	}
 }
 
+// changesPause returns how long this daemon waits after changes before it asks the store for more.
+func (r *reporter) changesPause() time.Duration {
+	if r.topology().Position(r.router.settings.Peers.Addr()) == 0 {
+		return changesPause
+	}
+	return spareChangesPause
+}
+
 // apply applies the collector's reply to this daemon's heartbeat.
 func (r *reporter) apply(host netip.Addr, hb collect.Heartbeat, reply collect.Reply, sent time.Time) {
 	planMadeAt := sent.Add(-reply.Plan.Age)
--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -20,6 +20,21 @@
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
 
+// busySource is a store in which something changes all the time.
+type busySource struct {
+	changes catalog.Changes
+	watches *atomic.Int64
+}
+
+func (s busySource) Read(context.Context) (catalog.Changes, error) { return s.changes, nil }
+
+func (s busySource) Watch(_ context.Context, after uint64, _ time.Duration) (catalog.Changes, error) {
+	s.watches.Add(1)
+	entry := s.changes.Entries[0]
+	entry.Revision = after + 1
+	return catalog.Changes{Revision: after + 1, Entries: []catalog.Entry{entry}}, nil
+}
+
 // slowSource is a store that many daemons read at once: a read takes long, and it is counted.
 type slowSource struct {
 	changes  catalog.Changes
@@ -50,10 +65,19 @@
 	reads   atomic.Int64
 }
 
-// startFleet starts the daemons; the store refuses the seeds if so told.
+// startFleet starts the daemons, whose last three are the seeds. The store refuses the seeds if so told.
 func startFleet(t *testing.T, size int, refusesSeeds bool) *startedFleet {
-	const seeds = 3
 	f := &startedFleet{}
+	f.start(t, size, func(n int, changes catalog.Changes) Source {
+		return slowSource{changes: changes, reads: &f.reads, refusing: refusesSeeds && n >= size-seeds}
+	})
+	return f
+}
+
+const seeds = 3
+
+// start starts the daemons with the source of each.
+func (f *startedFleet) start(t *testing.T, size int, sourceOf func(n int, changes catalog.Changes) Source) {
 	var hosts []netip.Addr
 	for range size {
 		hosts = append(hosts, loopback.Address().Addr())
@@ -67,19 +91,17 @@
 		seedAddresses = append(seedAddresses, netip.AddrPortFrom(host, 1002))
 	}
 	for n, host := range hosts {
-		source := slowSource{changes: changes, reads: &f.reads, refusing: refusesSeeds && n >= size-seeds}
 		r := New(Settings{
 			Host: host.String(), Zone: "a", Service: "s", Callers: netip.AddrPortFrom(host, 1001), Peers: netip.AddrPortFrom(host, 1002),
 			Health: netip.AddrPortFrom(host, 1003), Instance: netip.AddrPortFrom(host, 1004), Seeds: seedAddresses,
 			Repeats: repeats.Limits{Ratio: 1, Slack: 1000, Window: 10 * time.Second}, LeaveTime: time.Millisecond,
-		}, source, signedHeads{}, telemetry.NewLog(io.Discard, logrus.InfoLevel))
+		}, sourceOf(n, changes), signedHeads{}, telemetry.NewLog(io.Discard, logrus.InfoLevel))
 		if err := r.start(); err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(r.stop)
 		f.routers = append(f.routers, r)
 	}
-	return f
 }
 
 // awaitLoaded waits until all daemons have the configuration and all instances.
@@ -135,6 +157,7 @@
 		seed.control.copies = bootstrap.NewLimiter(1)
 		busy := 0
 		for range 4 {
+			seed.control.fresh.RecordAnswer(time.Now())
 			if reply := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Starting: true}); reply.Busy {
 				busy++
 				So(reply.Changes.Entries, ShouldBeEmpty)
@@ -145,3 +168,33 @@
 		So(announced.Changes.Entries, ShouldNotBeEmpty)
 	})
 }
+
+// TestReadersOfTheStore guards against each reader of the store asking for every change of a large fleet, in which something changes all the time.
+func TestReadersOfTheStore(t *testing.T) {
+	Convey("While something changes all the time, the spare readers ask the store less than half as often as the first one", t, func() {
+		const size = 5
+		var watches [size]atomic.Int64
+		f := &startedFleet{}
+		f.start(t, size, func(n int, changes catalog.Changes) Source {
+			return busySource{changes: changes, watches: &watches[n]}
+		})
+		f.awaitLoaded(t)
+		time.Sleep(time.Second)
+		var before [size]int64
+		for n := range watches {
+			before[n] = watches[n].Load()
+		}
+		time.Sleep(4 * spareChangesPause)
+		var byPosition [size]int64
+		for n, r := range f.routers {
+			byPosition[r.reporter.topology().Position(r.settings.Peers.Addr())] = watches[n].Load() - before[n]
+		}
+		So(byPosition[0], ShouldBeGreaterThan, 0)
+		for _, spare := range byPosition[1:storeReaders] {
+			So(spare, ShouldBeBetween, 0, byPosition[0]/2+1)
+		}
+		for _, other := range byPosition[storeReaders:] {
+			So(other, ShouldEqual, 0)
+		}
+	})
+}
--- a/internal/app/router/watch.go
+++ b/internal/app/router/watch.go
@@ -17,6 +17,9 @@
 	// changesPause is the wait after changes arrived: in a large fleet, instances that start or leave write several times a second, and
 	// each change would cost a call by every reader. What must be in force within 2 s can wait that long.
 	changesPause = 100 * time.Millisecond
+	// spareChangesPause is that wait of all readers but the first, which are there in case the store refuses the first one. What they report is
+	// still recent enough for the others then; see fresh.MaxAge.
+	spareChangesPause = 400 * time.Millisecond
 	// minRetryPause is the wait after a failed call to the store; it doubles up to maxRetryPause.
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -49,7 +52,7 @@
 			revision = changes.Revision
 			c.applyChanges(changes, storeName)
 			if len(changes.Entries) > 0 {
-				sleep(c.ctx, changesPause)
+				sleep(c.ctx, c.router.reporter.changesPause())
 			}
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
