foxctl capacity: what the daemons of a fleet use by role, from a usage line in their logs

Each daemon logs every 10 s what it has used and for whom it collects; foxctl capacity makes the table and the time that each version took to the middle and the last daemon. A seed may use half of its link for copies at a start, when nothing else is on it.

--- a/internal/app/router/call_bench_test.go
+++ b/internal/app/router/call_bench_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
@@ -137,7 +136,7 @@
 	request := []byte("GET /x/lookup?vin=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 9c41d07be2a35f68\r\nDeadline-Ms: 5000\r\nAuthorization: k\r\nAccept: */*\r\nUser-Agent: bench\r\n\r\n")
 	reader := bufio.NewReader(c)
 	b.ReportAllocs()
-	before := processorTime(b)
+	before := processorTime()
 	for b.Loop() {
 		if _, err := c.Write(request); err != nil {
 			b.Fatal(err)
@@ -150,14 +149,5 @@
 		_, _ = io.Copy(io.Discard, res.Body)
 		_ = res.Body.Close()
 	}
-	b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
-}
-
-// processorTime returns the processor time that this process has used.
-func processorTime(b *testing.B) time.Duration {
-	var usage unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
 }
--- a/internal/app/router/collecting.go
+++ b/internal/app/router/collecting.go
@@ -15,6 +15,7 @@
 // handle replies to another daemon's heartbeat.
 func (r *reporter) handle(_ context.Context, _ netip.AddrPort, hb collect.Heartbeat) collect.Reply {
 	now := time.Now()
+	r.router.usage.heartbeats.Add(1)
 	view := r.router.view.Load()
 	fleet := collect.Fleet{Daemons: len(view.Hosts()), Members: r.topology().Members(r.router.settings.Peers.Addr()), Departed: r.departures.Count(now)}
 	if view.Table != nil {
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -93,6 +93,7 @@
 			c.router.executor.tick(now)
 			c.router.callers.EndIdle(now)
 			c.reportPeerBytes(now)
+			c.logUsage(now)
 		}
 	}
 }
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -54,6 +54,7 @@
 	health   *httpd.Server
 	operator *httpd.Server
 	inFlight atomic.Int64
+	usage    usage
 }
 
 // New returns a router with checked settings; it does nothing until Run.
--- a/internal/app/router/watch.go
+++ b/internal/app/router/watch.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		outcome = "failed"
 	}
+	c.router.usage.storeCalls.Add(1)
 	c.router.metrics.Tagged(map[string]string{"call": operation, "outcome": outcome}).Counter(telemetry.StoreCalls).Inc(1)
 }
 
--- a/internal/ctl/command/command_test.go
+++ b/internal/ctl/command/command_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	lines := []string{"", "check", "diff", "key", "key new", "key hash", "status", "explain", "reference"}
+	lines := []string{"", "check", "diff", "key", "key new", "key hash", "status", "explain", "capacity", "reference"}
 	Convey("The help of every command goes to standard output and has the exit codes", t, func() {
 		for _, line := range lines {
 			Convey("foxctl "+line, func() {
--- a/internal/ctl/command/root.go
+++ b/internal/ctl/command/root.go
@@ -65,7 +65,7 @@
 		LongHelp:   "foxctl COMMAND -h describes a command with its flags.\n\n" + exitCodes,
 		FlagSet:    a.flags("foxctl"),
 		Subcommands: []*ffcli.Command{
-			a.checkCommand(), a.diffCommand(), a.keyCommand(), a.statusCommand(), a.explainCommand(), a.referenceCommand(),
+			a.checkCommand(), a.diffCommand(), a.keyCommand(), a.statusCommand(), a.explainCommand(), a.capacityCommand(), a.referenceCommand(),
 		},
 		Exec: requireSubcommand("foxctl"),
 	}
--- a/internal/fleet/bootstrap/limiter.go
+++ b/internal/fleet/bootstrap/limiter.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// linkDivisor divides the bandwidth of the host's link: complete copies for starting daemons may use a quarter, the rest is for requests.
-	linkDivisor = 4
+	// linkDivisor divides the bandwidth of the host's link: complete copies for starting daemons may use half, the rest is for requests.
+	linkDivisor = 2
 	// defaultLinkBytes is the bandwidth of a link, in bytes per second, if the settings don't say.
 	defaultLinkBytes = 25_000_000
 	// burstTime is how long a link is used for copies that are sent at once, at its full bandwidth.
