--- a/internal/fleet/bootstrap/limiter.go
+++ b/internal/fleet/bootstrap/limiter.go
@@ -1,9 +1,8 @@
 package bootstrap
 
 import (
+	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -17,18 +16,33 @@
 
 // Limiter bounds the bytes that a daemon spends on complete copies for starting daemons that ask it unannounced. Without it, the copies for a
 // whole fleet would share the link of a seed, and all of them would arrive too late.
-type Limiter struct{ limiter *rate.Limiter }
+type Limiter struct {
+	mu sync.Mutex
+	// perSecond is what the copies may use. left is what may be sent now; it is negative after a copy that was longer.
+	perSecond, burst, left float64
+	updated                time.Time
+}
 
 // NewLimiter returns a limiter for a link of so many bytes per second, 0 if unknown.
 func NewLimiter(linkBytes int) *Limiter {
 	if linkBytes <= 0 {
 		linkBytes = defaultLinkBytes
 	}
-	burst := max(int(float64(linkBytes)*burstTime.Seconds()), 1)
-	return &Limiter{rate.NewLimiter(rate.Limit(float64(linkBytes)/linkDivisor), burst)}
+	burst := float64(linkBytes) * burstTime.Seconds()
+	return &Limiter{perSecond: float64(linkBytes) / linkDivisor, burst: burst, left: burst}
 }
 
-// Allow reports whether a copy of so many bytes may be sent now. A copy that is larger than what may be sent at once counts as that.
+// Allow reports whether a copy of so many bytes may be sent now, and counts it.
 func (l *Limiter) Allow(bytes int, now time.Time) bool {
-	return l.limiter.AllowN(now, min(bytes, l.limiter.Burst()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.updated.IsZero() {
+		l.left = min(l.left+now.Sub(l.updated).Seconds()*l.perSecond, l.burst)
+	}
+	l.updated = now
+	if l.left <= 0 {
+		return false
+	}
+	l.left -= float64(bytes)
+	return true
 }
