Views and topologies of a large fleet: sort pointers once, keep the topology while the hosts stay

Cause: each change of the list copied and sorted all instances several times, built addresses as text, and computed the topology anew on every daemon.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -119,16 +119,23 @@
 	}
 }
 
-// topology returns the topology of the hosts that are listed now.
+// topology returns the topology of the hosts that are listed now. It is computed anew only if the hosts have changed, since in a large fleet
+// most changes are of an instance's state.
 func (r *reporter) topology() *viewTopology {
 	view := r.router.view.Load()
-	if cached := r.cachedTopology.Load(); cached != nil && cached.view == view {
+	cached := r.cachedTopology.Load()
+	if cached != nil && cached.view == view {
 		return cached
 	}
+	if cached != nil && view.SameHosts(cached.view) {
+		topology := &viewTopology{cached.Topology, view}
+		r.cachedTopology.Store(topology)
+		return topology
+	}
 	instances := view.Instances()
 	hosts := make([]collect.Host, 0, len(instances))
-	for _, inst := range instances {
-		hosts = append(hosts, collect.Host{Address: inst.Address.Addr(), Zone: inst.Zone})
+	for i := range instances {
+		hosts = append(hosts, collect.Host{Address: instances[i].Address.Addr(), Zone: instances[i].Zone})
 	}
 	topology := &viewTopology{collect.NewTopology(hosts), view}
 	r.departures.SetListed(view.Hosts(), time.Now())
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -236,13 +236,14 @@
 // logCatalog logs the state of the catalog and the sender of the last change.
 func (c *control) logCatalog(from string) {
 	draining := []string{}
-	for _, inst := range c.catalog.Instances() {
+	instances := c.router.view.Load().Instances()
+	for _, inst := range instances {
 		if inst.Draining {
 			draining = append(draining, inst.ID)
 		}
 	}
 	c.router.log.WithFields(logrus.Fields{
-		"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(c.catalog.Instances()), "draining": draining,
+		"from": from, "version": c.catalog.Version(), "revision": c.catalog.Revision(), "instances": len(instances), "draining": draining,
 	}).Info("catalog")
 }
 
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -230,28 +232,40 @@
 // Config returns the configuration in force, or nil; it must not be changed.
 func (c *Catalog) Config() *routing.Config { return c.config }
 
-// Instances returns the usable instances, one for each address.
+// Instances returns the usable instances, one for each address, sorted by ID.
 //
 // The address of a stopped instance may be reused by another. Until the old entry expires both name the address, and requests for the old
 // instance would be refused by the new one.
 func (c *Catalog) Instances() []routing.Instance {
-	newest := map[string]Entry{}
+	newest := make(map[netip.AddrPort]published, len(c.entries))
 	for _, entry := range c.entries {
 		if entry.Instance == nil {
 			continue
 		}
-		address := entry.Instance.Address.String()
-		if other, known := newest[address]; !known || newer(entry, other) {
-			newest[address] = entry
+		found := published{entry.Instance, entry.Revision}
+		if other, known := newest[entry.Instance.Address]; !known || found.newer(other) {
+			newest[entry.Instance.Address] = found
 		}
 	}
-	all := make([]routing.Instance, 0, len(newest))
-	for _, entry := range newest {
-		all = append(all, *entry.Instance)
+	// Pointers are sorted, since moving whole instances around takes most of the time in a large fleet.
+	sorted := make([]*routing.Instance, 0, len(newest))
+	for _, found := range newest {
+		sorted = append(sorted, found.instance)
+	}
+	slices.SortFunc(sorted, func(a, b *routing.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	all := make([]routing.Instance, len(sorted))
+	for i, inst := range sorted {
+		all[i] = *inst
 	}
 	return all
 }
 
+// published is an instance with the revision of its entry.
+type published struct {
+	instance *routing.Instance
+	revision uint64
+}
+
 // DrainedZones returns the availability zones whose instances must receive no requests, sorted.
 func (c *Catalog) DrainedZones() []string {
 	var zones []string
@@ -264,9 +278,9 @@
 	return slices.Compact(zones)
 }
 
-func newer(a, b Entry) bool {
-	if !a.Instance.Born.Equal(b.Instance.Born) {
-		return a.Instance.Born.After(b.Instance.Born)
+func (p published) newer(other published) bool {
+	if !p.instance.Born.Equal(other.instance.Born) {
+		return p.instance.Born.After(other.instance.Born)
 	}
-	return a.Revision > b.Revision
+	return p.revision > other.revision
 }
--- a/internal/fleet/catalog/catalog_test.go
+++ b/internal/fleet/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -160,3 +161,47 @@
 		So(to.View(nil).InstancesOf("s")[0].ColdUntil, ShouldEqual, start.Add(3*time.Second))
 	})
 }
+
+// TestSameHosts guards against groups of collectors that stay as they are although a host has moved to another availability zone.
+func TestSameHosts(t *testing.T) {
+	view := func(instances ...routing.Instance) *View {
+		c := New()
+		var changes Changes
+		for i := range instances {
+			changes.Entries = append(changes.Entries, Entry{Key: instances[i].ID, Revision: 1, Instance: &instances[i]})
+		}
+		c.Apply(changes, time.Time{}, time.Time{})
+		return c.View(nil)
+	}
+	one := routing.Instance{ID: "i", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	restarted, moved, other := one, one, one
+	restarted.ID, restarted.Draining = "j", true
+	moved.Zone = "b"
+	other.ID, other.Address = "k", netip.MustParseAddrPort("10.0.0.2:80")
+	Convey("Views differ by their hosts and these hosts' zones, not by the state of instances", t, func() {
+		So(view(one).SameHosts(view(restarted)), ShouldBeTrue)
+		So(view(one).SameHosts(view(moved)), ShouldBeFalse)
+		So(view(one).SameHosts(view(other)), ShouldBeFalse)
+		So(view(one).SameHosts(view(one, other)), ShouldBeFalse)
+		So(view().SameHosts(view()), ShouldBeTrue)
+	})
+}
+
+// BenchmarkView measures what each change of the list costs each daemon.
+func BenchmarkView(b *testing.B) {
+	for _, size := range []int{30, 985, 1970} {
+		c := New()
+		var changes Changes
+		for n := range size {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 80)
+			inst := &routing.Instance{ID: fmt.Sprint("i-", n), Service: fmt.Sprint("s", n%4), Zone: fmt.Sprint("z", n%5), Address: address}
+			changes.Entries = append(changes.Entries, Entry{Key: inst.ID, Revision: 1, Instance: inst})
+		}
+		c.Apply(changes, time.Time{}, time.Time{})
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				c.View(nil)
+			}
+		})
+	}
+}
--- a/internal/fleet/catalog/view.go
+++ b/internal/fleet/catalog/view.go
@@ -13,10 +13,13 @@
 	Table    *routing.Table
 	Revision uint64
 
-	services     map[string][]routing.Instance
-	byID         map[string]routing.Instance
-	instances    []routing.Instance
-	hosts        []netip.Addr
+	services  map[string][]routing.Instance
+	instances []routing.Instance
+	// positions has the position in instances of each ID.
+	positions map[string]int
+	hosts     []netip.Addr
+	// placements has the hosts with their availability zones, sorted.
+	placements   []placement
 	drainedZones []string
 	// drainedServices are the services with instances in drained zones.
 	drainedServices map[string]bool
@@ -24,7 +27,7 @@
 
 // View returns a snapshot; its table is rebuilt only if the configuration's version differs from the previous view's.
 func (c *Catalog) View(previous *View) *View {
-	view := &View{Revision: c.revision, services: map[string][]routing.Instance{}, byID: map[string]routing.Instance{}, drainedServices: map[string]bool{}}
+	view := &View{Revision: c.revision, services: map[string][]routing.Instance{}, drainedServices: map[string]bool{}}
 	switch {
 	case c.config == nil:
 	case previous != nil && previous.Table != nil && previous.Table.Version() == c.config.Version:
@@ -33,27 +36,41 @@
 		view.Table = routing.NewTable(*c.config)
 	}
 	view.instances, view.drainedZones = c.Instances(), c.DrainedZones()
+	view.positions = make(map[string]int, len(view.instances))
+	view.placements = make([]placement, 0, len(view.instances))
 	for i := range view.instances {
-		inst := view.instances[i]
+		inst := &view.instances[i]
 		if c.config != nil {
 			inst.ColdRate = c.config.Services[inst.Service].ColdRate
 		}
 		if view.ZoneDrained(inst.Zone) {
 			view.drainedServices[inst.Service] = true
 		} else {
-			view.services[inst.Service] = append(view.services[inst.Service], inst)
+			view.services[inst.Service] = append(view.services[inst.Service], *inst)
 		}
-		view.byID[inst.ID] = inst
-		view.hosts = append(view.hosts, inst.Address.Addr())
+		view.positions[inst.ID] = i
+		view.placements = append(view.placements, placement{inst.Address.Addr(), inst.Zone})
 	}
-	for _, all := range view.services {
-		slices.SortFunc(all, func(a, b routing.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(view.placements, placement.compare)
+	view.placements = slices.Compact(view.placements)
+	view.hosts = make([]netip.Addr, 0, len(view.placements))
+	for _, p := range view.placements {
+		view.hosts = append(view.hosts, p.host)
 	}
-	slices.SortFunc(view.hosts, netip.Addr.Compare)
 	view.hosts = slices.Compact(view.hosts)
 	return view
 }
 
+// placement is a host with its availability zone.
+type placement struct {
+	host netip.Addr
+	zone string
+}
+
+func (p placement) compare(other placement) int {
+	return cmp.Or(p.host.Compare(other.host), cmp.Compare(p.zone, other.zone))
+}
+
 // Complete reports whether there are a configuration and instances.
 func (v *View) Complete() bool { return v.Table != nil && len(v.instances) > 0 }
 
@@ -104,19 +121,27 @@
 
 // Instance returns the instance with the ID, or false.
 func (v *View) Instance(id string) (routing.Instance, bool) {
-	inst, ok := v.byID[id]
-	return inst, ok
+	position, ok := v.positions[id]
+	if !ok {
+		return routing.Instance{}, false
+	}
+	return v.instances[position], true
 }
 
 // At returns the instance at the address, or false.
 func (v *View) At(address netip.AddrPort) (routing.Instance, bool) {
-	for _, i := range v.byID {
-		if i.Address == address {
-			return i, true
+	for i := range v.instances {
+		if v.instances[i].Address == address {
+			return v.instances[i], true
 		}
 	}
 	return routing.Instance{}, false
 }
 
+// SameHosts reports whether the other view has the same hosts in the same availability zones.
+func (v *View) SameHosts(other *View) bool {
+	return slices.Equal(v.placements, other.placements)
+}
+
 // Hosts returns the hosts that instances run on, sorted; the slice must not be changed.
 func (v *View) Hosts() []netip.Addr { return v.hosts }
