A revision without changes counts; a seed that doesn't say how large the fleet is

Cause, by reading: a daemon kept the revision of its last change, so that a later one that changed nothing it uses was asked for again with each heartbeat, and such a daemon would not have counted as a source of an announced copy. TestRevisionWithoutChange. A starting daemon drew its wait anew with each reply of an outdated seed of an earlier release, which states no number of hosts (TestWait).

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -205,6 +205,9 @@
 		if outcome.Configured || outcome.Instances {
 			c.publish()
 			c.logCatalog(from)
+		} else if view := c.router.view.Load(); c.catalog.Revision() > view.Revision {
+			// Otherwise this daemon would ask for the same revision again with each heartbeat.
+			c.router.view.Store(view.AtRevision(c.catalog.Revision()))
 		}
 		c.setLoaded(from)
 		if outcome.Configured {
--- a/internal/app/router/neighbours_test.go
+++ b/internal/app/router/neighbours_test.go
@@ -175,3 +175,15 @@
 		So(f.fetching.reporter.neighbours(f.neighbour.address.Addr(), time.Now()), ShouldBeEmpty)
 	})
 }
+
+func TestRevisionWithoutChange(t *testing.T) {
+	// A daemon that keeps its old revision after a change that concerns nothing it uses asks for that change again with each heartbeat.
+	Convey("A later revision without changes counts, and everything else stays", t, func() {
+		f := startZoneFleet(t)
+		before := f.fetching.view.Load()
+		f.fetching.control.applyChanges(catalog.Changes{Revision: statedRevision}, "peer")
+		So(f.revision(), ShouldEqual, statedRevision)
+		So(f.fetching.view.Load().Hosts(), ShouldResemble, before.Hosts())
+		So(f.fetching.reporter.topology().Size(), ShouldEqual, len(before.Hosts()))
+	})
+}
--- a/internal/fleet/bootstrap/bootstrap_test.go
+++ b/internal/fleet/bootstrap/bootstrap_test.go
@@ -1,7 +1,9 @@
 package bootstrap
 
 import (
+	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -71,3 +73,57 @@
 		}
 	}
 }
+
+// fixedFetcher replies the same to each fetch.
+type fixedFetcher struct{ reply Reply }
+
+func (f fixedFetcher) Fetch(context.Context, netip.AddrPort) Reply { return f.reply }
+
+// TestWait guards against a daemon that waits for seeds which will never have anything, and against one that reads the store although a seed
+// follows it.
+func TestWait(t *testing.T) {
+	seed, self := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	cases := []struct {
+		name  string
+		reply Reply
+		seeds []netip.AddrPort
+		// reads means that the daemon reads the store within most, rather than waiting for longer than a minute.
+		reads bool
+		most  time.Duration
+	}{
+		{"without seeds, the store is read at once", Reply{}, nil, true, 0},
+		{"a seed reads the store at once", Reply{}, []netip.AddrPort{seed, self}, true, 0},
+		{"seeds that don't reply are waited for some seconds", Reply{}, []netip.AddrPort{seed}, true, 4 * time.Second},
+		{"a seed of a small fleet that can't read the store is not waited for", Reply{Outcome: Outdated, Daemons: 17}, []netip.AddrPort{seed}, true, time.Second},
+		{"nor is one that doesn't say how large the fleet is", Reply{Outcome: Outdated}, []netip.AddrPort{seed}, true, time.Second},
+		{"a seed that follows the store is waited for", Reply{Outcome: Current}, []netip.AddrPort{seed}, false, 0},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			var took time.Duration
+			var loaded bool
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				started := time.Now()
+				loaded = NewLoader(fixedFetcher{c.reply}, self, c.seeds).Wait(ctx)
+				took = time.Since(started)
+			})
+			So(loaded, ShouldBeFalse)
+			if c.reads {
+				So(took, ShouldBeLessThanOrEqualTo, c.most)
+			} else {
+				So(took, ShouldEqual, time.Minute)
+			}
+		})
+	}
+	Convey("A daemon that gets a copy during its wait is loaded", t, func() {
+		var loaded bool
+		synctest.Test(t, func(t *testing.T) {
+			loader := NewLoader(fixedFetcher{Reply{Outcome: Current}}, self, []netip.AddrPort{seed})
+			time.AfterFunc(time.Second, loader.SetLoaded)
+			loaded = loader.Wait(t.Context())
+		})
+		So(loaded, ShouldBeTrue)
+	})
+}
--- a/internal/fleet/bootstrap/loader.go
+++ b/internal/fleet/bootstrap/loader.go
@@ -119,7 +119,7 @@
 		case Outdated:
 			if daemons == 0 {
 				l.takeover.Reset()
-				daemons = reply.Daemons
+				daemons = max(reply.Daemons, 1)
 			}
 		case Unavailable:
 		}
--- a/internal/fleet/catalog/view.go
+++ b/internal/fleet/catalog/view.go
@@ -71,6 +71,13 @@
 	return cmp.Or(p.host.Compare(other.host), cmp.Compare(p.zone, other.zone))
 }
 
+// AtRevision returns the same view as of a later revision that has changed nothing in it.
+func (v *View) AtRevision(revision uint64) *View {
+	later := *v
+	later.Revision = revision
+	return &later
+}
+
 // Complete reports whether there are a configuration and instances.
 func (v *View) Complete() bool { return v.Table != nil && len(v.instances) > 0 }
 
