--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -24,12 +24,16 @@
 type busySource struct {
 	changes catalog.Changes
 	watches *atomic.Int64
+	// longest is the longest wait of a watch that directly follows a change, in nanoseconds.
+	longest *atomic.Int64
 }
 
 func (s busySource) Read(context.Context) (catalog.Changes, error) { return s.changes, nil }
 
-func (s busySource) Watch(_ context.Context, after uint64, _ time.Duration) (catalog.Changes, error) {
-	s.watches.Add(1)
+func (s busySource) Watch(_ context.Context, after uint64, wait time.Duration) (catalog.Changes, error) {
+	if s.watches.Add(1) > 1 {
+		s.longest.Store(max(s.longest.Load(), int64(wait)))
+	}
 	entry := s.changes.Entries[0]
 	entry.Revision = after + 1
 	return catalog.Changes{Revision: after + 1, Entries: []catalog.Entry{entry}}, nil
@@ -173,10 +177,10 @@
 func TestReadersOfTheStore(t *testing.T) {
 	Convey("While something changes all the time, the spare readers ask the store less than half as often as the first one", t, func() {
 		const size = 5
-		var watches [size]atomic.Int64
+		var watches, longest [size]atomic.Int64
 		f := &startedFleet{}
 		f.start(t, size, func(n int, changes catalog.Changes) Source {
-			return busySource{changes: changes, watches: &watches[n]}
+			return busySource{changes: changes, watches: &watches[n], longest: &longest[n]}
 		})
 		f.awaitLoaded(t)
 		time.Sleep(time.Second)
@@ -187,7 +191,12 @@
 		time.Sleep(4 * spareChangesPause)
 		var byPosition [size]int64
 		for n, r := range f.routers {
-			byPosition[r.reporter.topology().Position(r.settings.Peers.Addr())] = watches[n].Load() - before[n]
+			position := r.reporter.topology().Position(r.settings.Peers.Addr())
+			byPosition[position] = watches[n].Load() - before[n]
+			if 0 < position && position < storeReaders {
+				// What a spare reader reports must not become older by the longer pause.
+				So(time.Duration(longest[n].Load())+spareChangesPause, ShouldBeLessThanOrEqualTo, watchDuration+changesPause)
+			}
 		}
 		So(byPosition[0], ShouldBeGreaterThan, 0)
 		for _, spare := range byPosition[1:storeReaders] {
--- a/internal/app/router/watch.go
+++ b/internal/app/router/watch.go
@@ -32,7 +32,7 @@
 // watch follows the configuration store until the daemon stops.
 func (c *control) watch() {
 	revision := c.load()
-	pause := minRetryPause
+	pause, wait := minRetryPause, watchDuration
 	failingSince := time.Time{}
 	for c.ctx.Err() == nil {
 		now := time.Now()
@@ -42,7 +42,8 @@
 			continue
 		}
 		starting := !c.loader.IsLoaded()
-		changes, err := c.readStore(revision)
+		changes, err := c.readStore(revision, wait)
+		wait = watchDuration
 		now = time.Now()
 		switch {
 		case err == nil:
@@ -52,7 +53,10 @@
 			revision = changes.Revision
 			c.applyChanges(changes, storeName)
 			if len(changes.Entries) > 0 {
-				sleep(c.ctx, c.router.reporter.changesPause())
+				rest := c.router.reporter.changesPause()
+				sleep(c.ctx, rest)
+				// The next response must not come later than it would after the shorter pause.
+				wait -= rest - changesPause
 			}
 		case errors.Is(err, ErrHistoryGone):
 			revision = 0
@@ -77,13 +81,13 @@
 	}
 }
 
-func (c *control) readStore(revision uint64) (catalog.Changes, error) {
+func (c *control) readStore(revision uint64, wait time.Duration) (catalog.Changes, error) {
 	if revision == 0 {
 		changes, err := c.readAll()
 		c.count("all", err)
 		return changes, err
 	}
-	changes, err := c.source.Watch(c.ctx, revision, watchDuration)
+	changes, err := c.source.Watch(c.ctx, revision, wait)
 	c.count("changes", err)
 	return changes, err
 }
