Copies for starting daemons use a quarter of the link again, announced ones count; lost daemons delay an announcement by 200 ms

Two faults: since seeds might use half of their link, and since announced copies were not counted, one daemon could spend its link on copies; and each lost daemon delayed those behind it by 400 ms though a confirmation takes one round trip.

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -122,15 +122,15 @@
 func (c *control) fetch(from netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
 	defer cancel()
-	if reply, ok := c.requestChanges(ctx, from, false); ok {
+	if reply, ok := c.requestChanges(ctx, from, forChanges); ok {
 		c.applyChanges(reply.Changes, from.String())
 	}
 }
 
-// requestChanges asks another daemon for what it has beyond this one, which may be starting.
-func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, starting bool) (fetchReply, bool) {
+// requestChanges asks another daemon for what it has beyond this one.
+func (c *control) requestChanges(ctx context.Context, from netip.AddrPort, purpose fetchPurpose) (fetchReply, bool) {
 	view := c.router.view.Load()
-	request := fetchRequest{Version: version(view), Revision: view.Revision, Starting: starting}
+	request := fetchRequest{Version: version(view), Revision: view.Revision, Purpose: purpose}
 	reply, err := peer.Call[fetchRequest, fetchReply](ctx, c.router.peers, from, peer.KindChanges, request)
 	if err != nil {
 		c.router.log.WithError(err).WithField("from", from.String()).Debug("fetch")
@@ -168,13 +168,15 @@
 	now := time.Now()
 	view := c.router.view.Load()
 	reply := fetchReply{StoreAge: min(c.fresh.Age(now), c.fresh.CollectorAge(now)), Whole: view.Complete(), Daemons: len(view.Hosts())}
-	if req.Starting && (!reply.current() || !reply.Whole) {
+	switch {
+	case req.Purpose == forStart && (!reply.current() || !reply.Whole):
 		return reply
-	}
-	if req.Starting && !c.copies.Allow(view.CopyBytes(), now) {
+	case req.Purpose == forStart && !c.copies.Allow(view.CopyBytes(), now):
 		reply.Busy = true
 		c.announce("busy")
 		return reply
+	case req.Purpose == forAnnounced && req.Revision == 0:
+		c.copies.Count(view.CopyBytes(), now)
 	}
 	c.do(func() { reply.Changes = c.catalog.Since(req.Version, req.Revision, now) })
 	return reply
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -99,8 +99,8 @@
 type fetchRequest struct {
 	Version  uint64 `msgpack:"version"`
 	Revision uint64 `msgpack:"revision"`
-	// Starting means that the sender has just started, and needs a complete copy that is current. It may be told to wait.
-	Starting bool `msgpack:"starting,omitempty"`
+	// Purpose is why the sender asks.
+	Purpose fetchPurpose `msgpack:"purpose,omitempty"`
 }
 
 // fetchReply is the reply to a fetchRequest.
--- a/internal/app/router/neighbours.go
+++ b/internal/app/router/neighbours.go
@@ -61,7 +61,7 @@
 
 func (r *reporter) fetchFromNeighbour(ctx context.Context, host netip.Addr, stated statedState) bool {
 	control := r.router.control
-	reply, ok := control.requestChanges(ctx, r.router.peerOf(host), false)
+	reply, ok := control.requestChanges(ctx, r.router.peerOf(host), forChanges)
 	if !ok {
 		r.markSlow(host)
 		return false
--- a/internal/app/router/start.go
+++ b/internal/app/router/start.go
@@ -35,7 +35,7 @@
 // Fetch implements bootstrap.Fetcher.
 func (c *control) Fetch(ctx context.Context, from netip.AddrPort) bootstrap.Reply {
 	sent := time.Now()
-	reply, ok := c.requestChanges(ctx, from, true)
+	reply, ok := c.requestChanges(ctx, from, forStart)
 	switch {
 	case !ok, !reply.current() && !reply.Whole:
 		return bootstrap.Reply{Outcome: bootstrap.Unavailable}
@@ -51,7 +51,7 @@
 // FetchAnnounced implements bootstrap.Daemon.
 func (c *control) FetchAnnounced(ctx context.Context, from netip.AddrPort) {
 	sent := time.Now()
-	if reply, ok := c.requestChanges(ctx, from, false); ok && reply.Whole {
+	if reply, ok := c.requestChanges(ctx, from, forAnnounced); ok && reply.Whole {
 		c.applyCopy(reply, from, sent)
 	}
 }
--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -162,13 +162,13 @@
 		busy := 0
 		for range 4 {
 			seed.control.fresh.RecordAnswer(time.Now())
-			if reply := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Starting: true}); reply.Busy {
+			if reply := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Purpose: forStart}); reply.Busy {
 				busy++
 				So(reply.Changes.Entries, ShouldBeEmpty)
 			}
 		}
 		So(busy, ShouldBeGreaterThan, 0)
-		announced := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{})
+		announced := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Purpose: forAnnounced})
 		So(announced.Changes.Entries, ShouldNotBeEmpty)
 	})
 }
--- a/internal/fleet/bootstrap/announcer.go
+++ b/internal/fleet/bootstrap/announcer.go
@@ -36,8 +36,9 @@
 }
 
 const (
-	// sendTimeout bounds the wait for one daemon to confirm an announcement.
-	sendTimeout = 400 * time.Millisecond
+	// sendTimeout bounds the wait for one daemon to confirm an announcement, which it does before it fetches anything. Each lost daemon delays those
+	// behind it by this time; one that is only slow is told twice.
+	sendTimeout = 200 * time.Millisecond
 	// announcedFetchTimeout bounds the fetch of what is announced: a daemon sends a complete copy to all its children at a time.
 	announcedFetchTimeout = time.Second
 	// maxSends is the maximum number of announcements on their way from one daemon at a time.
--- a/internal/fleet/bootstrap/limiter_test.go
+++ b/internal/fleet/bootstrap/limiter_test.go
@@ -15,9 +15,9 @@
 		// want is the highest number of copies in ten seconds.
 		want int
 	}{
-		{"a quarter of a megabyte over 25 MB a second", 25_000_000, 250_000, 510},
-		{"the same over an unknown link", 0, 250_000, 510},
-		{"copies that are longer than what is sent at once", 1_000_000, 500_000, 11},
+		{"a quarter of a megabyte over 25 MB a second", 25_000_000, 250_000, 260},
+		{"the same over an unknown link", 0, 250_000, 260},
+		{"copies that are longer than what is sent at once", 1_000_000, 500_000, 6},
 	}
 	start := time.Unix(1000, 0)
 	for _, c := range cases {
@@ -31,4 +31,10 @@
 			So(sent, ShouldBeBetween, c.want*9/10, c.want+2)
 		})
 	}
+	Convey("Copies that are sent in any case leave less for others", t, func() {
+		limiter := NewLimiter(1_000_000)
+		limiter.Count(1_000_000, start)
+		So(limiter.Allow(1, start.Add(3*time.Second)), ShouldBeFalse)
+		So(limiter.Allow(1, start.Add(4*time.Second)), ShouldBeTrue)
+	})
 }
--- a/internal/fleet/bootstrap/model_test.go
+++ b/internal/fleet/bootstrap/model_test.go
@@ -228,7 +228,9 @@
 	if pause(ctx, modelLatency) != nil || !other.isLoaded() {
 		return Reply{}
 	}
-	if !announced && !other.limiter.Allow(d.fleet.copyBytes(), time.Now()) {
+	if announced {
+		other.limiter.Count(d.fleet.copyBytes(), time.Now())
+	} else if !other.limiter.Allow(d.fleet.copyBytes(), time.Now()) {
 		go other.announcer.Announce(context.Background(), 1, 1, time.Now())
 		return Reply{Outcome: Current}
 	}
