A starting daemon doesn't draw its wait while a seed follows the store

Cause: the random wait ran on between two replies of a seed that follows the store but has nothing complete yet, so that eight of 1,000 daemons read the store in each round of a second.

--- a/internal/fleet/bootstrap/loader.go
+++ b/internal/fleet/bootstrap/loader.go
@@ -109,11 +109,13 @@
 	l.takeover.Reset()
 	daemons := 0
 	for pause := minPause; ctx.Err() == nil; pause = min(2*pause, maxPause) {
-		switch reply := l.ask(ctx, others); reply.Outcome {
+		reply := l.ask(ctx, others)
+		rest := pause/2 + rand.N(pause/2)
+		switch reply.Outcome {
 		case Loaded:
 			return true
 		case Current:
-			// A daemon that reads the store will have the configuration, so this one needn't.
+			// The wait begins when no seed follows the store any more.
 			l.takeover.Reset()
 			daemons = 0
 		case Outdated:
@@ -123,15 +125,17 @@
 			}
 		case Unavailable:
 		}
-		remaining := l.takeover.Remaining(daemons, time.Now())
+		if reply.Outcome != Current {
+			rest = min(rest, l.takeover.Remaining(daemons, time.Now()))
+		}
 		select {
 		case <-l.loaded:
 			return true
 		case <-ctx.Done():
-		case <-time.After(min(pause/2+rand.N(pause/2), remaining)):
+		case <-time.After(rest):
 		}
-		if l.takeover.Due(daemons, time.Now()) {
-			return l.IsLoaded()
+		if reply.Outcome != Current && l.takeover.Due(daemons, time.Now()) {
+			break
 		}
 	}
 	return l.IsLoaded()
