--- a/internal/fleet/fresh/takeover.go
+++ b/internal/fleet/fresh/takeover.go
@@ -13,7 +13,8 @@
 	doublingTime = 200 * time.Millisecond
 	// firstReaders is how many daemons of a fleet are expected to read the store within the first doublingTime.
 	firstReaders = 32
-	// unknownFleet is the size that is assumed for a fleet whose hosts aren't known yet.
+	// unknownFleet stands for the size of a fleet whose hosts aren't known yet. It is so large that of some thousand starting daemons only one or
+	// two read the store first, which is enough to announce a copy to all.
 	unknownFleet = 4096 * firstReaders
 )
 
