--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -46,7 +46,7 @@
 	refusing bool
 }
 
-// slowRead is longer than daemons used to wait for the seeds.
+// slowRead is how long a complete read takes; the seeds have nothing to send until then.
 const slowRead = 400 * time.Millisecond
 
 func (s slowSource) Read(ctx context.Context) (catalog.Changes, error) {
