The place of a lost daemon in the tree is taken by one beside it that was reached

Cause: who failed to reach a daemon took its place, with four more hosts below it, of which 1.33 are lost in turn. The copies of one daemon so grew with the fleet, for chance of the seeds' places only seldom beyond the bound.

Now the places of lost daemons are shared out among those beside them that have confirmed the announcement.

--- a/internal/fleet/bootstrap/announcer.go
+++ b/internal/fleet/bootstrap/announcer.go
@@ -13,6 +13,8 @@
 	Root netip.Addr `msgpack:"root"`
 	// Source is the daemon from which it can be fetched.
 	Source netip.AddrPort `msgpack:"source"`
+	// Places are the lost daemons whose places in the tree the receiver takes; none if it takes its own.
+	Places []netip.Addr `msgpack:"places"`
 	// Version is that of the configuration, Revision that of the instances.
 	Version  uint64 `msgpack:"version"`
 	Revision uint64 `msgpack:"revision"`
@@ -43,7 +45,8 @@
 	announcedFetchTimeout = time.Second
 	// maxSends is the maximum number of announcements on their way from one daemon at a time.
 	maxSends = 16
-	// maxReceived is the maximum number of announcements that one daemon passes on at a time: one from each seed, and from a few readers.
+	// maxReceived is the maximum number of announcements that one daemon passes on at a time: for each seed and a few readers, those for its own
+	// place and for the places of lost daemons.
 	maxReceived = 16
 	// announceInterval is the shortest time between two announcements that one daemon begins.
 	announceInterval = time.Second
@@ -73,7 +76,7 @@
 	if !a.due(now) {
 		return false
 	}
-	a.passOn(ctx, a.self.Addr(), Announcement{Root: a.self.Addr(), Source: a.self, Version: version, Revision: revision})
+	a.passOn(ctx, []netip.Addr{a.self.Addr()}, Announcement{Root: a.self.Addr(), Source: a.self, Version: version, Revision: revision})
 	return true
 }
 
@@ -99,7 +102,12 @@
 	if a.fetch(ctx, announced) {
 		announced.Source = a.self
 	}
-	a.passOn(ctx, a.self.Addr(), announced)
+	places := announced.Places
+	if len(places) == 0 {
+		places = []netip.Addr{a.self.Addr()}
+	}
+	announced.Places = nil
+	a.passOn(ctx, places, announced)
 }
 
 // fetch reports whether this daemon has what is announced after fetching it.
@@ -116,18 +124,66 @@
 	return a.daemon.Has(announced)
 }
 
-// passOn sends the announcement to the daemons to which the one on the host passes it on. The place of a daemon that doesn't confirm is taken
-// by this one, so that a lost daemon doesn't keep the announcement from those behind it.
-func (a *Announcer) passOn(ctx context.Context, host netip.Addr, announced Announcement) {
+// passOn sends the announcement to the daemons to which those in the places pass it on. The place of a daemon that doesn't confirm is taken by
+// one that did, so that a lost daemon doesn't keep the announcement from those behind it. This one takes it only if nobody else can: where many
+// daemons are lost it would otherwise send copies to a large part of the fleet.
+func (a *Announcer) passOn(ctx context.Context, places []netip.Addr, announced Announcement) {
+	var helpers []netip.Addr
+	for len(places) > 0 && ctx.Err() == nil {
+		var children []netip.Addr
+		for _, place := range places {
+			children = append(children, a.daemon.Tree().Children(announced.Root, place)...)
+		}
+		confirmed, lost := a.sendAll(ctx, children, announced)
+		helpers = append(helpers, confirmed...)
+		places = a.delegate(ctx, helpers, lost, announced)
+	}
+}
+
+// delegate asks the helpers to take the places of lost daemons, and returns those that nobody has taken.
+func (a *Announcer) delegate(ctx context.Context, helpers, lost []netip.Addr, announced Announcement) []netip.Addr {
+	if len(helpers) == 0 {
+		return lost
+	}
+	shares := make([][]netip.Addr, len(helpers))
+	for i, place := range lost {
+		shares[i%len(helpers)] = append(shares[i%len(helpers)], place)
+	}
+	taken := make([]bool, len(helpers))
 	var sends sync.WaitGroup
-	for _, child := range a.daemon.Tree().Children(announced.Root, host) {
+	for i, helper := range helpers[:min(len(lost), len(helpers))] {
 		sends.Go(func() {
-			if !a.send(ctx, child, announced) && ctx.Err() == nil {
-				a.passOn(ctx, child, announced)
-			}
+			announced := announced
+			announced.Places = shares[i]
+			taken[i] = a.send(ctx, helper, announced)
 		})
 	}
 	sends.Wait()
+	var left []netip.Addr
+	for i, share := range shares {
+		if !taken[i] {
+			left = append(left, share...)
+		}
+	}
+	return left
+}
+
+// sendAll sends the announcement to the hosts at the same time, and returns those that have confirmed it and those that have not.
+func (a *Announcer) sendAll(ctx context.Context, hosts []netip.Addr, announced Announcement) (confirmed, lost []netip.Addr) {
+	received := make([]bool, len(hosts))
+	var sends sync.WaitGroup
+	for i, host := range hosts {
+		sends.Go(func() { received[i] = a.send(ctx, host, announced) })
+	}
+	sends.Wait()
+	for i, host := range hosts {
+		if received[i] {
+			confirmed = append(confirmed, host)
+		} else {
+			lost = append(lost, host)
+		}
+	}
+	return confirmed, lost
 }
 
 func (a *Announcer) send(ctx context.Context, to netip.Addr, announced Announcement) bool {
