--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -249,7 +249,7 @@
 func (r *reporter) followsStore(now time.Time) bool {
 	topology, control := r.topology(), r.router.control
 	switch {
-	case topology.Position(r.router.settings.Peers.Addr()) < storeReaders:
+	case r.isReader():
 		return true
 	case control.fresh.Current(now):
 		control.takeover.Reset()
@@ -259,6 +259,11 @@
 	}
 }
 
+// isReader reports whether this daemon is one of the regular readers of the configuration store.
+func (r *reporter) isReader() bool {
+	return r.topology().Position(r.router.settings.Peers.Addr()) < storeReaders
+}
+
 // changesPause returns how long this daemon waits after changes before it asks the store for more.
 func (r *reporter) changesPause() time.Duration {
 	if r.topology().Position(r.router.settings.Peers.Addr()) == 0 {
--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -174,6 +174,31 @@
 	})
 }
 
+// TestUsageRoles guards against daemons that count as readers of the store in the tables of foxctl, although they only don't know the fleet yet.
+func TestUsageRoles(t *testing.T) {
+	const size = 5
+	readers := func(f *startedFleet) int {
+		count := 0
+		for _, r := range f.routers {
+			if r.control.usageFields(time.Now())["reader"] == true {
+				count++
+			}
+		}
+		return count
+	}
+	Convey("Daemons without a list have no role", t, func() {
+		f := startFleet(t, size, false)
+		So(readers(f), ShouldEqual, 0)
+		Convey("Once all have it, three of them are readers", func() {
+			f.awaitLoaded(t)
+			for _, r := range f.routers {
+				r.control.do(func() {})
+			}
+			So(readers(f), ShouldEqual, storeReaders)
+		})
+	})
+}
+
 // TestReadersOfTheStore guards against each reader of the store asking for every change of a large fleet, in which something changes all the time.
 func TestReadersOfTheStore(t *testing.T) {
 	Convey("After a change, the spare readers pause for longer than the first one, and what they report becomes no older by that", t, func() {
--- a/internal/app/router/usage.go
+++ b/internal/app/router/usage.go
@@ -24,22 +24,35 @@
 // logUsage logs, once per usageInterval, the daemon's role in the fleet and what it has used since its start.
 func (c *control) logUsage(now time.Time) {
 	r := c.router
+	if r.usage.loggedAt.IsZero() {
+		r.usage.loggedAt = r.reporter.startedAt
+	}
 	if now.Sub(r.usage.loggedAt) < usageInterval {
 		return
 	}
 	r.usage.loggedAt = now
+	r.log.WithFields(c.usageFields(now)).Info("usage")
+}
+
+// usageFields returns the fields of the log line. A daemon without a list of hosts has no role yet.
+func (c *control) usageFields(now time.Time) logrus.Fields {
+	r := c.router
+	collects, reader := "none", false
+	if c.loader.IsLoaded() {
+		collects, reader = r.reporter.collects(), r.reporter.isReader()
+	}
 	traffic := r.peers.Traffic()
 	control := traffic.ByKind[peer.KindHeartbeat]
 	control.Sent += traffic.ByKind[peer.KindChanges].Sent + traffic.ByKind[peer.KindAnnouncement].Sent
 	control.Received += traffic.ByKind[peer.KindChanges].Received + traffic.ByKind[peer.KindAnnouncement].Received
-	r.log.WithFields(logrus.Fields{
-		"collects": r.reporter.collects(), "reader": r.reporter.topology().Position(r.settings.Peers.Addr()) < storeReaders,
+	return logrus.Fields{
+		"collects": collects, "reader": reader,
 		"seed": slices.Contains(r.settings.Seeds, r.settings.Peers), "upMs": now.Sub(r.reporter.startedAt).Milliseconds(),
 		"cpuMs": processorTime().Milliseconds(), "memoryKb": memoryBytes() >> 10, "storeCalls": r.usage.storeCalls.Load(),
 		"heartbeats": r.usage.heartbeats.Load(), "sentKb": traffic.Sent >> 10, "receivedKb": traffic.Received >> 10,
 		"controlSentKb": control.Sent >> 10, "controlReceivedKb": control.Received >> 10,
 		"connections": r.peers.Connections(), "instances": len(r.view.Load().Instances()),
-	}).Info("usage")
+	}
 }
 
 // collects returns for whom this daemon is the regular collector.
