The first attempt at a large service picks from a sample of its instances

Each attempt looked at all instances of the service, and copied all of them whenever some host was missing: with 501 instances some 100 kB and 501 locked lookups for one request. A fixed subset for each daemon was rejected: instances of a service that few daemons call would be in no subset.

The latency of a slow instance becomes stale by the picks for all listed instances, as before. The instances that the collector names as leaving are a set now.

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -273,6 +273,7 @@
 	r := c.router
 	view := c.catalog.View(r.view.Load())
 	r.view.Store(view)
+	r.samplers.Store(samplersOf(view, r.settings.Zone))
 	r.balancer.SetInstances(view.Instances())
 	r.told.retain(view.Instances())
 	own, known := view.At(r.settings.Instance)
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/offers"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
@@ -36,7 +37,7 @@
 		if tracker.Charged() && (req.shed.NoRetry || !r.retryBudget.Spend(req.service, req.priority, now)) {
 			return last
 		}
-		candidates, excluded := tracker.Candidates(r.candidates(req))
+		candidates, excluded := tracker.Candidates(r.candidatesFor(req, tracker))
 		inst, ok := r.balancer.Pick(candidates, excluded, req.route.Name, req.deadline.Sub(now), now)
 		if !ok {
 			return last
@@ -89,23 +90,58 @@
 	r.retryBudget.Earn(req.service, req.arrivedAt)
 }
 
-// candidates returns the instances that may be sent the request: those that aren't about to end, without those whose daemon is leaving or has
+// samplersOf returns the samplers of the large services.
+func samplersOf(view *catalog.View, zone string) *map[string]*choice.Sampler {
+	samplers := map[string]*choice.Sampler{}
+	for service, instances := range view.ByService() {
+		if sampler := choice.NewSampler(instances, zone); sampler != nil {
+			samplers[service] = sampler
+		}
+	}
+	return &samplers
+}
+
+// minSampledCandidates is how many of the sampled instances must remain for a choice among them.
+const minSampledCandidates = 8
+
+// candidatesFor returns the instances that may be sent the request. For a large service they are a sample at the first attempt; a later one
+// depends on which instances were tried before, so it starts from all.
+func (r *Router) candidatesFor(req *request, tracker *offers.Tracker) []routing.Instance {
+	if sampler := (*r.samplers.Load())[req.service]; sampler != nil && !tracker.Started() {
+		if candidates := r.available(r.staying(req, sampler.Draw())); len(candidates) >= minSampledCandidates {
+			return candidates
+		}
+	}
+	return r.candidates(req)
+}
+
+// candidates returns all instances that may be sent the request: those that aren't about to end, without those whose daemon is leaving or has
 // missed heartbeats unless there are no others.
 func (r *Router) candidates(req *request) []routing.Instance {
-	all := r.told.staying(r.allowed(req, r.view.Load().InstancesOf(req.service)))
+	staying := r.staying(req, r.view.Load().InstancesOf(req.service))
+	if available := r.available(staying); len(available) > 0 {
+		return available
+	}
+	return staying
+}
+
+// staying returns the instances in regions that are allowed for the request, without those that are about to end.
+func (r *Router) staying(req *request, instances []routing.Instance) []routing.Instance {
+	return r.told.staying(r.allowed(req, instances))
+}
+
+// available returns the instances whose daemon is not leaving and hasn't missed heartbeats.
+func (r *Router) available(instances []routing.Instance) []routing.Instance {
 	if !r.reporter.anyUnavailable() {
-		return all
+		return instances
 	}
-	staying := make([]routing.Instance, 0, len(all))
-	for _, inst := range all {
+	available := make([]routing.Instance, 0, len(instances))
+	for _, inst := range instances {
 		if !r.reporter.unavailable(inst.Address.Addr()) {
-			staying = append(staying, inst)
+			available = append(available, inst)
 		}
 	}
-	if len(staying) == 0 {
-		return all
-	}
-	return staying
+	return available
 }
 
 // allowed returns the instances in the regions in which the request may run.
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -31,6 +31,8 @@
 	heads     Heads
 
 	view atomic.Pointer[catalog.View]
+	// samplers are those of the large services.
+	samplers atomic.Pointer[map[string]*choice.Sampler]
 	// leaving is set by the order to shut down, at leftAt in Unix nanoseconds. closedToPeers is set a while later; from then on the daemon
 	// reports that it is leaving and refuses other daemons' requests.
 	leaving       atomic.Bool
@@ -74,6 +76,7 @@
 	}
 	r.responses = newResponseMetrics(r.metrics.Scope)
 	r.view.Store(catalog.New().View(nil))
+	r.samplers.Store(&map[string]*choice.Sampler{})
 	r.executor = newExecutor(settings, heads, newWarmUp(settings, heads, log, r.metrics))
 	r.peers = peer.New(settings.Peers, r.peerOptions()...)
 	r.control = newControl(r, source)
--- a/internal/app/router/told.go
+++ b/internal/app/router/told.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,7 @@
 	// leaving has the instances that are about to end, with the time at which this daemon was told.
 	leaving map[routing.Incarnation]time.Time
 	// reported has those that the collector names. They count as long as it names them; leaving holds for good.
-	reported []routing.Incarnation
+	reported map[routing.Incarnation]bool
 }
 
 // leavingMemory is how long an instance that was about to end is remembered; it may run on for long.
@@ -69,7 +68,7 @@
 	staying := make([]routing.Instance, 0, len(instances))
 	for i := range instances {
 		of := instances[i].Incarnation()
-		if _, leaves := t.leaving[of]; !leaves && !slices.Contains(t.reported, of) {
+		if _, leaves := t.leaving[of]; !leaves && !t.reported[of] {
 			staying = append(staying, instances[i])
 		}
 	}
@@ -78,9 +77,13 @@
 
 // setReported replaces the instances that are about to end by the collector's word.
 func (t *toldStatements) setReported(leaving []routing.Incarnation) {
+	reported := make(map[routing.Incarnation]bool, len(leaving))
+	for _, of := range leaving {
+		reported[of] = true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.reported = leaving
+	t.reported = reported
 }
 
 // announced returns the listed instances of which this daemon was told that they are about to end, and of which nothing of the kind is published.
--- a/internal/decide/choice/choice.go
+++ b/internal/decide/choice/choice.go
@@ -127,7 +127,7 @@
 	if len(usable) == 0 {
 		return routing.Instance{}, false
 	}
-	reference := b.averages(of, usable, now)
+	reference := b.averages(of, usable, of.population(len(usable), len(instances)), now)
 	reference.usual = b.usualTime(of, route, reference.latency, now)
 	localCount := b.partitionByZone(usable)
 	if b.disabled.Has(mechanism.Zones) {
@@ -275,8 +275,9 @@
 	return a.picks-r.pickNumber >= a.stalePicks && now.Sub(r.pickedAt) >= staleAfter
 }
 
-func (b *Balancer) averages(of *service, candidates []candidate, now time.Time) averages {
-	avg := averages{latency: defaultLatency, picks: of.picks, stalePicks: staleRounds * uint64(len(candidates))}
+// averages returns the means over the candidates, which stand for the population.
+func (b *Balancer) averages(of *service, candidates []candidate, population int, now time.Time) averages {
+	avg := averages{latency: defaultLatency, picks: of.picks, stalePicks: staleRounds * uint64(population)}
 	for i := range candidates {
 		r := candidates[i].record
 		avg.faultRate += r.currentFaultRate(now) / float64(len(candidates))
--- a/internal/decide/choice/pace.go
+++ b/internal/decide/choice/pace.go
@@ -81,6 +81,8 @@
 type service struct {
 	// picks counts the picks.
 	picks uint64
+	// listed is the number of listed instances.
+	listed int
 	// stated means that an instance has stated its slowness, last at statedAt.
 	stated   bool
 	statedAt time.Time
@@ -90,6 +92,11 @@
 	byPosition []*record
 }
 
+// population estimates the number of usable instances of the service from those among the given ones, which may be a sample of those listed.
+func (s *service) population(usable, given int) int {
+	return usable * max(s.listed, given) / given
+}
+
 // usualTime is the smoothed time of a route's requests at normal speed.
 type usualTime struct {
 	seconds float64
--- a/internal/decide/choice/record.go
+++ b/internal/decide/choice/record.go
@@ -82,6 +82,10 @@
 	}
 	for _, of := range b.services {
 		clear(of.byPosition)
+		of.listed = 0
+	}
+	for i := range instances {
+		b.serviceOf(&instances[i]).listed++
 	}
 }
 
--- a/internal/decide/offers/course.go
+++ b/internal/decide/offers/course.go
@@ -54,6 +54,9 @@
 	return t
 }
 
+// Started reports whether there has been an attempt.
+func (t *Tracker) Started() bool { return t.delivered+t.undelivered > 0 || t.redirected }
+
 // Delivered reports whether an instance has received the request, so that the next attempt is a retry.
 func (t *Tracker) Delivered() bool { return t.delivered > 0 }
 
--- a/internal/fleet/catalog/view.go
+++ b/internal/fleet/catalog/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -101,6 +103,9 @@
 // InstancesOf returns the instances of a service outside drained zones, including draining instances; the slice must not be changed.
 func (v *View) InstancesOf(service string) []routing.Instance { return v.services[service] }
 
+// ByService returns the services with the instances that InstancesOf returns.
+func (v *View) ByService() iter.Seq2[string, []routing.Instance] { return maps.All(v.services) }
+
 // ZoneDrained reports whether the instances of the availability zone must receive no requests.
 func (v *View) ZoneDrained(zone string) bool { return slices.Contains(v.drainedZones, zone) }
 
