A daemon's share of the rates is a lease that ends when it is cut off from the store and from most daemons

Once hosts had been off the list for 15 s, the others used whole rates, while the hosts that were only cut off went on with their shares.

Hosts that left the list count for as long as they are not fewer than the listed ones, since the larger part of a cut fleet renews its leases by itself. Not covered: a daemon that restarts in the part that was cut off.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/collect"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/demand"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/fresh"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
@@ -279,6 +280,7 @@
 		r.collector.Apply(reply, sent)
 		r.fetchNewer(host, hb, reply, sent)
 	}
+	r.renewLease(reply.Plan, planMadeAt)
 	r.settled = r.settled || reply.Plan.Settled
 	if reply.Plan.Settled {
 		r.router.quota.Apply(reply.Plan.Rates, planMadeAt)
@@ -305,6 +307,17 @@
 	r.logMissing(reply.Missing)
 }
 
+// renewLease renews the lease of this daemon's share of the rates by the plan and by the age of what it knows from the store.
+func (r *reporter) renewLease(plan collect.Plan, planMadeAt time.Time) {
+	now, control := time.Now(), r.router.control
+	if fleet := r.fleet(now); fleet.MadeForMost(plan) {
+		r.router.quota.Renew(planMadeAt)
+	}
+	if age := min(control.fresh.BestAge(now), control.fresh.CollectorAge(now)); age < fresh.MaxAge {
+		r.router.quota.Renew(now.Add(-age))
+	}
+}
+
 // applySurges applies the collector's list of surging organisations.
 func (r *reporter) applySurges(host netip.Addr, surges []shares.Surge, madeAt time.Time) {
 	unusable := r.router.usualShares.Apply(surges, madeAt)
--- a/internal/app/router/collecting.go
+++ b/internal/app/router/collecting.go
@@ -16,11 +16,7 @@
 func (r *reporter) handle(_ context.Context, _ netip.AddrPort, hb collect.Heartbeat) collect.Reply {
 	now := time.Now()
 	r.router.usage.heartbeats.Add(1)
-	view := r.router.view.Load()
-	fleet := collect.Fleet{Daemons: len(view.Hosts()), Members: r.topology().Members(r.router.settings.Peers.Addr()), Departed: r.departures.Count(now)}
-	if view.Table != nil {
-		fleet.Shares = view.Table.Shares
-	}
+	view, fleet := r.router.view.Load(), r.fleet(now)
 	if hb.Version > version(view) || hb.Revision > view.Revision {
 		r.router.control.fetchLater(hb.From)
 	} else {
@@ -35,6 +31,16 @@
 	return reply
 }
 
+// fleet describes the fleet as this daemon knows it.
+func (r *reporter) fleet(now time.Time) collect.Fleet {
+	view := r.router.view.Load()
+	fleet := collect.Fleet{Daemons: len(view.Hosts()), Members: r.topology().Members(r.router.settings.Peers.Addr()), Departed: r.departures.Count(now)}
+	if view.Table != nil {
+		fleet.Shares = view.Table.Shares
+	}
+	return fleet
+}
+
 // storeAge returns the age of this daemon's information from the configuration store: as read by itself or another reader, or as reported
 // by its collector.
 func (r *reporter) storeAge(now time.Time) time.Duration {
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -23,6 +23,8 @@
 	meters      map[string]*meter
 	allocations map[string]Allocation
 	applied     time.Time
+	// renewedAt is when the lease of this daemon's share was last renewed.
+	renewedAt time.Time
 	// byBacklog means that Retry-After delays follow from the organisation's backlog over the fleet.
 	byBacklog bool
 }
@@ -183,9 +185,12 @@
 	m := q.meter(name, now)
 	d := Decision{Rate: r.PerSecond, Age: q.allocationAge(now), Surge: m.surging()}
 	m.countRequest(now)
-	if d.Age < 0 {
+	switch {
+	case q.leaseEnded(now):
+		d.RetryAfter = leaseRetryAfter
+	case d.Age < 0:
 		q.admitByShare(m, r, now, &d)
-	} else {
+	default:
 		q.admitByAllocation(m, name, r, now, &d)
 	}
 	if d.Admitted {
--- a/internal/fleet/collect/collector.go
+++ b/internal/fleet/collect/collector.go
@@ -39,6 +39,9 @@
 	Shares func(route string) map[string]float64
 }
 
+// MadeForMost reports whether the plan was made from the reports of more than half of the daemons.
+func (f *Fleet) MadeForMost(plan Plan) bool { return 2*plan.Daemons > f.Daemons+f.Departed }
+
 // Collector aggregates the heartbeats of other daemons and replies with a plan. Every daemon has one, since any daemon may receive
 // heartbeats.
 type Collector struct {
--- a/internal/fleet/collect/departures.go
+++ b/internal/fleet/collect/departures.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 )
 
 // Departures counts the hosts that have left the host list although their daemons haven't said that they shut down.
@@ -20,8 +22,9 @@
 	departed map[netip.Addr]time.Time
 }
 
-// departureTTL is how long a departed host counts. Beyond, it is taken to be lost: organisations are not held below their rates for longer.
-const departureTTL = 15 * time.Second
+// departureTTL is how long a departed host counts. Beyond, it is taken to be lost, and its daemon no longer uses its share if it isn't: its lease
+// has ended. Organisations are not held below their rates for longer.
+const departureTTL = quota.ShareLease + 2*time.Second
 
 // NewDepartures returns departures without hosts.
 func NewDepartures() *Departures {
@@ -56,10 +59,14 @@
 	}
 }
 
-// Count returns the number of hosts that have departed within departureTTL.
+// Count returns the number of hosts that have departed within departureTTL, or at any time while they are not fewer than the listed ones: they
+// may be the larger side of a partition, whose leases are renewed by each other.
 func (d *Departures) Count(now time.Time) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if len(d.departed) >= len(d.listed) {
+		return len(d.departed)
+	}
 	maps.DeleteFunc(d.departed, func(_ netip.Addr, at time.Time) bool { return now.Sub(at) > departureTTL })
 	return len(d.departed)
 }
--- a/internal/fleet/collect/departures_test.go
+++ b/internal/fleet/collect/departures_test.go
@@ -24,6 +24,14 @@
 		So(d.Count(start.Add(departureTTL)), ShouldEqual, 1)
 		So(d.Count(start.Add(departureTTL+time.Second)), ShouldEqual, 0)
 	})
+	Convey("Hosts that are not fewer than the listed ones count until they return, since they may be the larger side of a partition", t, func() {
+		d := NewDepartures()
+		d.SetListed(hosts, start)
+		d.SetListed(hosts[:2], start)
+		So(d.Count(start.Add(time.Hour)), ShouldEqual, 2)
+		d.SetListed(hosts[:3], start.Add(time.Hour))
+		So(d.Count(start.Add(time.Hour)), ShouldEqual, 0)
+	})
 	Convey("Hosts whose daemons shut down don't count, whether that is known before they leave the list or after", t, func() {
 		d := NewDepartures()
 		d.SetListed(hosts, start)
--- a/internal/fleet/collect/fleet_test.go
+++ b/internal/fleet/collect/fleet_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// TestRateHoldsBeyondExpiry guards against sides of a partitioned fleet that together admit more than one rate once the hosts of one side have
+// left the list of the other.
+func TestRateHoldsBeyondExpiry(t *testing.T) {
+	const (
+		perSecond = 263
+		surge     = 5
+		// entryTTL is how long the entry of an instance that the platform can't reach stays published.
+		entryTTL = 6 * time.Second
+	)
+	for _, size := range []int{74, 300, 985} {
+		for _, sides := range []int{3, 2} {
+			Convey(fmt.Sprintf("The bound holds if 1/%d of %d daemons is partitioned for longer than its entries last", sides, size), t, func() {
+				f := newFleet(size, 600, perSecond)
+				f.run(4*time.Second, 1)
+				for n, d := range f.daemons {
+					d.partitioned = n%sides == 1
+				}
+				f.storeWithin = true
+				f.run(entryTTL, surge)
+				f.expire()
+				f.run(departureTTL+2*window, surge)
+				So(f.maxAdmittedInWindow(), ShouldBeLessThanOrEqualTo, f.admissionBound())
+			})
+		}
+	}
+}
+
 // TestGroupTotalsAreNotRelayed guards against demand that is counted over and over when two collectors send each other group heartbeats.
 func TestGroupTotalsAreNotRelayed(t *testing.T) {
 	Convey("A collector's group heartbeat sums the reports of daemons, not those of groups", t, func() {
--- a/internal/fleet/collect/model_test.go
+++ b/internal/fleet/collect/model_test.go
@@ -46,6 +46,10 @@
 	requested, rejected int
 	// maxAge is the highest age of a plan that a daemon has used.
 	maxAge time.Duration
+	// storeWithin means that only the daemons that aren't partitioned hear from the store. expiredAt is when the others left their list; zero if
+	// they are listed.
+	storeWithin bool
+	expiredAt   time.Time
 }
 
 // daemon is one simulated daemon.
@@ -116,7 +120,41 @@
 		return Reply{}, false
 	}
 	collector.handled++
-	return collector.Handle(hb, Fleet{Daemons: len(f.daemons), Members: f.topology.Members(to)}, f.now), true
+	return collector.Handle(hb, f.describe(collector), f.now), true
+}
+
+// describe returns the fleet as the daemon knows it from its list.
+func (f *fleet) describe(d *daemon) Fleet {
+	known := Fleet{Daemons: len(f.daemons), Members: f.topology.Members(d.address.Addr())}
+	if f.expiredAt.IsZero() || d.partitioned {
+		return known
+	}
+	partitioned := f.partitionedDaemons()
+	known.Daemons -= partitioned
+	if f.now.Sub(f.expiredAt) <= departureTTL {
+		known.Departed = partitioned
+	}
+	return known
+}
+
+func (f *fleet) partitionedDaemons() int {
+	count := 0
+	for _, d := range f.daemons {
+		if d.partitioned {
+			count++
+		}
+	}
+	return count
+}
+
+// expire removes the partitioned hosts from the list of the others.
+func (f *fleet) expire() {
+	f.expiredAt = f.now
+	for _, d := range f.daemons {
+		if !d.partitioned {
+			d.SetDaemons(len(f.daemons) - f.partitionedDaemons())
+		}
+	}
 }
 
 // sendHeartbeat sends one heartbeat of the daemon.
@@ -145,6 +183,12 @@
 			d.Collector.Apply(reply, f.now)
 		}
 		d.latestPlan, d.planMadeAt = reply.Plan, f.now.Add(-reply.Plan.Age)
+		if known := f.describe(d); known.MadeForMost(reply.Plan) {
+			d.Renew(d.planMadeAt)
+		}
+		if !f.storeWithin || !d.partitioned {
+			d.Renew(f.now)
+		}
 		if reply.Plan.Settled {
 			d.Quota.Apply(reply.Plan.Rates, d.planMadeAt)
 		}
