--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -195,7 +195,7 @@
 			graceEnd = c.lastOutageAt.Add(catalog.ReturnGrace)
 		}
 		outcome := c.catalog.Apply(changes, now, graceEnd)
-		c.logFaults(changes.Entries)
+		c.logFaulty(outcome.Faulty)
 		if outcome.Rejected != nil {
 			c.router.log.WithError(outcome.Rejected).WithField("revision", changes.Revision).Error("configuration rejected")
 		}
@@ -222,8 +222,13 @@
 	})
 }
 
-// logFaults logs the entries that can't be used, and those that were understood only in part.
-func (c *control) logFaults(entries []catalog.Entry) {
+// logFaulty logs the entries that can't be used, and those that were understood only in part. Of a list in which hundreds are faulty it names
+// the first ones.
+func (c *control) logFaulty(entries []catalog.Entry) {
+	if further := len(entries) - maxLoggedFaults; further > 0 {
+		c.router.log.WithField("count", further).Warn("further faulty entries")
+		entries = entries[:maxLoggedFaults]
+	}
 	for _, entry := range entries {
 		fields := logrus.Fields{"key": entry.Key, "revision": entry.Revision}
 		if entry.Fault != "" {
@@ -235,7 +240,7 @@
 	}
 }
 
-// maxLoggedFaults bounds the faults in one log line on a faulty configuration.
+// maxLoggedFaults bounds the faults in one log line on a faulty configuration, and the faulty entries that are logged one by one.
 const maxLoggedFaults = 20
 
 // logCatalog logs the state of the catalog and the sender of the last change.
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -87,6 +87,8 @@
 	Rejected error
 	// Faults says what of the configuration in force can't be served.
 	Faults []string
+	// Faulty are the added entries that can't be used, or only in part.
+	Faulty []Entry
 }
 
 // Apply merges changes into the catalog. Until graceEnd, which is ReturnGrace after an outage of the store, missing entries are kept, since
@@ -133,6 +135,9 @@
 	delete(c.removed, entry.Key)
 	c.entries[entry.Key] = entry.received(now)
 	out.Instances = true
+	if entry.Fault != "" || entry.Note != "" {
+		out.Faulty = append(out.Faulty, entry)
+	}
 }
 
 // received returns the entry with the time until which its instance is cold.
