Collectors behind many lost hosts are found by probing several at once

A heartbeat tried at most three hosts in their order, 400 ms each, and skipped those that did not reply for 3 s. Behind eight lost hosts it came back to the first ones before it had tried the ninth, so a daemon in a small part of a cut fleet never heard a plan until the list changed. After two collectors in a row that don't reply, 16 hosts are probed at once, then 32 and so on up to 128, and skipped for 10 s if they are silent.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -41,6 +41,8 @@
 	settled bool
 	// unusableSurges is the number of entries of the last list of surging organisations that could not be used.
 	unusableSurges int
+	// groupSearch and fleetSearch are the searches for collectors that reply.
+	groupSearch, fleetSearch collect.Search
 
 	mu sync.Mutex
 	// unavailableHosts has the hosts whose daemons are leaving or missing according to the last reply, and missing is the number of missing
@@ -67,7 +69,7 @@
 	// maxHeartbeatsPerInterval is the maximum number of heartbeats in one regular interval, counting those requested with triggerEarly; those
 	// requested with trigger come on top.
 	maxHeartbeatsPerInterval = 3
-	// maxCollectorsTried is the maximum number of collectors that are tried for one heartbeat, in order, until one replies.
+	// maxCollectorsTried is the maximum number of collectors that one heartbeat is sent to, in order, until one replies.
 	maxCollectorsTried = 3
 	// storeReaders is how many daemons follow the configuration store, the first ones in the order of collectors. The others learn of
 	// changes with their next heartbeat: otherwise each change would cost a store call by every daemon.
@@ -149,7 +151,7 @@
 	sent := time.Now()
 	r.lastHeartbeat.Store(sent.UnixNano())
 	self := r.router.settings.Peers.Addr()
-	collectors := topology.Group(self, maxCollectorsTried, r.usable(sent))
+	collectors := topology.Group(self, 1, r.usable(sent))
 	collects := !topology.Flat() && len(collectors) > 0 && collectors[0] == self
 	if collects {
 		r.sendGroupHeartbeat(topology, sent)
@@ -158,11 +160,9 @@
 	if len(collectors) > 0 && collectors[0] != self {
 		hb.Reporters = r.collector.Reporters(sent)
 	}
-	for _, host := range collectors {
-		if reply, ok := r.send(host, hb); ok {
-			r.apply(host, hb, reply, sent)
-			break
-		}
+	next := func(count int) []netip.Addr { return topology.Group(self, count, r.usable(time.Now())) }
+	if host, reply, ok := r.sendToFirst(hb, next, &r.groupSearch); ok {
+		r.apply(host, hb, reply, sent)
 	}
 	return collects
 }
@@ -192,20 +192,66 @@
 	hb := collect.Heartbeat{
 		From: r.router.settings.Peers, Version: version(topology.view), Revision: topology.view.Revision, StoreAge: r.router.control.fresh.BestAge(sent),
 	}
-	for _, host := range topology.Fleet(maxCollectorsTried, r.usable(sent)) {
-		if host == r.router.settings.Peers.Addr() {
-			return
+	self := r.router.settings.Peers.Addr()
+	next := func(count int) []netip.Addr {
+		hosts := topology.Fleet(count, r.usable(time.Now()))
+		if i := slices.Index(hosts, self); i >= 0 {
+			// Behind those before it, this daemon collects for the fleet itself.
+			hosts = hosts[:i]
+		}
+		return hosts
+	}
+	if len(next(1)) == 0 {
+		return
+	}
+	r.collector.FillGroup(&hb, topology.Members(self), sent)
+	if host, reply, ok := r.sendToFirst(hb, next, &r.fleetSearch); ok {
+		r.collector.Apply(reply, sent)
+		r.collector.SetGrants(reply.Grants, sent)
+		r.fetchNewer(host, hb, reply, sent)
+	}
+}
+
+// sendToFirst sends the heartbeat to the first of the next usable hosts that replies, and returns which one it is.
+func (r *reporter) sendToFirst(hb collect.Heartbeat, next func(count int) []netip.Addr, search *collect.Search) (netip.Addr, collect.Reply, bool) {
+	for range maxCollectorsTried {
+		hosts := next(1)
+		if len(hosts) == 0 {
+			break
 		}
-		if !hb.Group {
-			r.collector.FillGroup(&hb, topology.Members(r.router.settings.Peers.Addr()), sent)
+		if reply, ok := r.send(hosts[0], hb); ok {
+			search.Found()
+			return hosts[0], reply, true
 		}
-		if reply, ok := r.send(host, hb); ok {
-			r.collector.Apply(reply, sent)
-			r.collector.SetGrants(reply.Grants, sent)
-			r.fetchNewer(host, hb, reply, sent)
-			return
+		if width := search.Failed(); width > 0 {
+			r.skip(hosts[0], collect.SearchTTL)
+			r.probe(next(width))
 		}
 	}
+	return netip.Addr{}, collect.Reply{}, false
+}
+
+// probe finds out which of the hosts reply, all at the same time; the others are skipped for a while.
+func (r *reporter) probe(hosts []netip.Addr) {
+	ctx, cancel := context.WithTimeout(r.ctx, heartbeatTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	var silent atomic.Int64
+	for _, host := range hosts {
+		if host == r.router.settings.Peers.Addr() {
+			continue
+		}
+		probes.Go(func() {
+			if _, err := peer.Call[struct{}, struct{}](ctx, r.router.peers, r.router.peerOf(host), peer.KindProbe, struct{}{}); err != nil {
+				r.skip(host, collect.SearchTTL)
+				silent.Add(1)
+			}
+		})
+	}
+	probes.Wait()
+	if r.ctx.Err() == nil {
+		r.router.log.WithFields(logrus.Fields{"hosts": len(hosts), "silent": silent.Load()}).Info("collectors probed")
+	}
 }
 
 // send sends the heartbeat to the daemon on the host, which is skipped for a while if it doesn't reply.
@@ -234,14 +280,19 @@
 // avoid skips the host as a collector for avoidTTL, since it did not reply, and drops the last plan of another collector.
 func (r *reporter) avoid(host netip.Addr, err error) {
 	r.collector.DropPlan()
-	r.mu.Lock()
-	r.avoidedUntil[host] = time.Now().Add(avoidTTL)
-	r.mu.Unlock()
+	r.skip(host, avoidTTL)
 	if r.ctx.Err() == nil {
 		r.router.log.WithError(err).WithField("host", host.String()).Info("collector lost")
 	}
 }
 
+// skip skips the host as a collector for a while.
+func (r *reporter) skip(host netip.Addr, ttl time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoidedUntil[host] = time.Now().Add(ttl)
+}
+
 // followsStore reports whether this daemon must follow the configuration store itself: it is one of the readers, or receives nothing
 // current from them.
 //
