--- a/internal/app/router/call_bench_test.go
+++ b/internal/app/router/call_bench_test.go
@@ -63,8 +63,14 @@
 	return catalog.Changes{Revision: after}, nil
 }
 
+// benchID is the ID of a request in a response, which is replaced by that of the request. IDs must differ: a connection isn't reused for a request
+// with an ID that was sent on it before.
+const benchID = "9c41d07be2a35f68"
+
 // serveRaw answers each request on the address with a fixed response, with as little work as possible.
 func serveRaw(b *testing.B, address netip.AddrPort, response []byte) {
+	idHead := []byte("Request-Id: ")
+	idAt := bytes.Index(response, []byte(benchID))
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
 		b.Fatal(err)
@@ -78,12 +84,15 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				buffer := make([]byte, 64<<10)
+				buffer, response := make([]byte, 64<<10), bytes.Clone(response)
 				for {
 					n, err := c.Read(buffer)
 					if err != nil {
 						return
 					}
+					if i := bytes.Index(buffer[:n], idHead); i >= 0 {
+						copy(response[idAt:idAt+len(benchID)], buffer[i+len(idHead):n])
+					}
 					for range bytes.Count(buffer[:n], []byte("\r\n\r\n")) {
 						_, _ = c.Write(response)
 					}
@@ -120,7 +129,7 @@
 		{Key: "i/2", Revision: 2, Instance: &routing.Instance{ID: "back-1", Service: "back", Zone: "z", Address: netip.AddrPortFrom(callee, 1004), Slots: 50}},
 	}}
 	body := bytes.Repeat([]byte("x"), 400)
-	response := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRequest-Id: 9c41d07be2a35f68\r\nSignature: s\r\nKeep-Alive: timeout=10\r\nLoad: 3,0,8\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	response := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRequest-Id: "+benchID+"\r\nSignature: s\r\nKeep-Alive: timeout=10\r\nLoad: 3,0,8\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	serveRaw(b, netip.AddrPortFrom(callee, 1004), response)
 	front, back := startBenchRouter(b, caller, "front", changes), startBenchRouter(b, callee, "back", changes)
 	defer front.stop()
@@ -133,11 +142,13 @@
 		b.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	request := []byte("GET /x/lookup?vin=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 9c41d07be2a35f68\r\nDeadline-Ms: 5000\r\nAuthorization: k\r\nAccept: */*\r\nUser-Agent: bench\r\n\r\n")
+	request := []byte("GET /x/lookup?vin=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + benchID + "\r\nDeadline-Ms: 5000\r\nAuthorization: k\r\nAccept: */*\r\nUser-Agent: bench\r\n\r\n")
 	reader := bufio.NewReader(c)
 	b.ReportAllocs()
-	before := processorTime()
+	before, sent, idAt := processorTime(), 0, bytes.Index(request, []byte(benchID))
 	for b.Loop() {
+		sent++
+		copy(request[idAt:], fmt.Sprintf("%016x", sent))
 		if _, err := c.Write(request); err != nil {
 			b.Fatal(err)
 		}
