Collectors are probed only where they can't all be tried in turn

In small fleets a probe of all others skipped for 10 s those that were only slow, so that daemons would collect for themselves for longer than before. Up to seven further hosts are tried in turn, as before the search; the first 16 that are probed are skipped for 3 s.

--- a/internal/app/router/search.go
+++ b/internal/app/router/search.go
@@ -20,6 +20,8 @@
 	avoidTTL = 3 * time.Second
 	// maxCollectorsTried is the maximum number of collectors that one heartbeat is sent to, in order, until one replies.
 	maxCollectorsTried = 3
+	// maxTriedInTurn is how many hosts can be tried one after the other before the first one is tried again.
+	maxTriedInTurn = int(avoidTTL / heartbeatTimeout)
 )
 
 // sendToFirst sends the heartbeat to the first of the next usable hosts that replies, and returns which one it is.
@@ -33,18 +35,21 @@
 			search.Found()
 			return hosts[0], reply, true
 		}
-		if width := search.Failed(); width > 0 {
-			r.skip(hosts[0], collect.SearchTTL)
-			r.probe(next(width))
+		if further := next(search.Failed()); len(further) > maxTriedInTurn {
+			r.probe(further)
 		}
 	}
 	return netip.Addr{}, collect.Reply{}, false
 }
 
-// probe finds out which of the hosts reply, all at the same time; the others are skipped for a while.
+// probe finds out which of the hosts reply, all at the same time; the others are skipped for as long as the search may take.
 func (r *reporter) probe(hosts []netip.Addr) {
 	ctx, cancel := context.WithTimeout(r.ctx, heartbeatTimeout)
 	defer cancel()
+	ttl := avoidTTL
+	if len(hosts) > collect.MinSearchWidth {
+		ttl = collect.SearchTTL
+	}
 	var probes sync.WaitGroup
 	var silent atomic.Int64
 	for _, host := range hosts {
@@ -53,7 +58,7 @@
 		}
 		probes.Go(func() {
 			if _, err := peer.Call[struct{}, struct{}](ctx, r.router.peers, r.router.peerOf(host), peer.KindProbe, struct{}{}); err != nil {
-				r.skip(host, collect.SearchTTL)
+				r.skip(host, ttl)
 				silent.Add(1)
 			}
 		})
--- a/internal/fleet/collect/search.go
+++ b/internal/fleet/collect/search.go
@@ -2,16 +2,15 @@
 
 import "time"
 
-// SearchTTL is how long a host that did not reply during a search is skipped: long enough for the search to reach the last hosts of a large fleet before
-// it comes back to the first ones.
-const SearchTTL = 10 * time.Second
-
 const (
+	// SearchTTL is how long a host that did not reply to one of more than MinSearchWidth probes is skipped: long enough for the search to reach
+	// the last hosts of a large fleet before it comes back to the first ones.
+	SearchTTL = 10 * time.Second
+	// MinSearchWidth is the number of hosts that are probed at first; it doubles up to maxSearchWidth.
+	MinSearchWidth = 16
+	maxSearchWidth = 128
 	// searchAfter is the number of collectors in a row that don't reply before the next ones are probed. One or two may be lost at any time.
 	searchAfter = 2
-	// minSearchWidth is the number of hosts that are probed at first; it doubles up to maxSearchWidth.
-	minSearchWidth = 16
-	maxSearchWidth = 128
 )
 
 // Search says how many hosts a daemon should probe at once to find a collector that replies. Trying one after the other takes a timeout for each
@@ -26,7 +25,7 @@
 	if s.failed < searchAfter {
 		return 0
 	}
-	s.width = min(max(2*s.width, minSearchWidth), maxSearchWidth)
+	s.width = min(max(2*s.width, MinSearchWidth), maxSearchWidth)
 	return s.width
 }
 
--- a/internal/fleet/collect/search_test.go
+++ b/internal/fleet/collect/search_test.go
@@ -42,9 +42,10 @@
 			for took <= maxTime && next(1)[0] != lost {
 				first := next(1)
 				try(first, avoidTTL)
-				if width := search.Failed(); width > 0 {
-					avoidedUntil[first[0]] = took + SearchTTL
-					try(next(width), SearchTTL)
+				if further := next(search.Failed()); len(further) > MinSearchWidth {
+					try(further, SearchTTL)
+				} else if len(further) > 0 {
+					try(further, avoidTTL)
 				}
 			}
 			So(took, ShouldBeLessThanOrEqualTo, maxTime)
