--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -189,7 +189,7 @@
 	next := func(count int) []netip.Addr {
 		hosts := topology.Fleet(count, r.usable(time.Now()))
 		if i := slices.Index(hosts, self); i >= 0 {
-			// Behind those before it, this daemon collects for the fleet itself.
+			// If none of the hosts before it replies, this daemon collects for the fleet itself.
 			hosts = hosts[:i]
 		}
 		return hosts
--- a/internal/decide/choice/choice.go
+++ b/internal/decide/choice/choice.go
@@ -275,7 +275,7 @@
 	return a.picks-r.pickNumber >= a.stalePicks && now.Sub(r.pickedAt) >= staleAfter
 }
 
-// averages returns the means over the candidates, which stand for the population.
+// averages returns the means over the candidates; population is the number of usable instances of which they may be a sample.
 func (b *Balancer) averages(of *service, candidates []candidate, population int, now time.Time) averages {
 	avg := averages{latency: defaultLatency, picks: of.picks, stalePicks: staleRounds * uint64(population)}
 	for i := range candidates {
--- a/internal/decide/choice/pace.go
+++ b/internal/decide/choice/pace.go
@@ -81,7 +81,7 @@
 type service struct {
 	// picks counts the picks.
 	picks uint64
-	// listed is the number of listed instances.
+	// listed is the number of the service's instances in the list last set with SetInstances.
 	listed int
 	// stated means that an instance has stated its slowness, last at statedAt.
 	stated   bool
--- a/internal/decide/choice/sample.go
+++ b/internal/decide/choice/sample.go
@@ -19,8 +19,8 @@
 	local, remote []int32
 }
 
-// NewSampler returns the sampler of a daemon in the availability zone for the instances of one service, or nil if they are few enough to be
-// compared all.
+// NewSampler returns the sampler of a daemon in the availability zone for the instances of one service, or nil if they are few enough for
+// each request to consider all of them.
 func NewSampler(instances []routing.Instance, zone string) *Sampler {
 	if len(instances) <= 2*drawnInstances {
 		return nil
--- a/internal/fleet/bootstrap/announcer_test.go
+++ b/internal/fleet/bootstrap/announcer_test.go
@@ -32,7 +32,7 @@
 	copies int
 }
 
-// newTreeFleet returns a fleet in which so many of three daemons are lost, at random.
+// newTreeFleet returns a fleet in which none, one or two of each three daemons are lost.
 func newTreeFleet(size, lostOfThree int) *treeFleet {
 	f := &treeFleet{daemons: map[netip.Addr]*treeDaemon{}}
 	var hosts []collect.Host
--- a/internal/fleet/collect/departures.go
+++ b/internal/fleet/collect/departures.go
@@ -22,8 +22,8 @@
 	departed map[netip.Addr]time.Time
 }
 
-// departureTTL is how long a departed host counts. Beyond, it is taken to be lost, and its daemon no longer uses its share if it isn't: its lease
-// has ended. Organisations are not held below their rates for longer.
+// departureTTL is how long a departed host counts if most hosts are still listed. It outlasts the lease of the host's share, so that a daemon which is
+// only cut off has stopped using its share when the others use whole rates again.
 const departureTTL = quota.ShareLease + 2*time.Second
 
 // NewDepartures returns departures without hosts.
--- a/internal/fleet/collect/search_test.go
+++ b/internal/fleet/collect/search_test.go
@@ -14,6 +14,8 @@
 	const (
 		// timeout is the time that a lost host costs, alone or probed with others.
 		timeout = 400 * time.Millisecond
+		// triedInTurn is how many hosts are tried one after the other rather than probed.
+		triedInTurn = int(avoidTTL / timeout)
 		// maxTime is the time after which lost hosts are dropped from the list of those that reach the store.
 		maxTime = 6 * time.Second
 	)
@@ -44,7 +46,7 @@
 				try(first, avoidTTL)
 				if further := next(search.Failed()); len(further) > MinSearchWidth {
 					try(further, SearchTTL)
-				} else if len(further) > 0 {
+				} else if len(further) > triedInTurn {
 					try(further, avoidTTL)
 				}
 			}
