Log which requests a leaving daemon cuts, when its port closes and when each attempt began

Of a request that was in flight at the end nothing was logged, so that one begun too late couldn't be told from one cut too early. No decision is changed.

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -19,6 +19,7 @@
 // request is a request of a caller, or of the instance on this host, at its ingress daemon.
 type request struct {
 	id           string
+	active       *activeRequest
 	arrivedAt    time.Time
 	route        *routing.Route
 	service      string
@@ -53,9 +54,9 @@
 
 // serve answers one request of a caller or of the instance on this host.
 func (r *Router) serve(w http.ResponseWriter, in *http.Request) {
-	r.inFlight.Add(1)
-	defer r.inFlight.Add(-1)
 	req := &request{arrivedAt: httpd.Arrived(in.Context()), method: in.Method, target: in.RequestURI, httpHost: in.Host}
+	req.active = r.active.begin(req.arrivedAt)
+	defer r.active.end(req.active)
 	answer, ok := r.admit(req, in)
 	if ok {
 		ctx, cancel := context.WithDeadline(in.Context(), req.deadline)
@@ -92,6 +93,7 @@
 		return call.Refuse(call.BadRequest, 0), false
 	}
 	req.header = removeConnectionHeaders(in.Header)
+	req.active.progress.Store(&progress{requestID: req.id, route: req.route.Name})
 	if r.stopsBefore(req) {
 		return call.Refuse(call.Draining, drainingRetryAfter), false
 	}
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 )
 
@@ -57,7 +59,7 @@
 func (r *Router) stop() {
 	leftAt := time.Now()
 	end := leftAt.Add(r.settings.LeaveTime - shutdownReserve)
-	r.log.WithField("inFlight", r.inFlight.Load()).Info("leaving")
+	r.log.WithFields(logrus.Fields{"inFlight": r.active.count(), "endsInMs": time.Until(end).Milliseconds()}).Info("leaving")
 	r.leftAt.Store(leftAt.UnixNano())
 	r.leaving.Store(true)
 	time.Sleep(min(instanceUsePeriod, time.Until(end)))
@@ -67,14 +69,18 @@
 	time.Sleep(min(noticePeriod-instanceUsePeriod, time.Until(end)))
 	lastBusy := time.Now()
 	for now := time.Now(); now.Before(end) && now.Sub(lastBusy) < quietPeriod; now = time.Now() {
-		if r.inFlight.Load() > 0 {
+		if r.active.count() > 0 {
 			lastBusy = now
 		}
 		time.Sleep(quietPollInterval)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := r.callers.Stop(ctx); err != nil {
+	logsCut := time.AfterFunc(time.Until(end), func() { r.logCut(time.Now()) })
+	r.log.WithFields(logrus.Fields{"inFlight": r.active.count(), "afterMs": time.Since(leftAt).Milliseconds()}).Info("closing")
+	err := r.callers.Stop(ctx)
+	logsCut.Stop()
+	if err != nil {
 		r.log.WithError(err).Warn("callers' port")
 	}
 	r.reporter.stop()
@@ -82,5 +88,5 @@
 	r.peers.Stop()
 	r.executor.stop()
 	r.metrics.Close()
-	r.log.WithField("inFlight", r.inFlight.Load()).Info("stopped")
+	r.log.WithFields(logrus.Fields{"inFlight": r.active.count(), "afterMs": time.Since(leftAt).Milliseconds()}).Info("stopped")
 }
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -205,6 +205,7 @@
 // refused because the instance is slow.
 func (r *Router) attempt(ctx context.Context, req *request, inst routing.Instance, redirectable bool) attemptResult {
 	started := time.Now()
+	req.active.attempt(req, inst.ID, started)
 	msg := r.message(req, inst, started)
 	msg.Redirectable = redirectable
 	var res runResult
@@ -228,7 +229,7 @@
 	answer := r.resultAnswer(ctx, req, inst, &res)
 	result := sendResult(res, err)
 	r.balancer.Record(inst, choice.Attempt{Route: req.route.Name, Result: result, Took: now.Sub(started), Waited: res.Waited, Load: res.Load}, now)
-	req.attempts.add(inst, result, res, now.Sub(started))
+	req.attempts.add(inst, result, res, started.Sub(req.arrivedAt), now.Sub(started))
 	req.observe(res)
 	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed, redirected: res.redirects()}
 }
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -24,16 +24,18 @@
 	Result   string `json:"ending"`
 	Reason   string `json:"reason,omitempty"`
 	Status   int    `json:"status,omitempty"`
-	TookMs   int64  `json:"tookMs"`
-	WaitedMs int64  `json:"waitedMs"`
-	InFlight int    `json:"inFlight"`
-	Queued   int    `json:"queued"`
-	Limit    int    `json:"limit"`
+	// AtMs is when the attempt began, in milliseconds after the request's arrival.
+	AtMs     int64 `json:"atMs"`
+	TookMs   int64 `json:"tookMs"`
+	WaitedMs int64 `json:"waitedMs"`
+	InFlight int   `json:"inFlight"`
+	Queued   int   `json:"queued"`
+	Limit    int   `json:"limit"`
 }
 
-func (a *attempts) add(inst routing.Instance, result choice.Result, res runResult, took time.Duration) {
+func (a *attempts) add(inst routing.Instance, result choice.Result, res runResult, at, took time.Duration) {
 	entry := attempt{
-		Instance: inst.ID, Result: result.String(), Status: res.Status, TookMs: took.Milliseconds(), WaitedMs: res.Waited.Milliseconds(),
+		Instance: inst.ID, Result: result.String(), Status: res.Status, AtMs: at.Milliseconds(), TookMs: took.Milliseconds(), WaitedMs: res.Waited.Milliseconds(),
 		InFlight: res.Load.InFlight, Queued: res.Load.Queued, Limit: res.Load.Limit,
 	}
 	if res.Reason != call.None {
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -55,7 +55,7 @@
 	callers  *httpd.Server
 	health   *httpd.Server
 	operator *httpd.Server
-	inFlight atomic.Int64
+	active   *activeRequests
 	usage    usage
 }
 
@@ -71,6 +71,7 @@
 		quota:       quota.New(quota.Without(settings.Without)),
 		retryBudget: repeats.New(settings.Repeats),
 		told:        newToldStatements(),
+		active:      newActiveRequests(),
 		shedder:     shed.New(shed.Without(settings.Without)),
 		usualShares: shares.NewFractions(),
 	}
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -13,8 +13,10 @@
 // Other daemons learn of the shutdown within a heartbeat interval. A request that still arrives is refused in the same round trip and goes to
 // another instance; if it ran here, it could outlast the process.
 func (r *Router) handleRun(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
-	r.inFlight.Add(1)
-	defer r.inFlight.Add(-1)
+	now := time.Now()
+	active := r.active.begin(now)
+	defer r.active.end(active)
+	active.progress.Store(&progress{requestID: req.RequestID, route: req.Route, instance: req.Instance.ID, attempts: 1, since: now, run: true})
 	if r.closedToPeers.Load() {
 		return refusedResult(call.Refuse(call.Draining, noInstanceRetryAfter), r.executor.load())
 	}
