Gate: a run that is likely to outlast the time by which it must have ended isn't begun

For daemons that shut down: an attempt carries the time by which its response can still be delivered. The gate compares it with the smoothed running time and four deviations, where the deadline is compared with the mean alone, so that half of the runs begun at the last moment would be cut.

--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -155,6 +155,11 @@
 		Caller:   "Come back after Retry-After.",
 		Operator: "Rare: the request goes to another instance by itself. `offers` in the log line has the instances that were tried.",
 	},
+	call.WouldOutlast: {
+		Meaning:  "The daemon that the request was sent to is shutting down, and the request is likely to run longer than it will be there.",
+		Caller:   "Come back after Retry-After; by then requests go to another host.",
+		Operator: "Expected while hosts are restarted, of routes that take seconds. `leaving` in the log has the time that requests have left; a longer grace serves more of them.",
+	},
 	call.TimedOut: {
 		Meaning:  "The time that the caller or the operator allows ran out while the request was at work, so it may have run.",
 		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
--- a/internal/decide/admission/gate.go
+++ b/internal/decide/admission/gate.go
@@ -102,6 +102,9 @@
 	if now.Add(expected).After(t.Deadline) || !now.Before(t.Deadline) {
 		return g.refuse(now, call.DeadlineTooNear)
 	}
+	if g.outlasts(now, t) {
+		return g.refuse(now, call.WouldOutlast)
+	}
 	g.arriveAtReservation(now, t)
 	// Pacing may have ended since the waiting requests arrived.
 	g.startWaiting(now)
@@ -116,6 +119,9 @@
 // can be wrong, and a gate that relied on it alone might refuse everything.
 func (g *Gate) enqueue(now time.Time, t *Ticket, expected time.Duration) Decision {
 	t.startBy = earlier(t.Deadline.Add(-expected), now.Add(g.maxWaitOf(t)))
+	if latest, bounded := g.latestStart(t); bounded {
+		t.startBy = earlier(t.startBy, latest)
+	}
 	t.item = queue.Item[*Ticket]{
 		Value: t, Organisation: t.Organisation, Weight: t.Weight, Priority: t.Priority, Cost: g.holdTimes.relativeCost(t.Operation),
 	}
@@ -207,7 +213,7 @@
 	}
 	g.queue.Remove(&t.item)
 	g.counts.Expired++
-	return g.refuseTicket(now, t, g.shortage(now)), true
+	return g.refuseTicket(now, t, g.lateReason(now, t)), true
 }
 
 // RefuseWaiting ends the wait of all waiting tickets with the reason and returns their number. Their requests have not run.
@@ -267,11 +273,11 @@
 // case its timer is late.
 func (g *Gate) nextInTime(now time.Time) *Ticket {
 	for item := g.pop(now); item != nil; item = g.pop(now) {
-		if !now.After(item.Value.startBy) {
-			return item.Value
+		if t := item.Value; !now.After(t.startBy) && !g.outlasts(now, t) {
+			return t
 		}
 		g.counts.Expired++
-		item.Value.Waiter.Decide(g.refuseTicket(now, item.Value, g.shortage(now)))
+		item.Value.Waiter.Decide(g.refuseTicket(now, item.Value, g.lateReason(now, item.Value)))
 	}
 	return nil
 }
--- a/internal/decide/admission/latency.go
+++ b/internal/decide/admission/latency.go
@@ -13,13 +13,18 @@
 
 // holdTime is the smoothed hold time of one operation.
 type holdTime struct {
-	seconds    float64
+	seconds float64
+	// deviation is the smoothed absolute difference between a run's hold time and the smoothed one, in seconds.
+	deviation  float64
 	observedAt time.Time
 }
 
 const (
 	// holdTimeWeight is the weight of one run in the smoothed hold time.
 	holdTimeWeight = 0.1
+	// deviationWeight and upperBoundDeviations are those of the retransmission timer of RFC 6298.
+	deviationWeight      = 0.25
+	upperBoundDeviations = 4
 	// decayDelay and decayHalfLife set how fast an estimate decays without new runs: an operation that is refused because of its estimate
 	// has none, and must be admitted again well within 2 s.
 	decayDelay    = 100 * time.Millisecond
@@ -34,12 +39,13 @@
 	times.meanSeconds += (seconds - times.meanSeconds) * holdTimeWeight
 	h := times.byOperation[operation]
 	if h == nil {
-		h = &holdTime{seconds: seconds}
+		h = &holdTime{seconds: seconds, deviation: seconds / 2}
 		times.byOperation[operation] = h
 	}
 	if h.decayed(now) < h.seconds/2 {
 		h.seconds = seconds
 	}
+	h.deviation += (math.Abs(seconds-h.seconds) - h.deviation) * deviationWeight
 	h.seconds += (seconds - h.seconds) * holdTimeWeight
 	h.observedAt = now
 }
@@ -71,6 +77,15 @@
 	return time.Duration(h.seconds * float64(time.Second))
 }
 
+// upperBound returns a hold time that runs of the operation seldom exceed, whatever its age, or the usual time while none was observed.
+func (times *holdTimes) upperBound(operation string, usual time.Duration) time.Duration {
+	h := times.byOperation[operation]
+	if h == nil {
+		return usual
+	}
+	return time.Duration((h.seconds + upperBoundDeviations*h.deviation) * float64(time.Second))
+}
+
 // relativeCost returns the operation's hold time relative to the mean of all operations.
 func (times *holdTimes) relativeCost(operation string) float64 {
 	h := times.byOperation[operation]
--- a/internal/decide/admission/ticket.go
+++ b/internal/decide/admission/ticket.go
@@ -40,6 +40,10 @@
 	Weight       int
 	Priority     call.Priority
 	Deadline     time.Time
+	// FinishBy is when the run must have ended with near certainty, since nobody could receive its response later; zero if there is no such time.
+	FinishBy time.Time
+	// UsualTime stands in for the running time of an operation that the gate hasn't seen; 0 if it is unknown.
+	UsualTime time.Duration
 	// Patience is the maximum wait of this request; 0 means the gate's default.
 	Patience time.Duration
 	// SubcallTarget is the target latency of a sub-call; 0 for other requests and if it is unknown.
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -72,6 +72,8 @@
 	UpstreamLimited // upstreamLimited
 	// InstanceSlow means that the instance is slow now and another one may run the request.
 	InstanceSlow // instanceSlow
+	// WouldOutlast means that the request is likely to run longer than the daemon that its caller sent it to, which is shutting down.
+	WouldOutlast // wouldOutlast
 )
 
 // Priority orders requests under overload; a higher priority is shed later.
@@ -106,7 +108,7 @@
 func (r Reason) Temporary() bool {
 	switch r {
 	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided, ZoneDrained, WarmingUp, NoAllowedRegion,
-		UpstreamLimited, InstanceSlow:
+		UpstreamLimited, InstanceSlow, WouldOutlast:
 		return true
 	default:
 		return false
@@ -165,4 +167,5 @@
 	NoAllowedRegion:  statusUnavailable,
 	UpstreamLimited:  statusUnavailable,
 	InstanceSlow:     statusUnavailable,
+	WouldOutlast:     statusUnavailable,
 }
--- a/internal/domain/call/reason_string.go
+++ b/internal/domain/call/reason_string.go
@@ -32,11 +32,12 @@
 	_ = x[NoAllowedRegion-21]
 	_ = x[UpstreamLimited-22]
 	_ = x[InstanceSlow-23]
+	_ = x[WouldOutlast-24]
 }
 
-const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegionupstreamLimitedinstanceSlow"
+const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegionupstreamLimitedinstanceSlowwouldOutlast"
 
-var _Reason_index = [...]uint8{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219, 234, 246}
+var _Reason_index = [...]uint16{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219, 234, 246, 258}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
