Closing the callers' port no longer takes its time after the end of the context

The time to drain the backlog (up to 400 ms) came after the requests in flight had been given up, so a leaving daemon reserved it at the end of its leave time, and cut at 4.8 s of 6 s requests that would have ended. It now belongs to Stop's context, and what may follow that is 300 ms in place of 650.

--- a/internal/wire/httpd/backlog_linux.go
+++ b/internal/wire/httpd/backlog_linux.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -10,8 +11,6 @@
 )
 
 const (
-	// minBacklogTime is the time for handshakes in progress to complete: many times the one-way latency across a region.
-	minBacklogTime      = 50 * time.Millisecond
 	backlogPollInterval = 5 * time.Millisecond
 )
 
@@ -22,7 +21,7 @@
 // connected already and may have sent requests; on a reset they can't know
 // whether a request ran. A filter that drops SYN packets lets handshakes in
 // progress complete; later callers resend their SYN and find the port closed.
-func drainBacklog(l net.Listener) error {
+func drainBacklog(ctx context.Context, l net.Listener) error {
 	conn, ok := l.(syscall.Conn)
 	if !ok {
 		return nil
@@ -34,11 +33,11 @@
 	var filterErr error
 	_ = raw.Control(func(fd uintptr) { filterErr = attachFilter(int(fd)) })
 	start := time.Now()
-	for time.Since(start) < maxBacklogTime {
+	for time.Since(start) < MaxBacklogTime {
 		time.Sleep(backlogPollInterval)
 		waiting := false
 		_ = raw.Control(func(fd uintptr) { waiting = hasBacklog(int(fd)) })
-		if !waiting && time.Since(start) >= minBacklogTime {
+		if (!waiting || ctx.Err() != nil) && time.Since(start) >= minBacklogTime {
 			break
 		}
 	}
--- a/internal/wire/httpd/backlog_other.go
+++ b/internal/wire/httpd/backlog_other.go
@@ -2,7 +2,10 @@
 
 package httpd
 
-import "net"
+import (
+	"context"
+	"net"
+)
 
 // drainBacklog does nothing: on this platform the kernel can't be made to refuse new connections before the port closes.
-func drainBacklog(net.Listener) error { return nil }
+func drainBacklog(context.Context, net.Listener) error { return nil }
--- a/internal/wire/httpd/listener.go
+++ b/internal/wire/httpd/listener.go
@@ -44,10 +44,11 @@
 }
 
 // closePort closes the port once the connections in its backlog are accepted; the error
-// is the reason why connections made in the meantime may have been reset.
-func (l *listener) closePort() (err error) {
+// is the reason why connections made in the meantime may have been reset. After ctx
+// has ended it takes at most minBacklogTime more.
+func (l *listener) closePort(ctx context.Context) (err error) {
 	l.once.Do(func() {
-		err = drainBacklog(l.Listener)
+		err = drainBacklog(ctx, l.Listener)
 		close(l.closing)
 		_ = l.Listener.Close()
 	})
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -177,13 +177,13 @@
 	return loops.Await(s.engine.Engine, pollerCount)
 }
 
-// Stop closes the listener and waits until no connection is left, closing idle
+// Stop closes the listener, which takes up to MaxBacklogTime, and waits until no connection is left, closing idle
 // ones; after ctx has ended it takes at most StopSlack more.
 //
 // Closing all connections at once would interrupt requests that are still arriving, responses that
 // are still being sent, and requests that a caller sends on a connection that it takes to be open.
 func (s *Server) Stop(ctx context.Context) error {
-	backlogErr := s.listener.closePort()
+	backlogErr := s.listener.closePort(ctx)
 	// The connection accepted last may have no guard yet, and its request may still be arriving.
 	earliest := time.Now().Add(minStopTime)
 	ticker := time.NewTicker(stopPollInterval)
@@ -214,12 +214,14 @@
 
 const (
 	stopPollInterval = 20 * time.Millisecond
-	// maxBacklogTime limits the time to accept the connections in the backlog.
-	maxBacklogTime = 400 * time.Millisecond
+	// MaxBacklogTime limits the time to accept the connections in the backlog.
+	MaxBacklogTime = 400 * time.Millisecond
 	// shutdownTimeout limits the time of the engine's shutdown.
 	shutdownTimeout = 250 * time.Millisecond
 	// StopSlack is how much longer than its context Stop may take.
-	StopSlack = maxBacklogTime + shutdownTimeout
+	StopSlack = minBacklogTime + shutdownTimeout
+	// minBacklogTime is the time for handshakes in progress to complete: many times the one-way latency across a region.
+	minBacklogTime = 50 * time.Millisecond
 	// minStopTime is how long Stop waits at least: longer than the connection accepted last needs to get its guard.
 	minStopTime = 500 * time.Millisecond
 	// minIdleTime is how long a connection must be idle before it is closed: longer than active callers leave it idle,
--- a/internal/wire/httpd/stop_test.go
+++ b/internal/wire/httpd/stop_test.go
@@ -35,7 +35,7 @@
 			conns = append(conns, c)
 		}
 		go serveSlowly(l)
-		So(l.closePort(), ShouldBeNil)
+		So(l.closePort(context.Background()), ShouldBeNil)
 		for _, c := range conns {
 			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 			n, err := c.Read(make([]byte, 1))
