A request isn't begun where it would outlast the daemon that it was sent to, and none ends without a response

Cause: a leaving daemon accepted, begun and repeated requests by the caller's deadline alone; its own end was compared only with requests that arrived after the notice period.

The end now belongs to the request: each attempt carries the time by which it must have ended, the gate beside the instance begins it only if that is nearly certain, the instance gets it as its deadline, and so do its sub-calls. The daemon beside an instance applies its own end too; runs for other daemons were cut there and their callers got 502. A refusal states when callers find another host.

--- a/internal/app/router/active.go
+++ b/internal/app/router/active.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +22,9 @@
 	arrivedAt time.Time
 	// progress is nil until the request is read.
 	progress atomic.Pointer[progress]
+	// cancel ends the request's context, nil while it has none; ended means that the daemon has ended the request.
+	cancel atomic.Pointer[context.CancelFunc]
+	ended  atomic.Bool
 }
 
 // progress says how far a request has come.
@@ -58,18 +64,27 @@
 	return len(a.requests)
 }
 
-// list returns up to limit requests, and the number of all.
-func (a *activeRequests) list(limit int) ([]*activeRequest, int) {
+// list returns the requests.
+func (a *activeRequests) list() []*activeRequest {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	listed := make([]*activeRequest, 0, min(limit, len(a.requests)))
-	for active := range a.requests {
-		if len(listed) == limit {
-			break
-		}
-		listed = append(listed, active)
+	return slices.Collect(maps.Keys(a.requests))
+}
+
+// onEnd sets the function that ends the request's context.
+func (a *activeRequest) onEnd(cancel context.CancelFunc) {
+	a.cancel.Store(&cancel)
+	if a.ended.Load() {
+		cancel()
+	}
+}
+
+// terminate ends the request.
+func (a *activeRequest) terminate() {
+	a.ended.Store(true)
+	if cancel := a.cancel.Load(); cancel != nil {
+		(*cancel)()
 	}
-	return listed, len(a.requests)
 }
 
 // attempt records that the request is sent to the instance.
@@ -80,13 +95,17 @@
 // maxLoggedCuts bounds the log lines on requests that are cut when the daemon stops.
 const maxLoggedCuts = 20
 
-// logCut logs the requests that are in flight when the daemon closes its connections.
-func (r *Router) logCut(now time.Time) {
-	cut, count := r.active.list(maxLoggedCuts)
-	for _, active := range cut {
-		r.log.WithFields(active.fields(now)).Warn("request cut")
+// endActive ends the requests that are in flight at the cutoff, so that each is answered before its connection closes, also those that have to wait
+// for an earlier response on it.
+func (r *Router) endActive() {
+	now, cut := time.Now(), r.active.list()
+	for i, active := range cut {
+		if i < maxLoggedCuts {
+			r.log.WithFields(active.fields(now)).Warn("request cut")
+		}
+		active.terminate()
 	}
-	if further := count - len(cut); further > 0 {
+	if further := len(cut) - maxLoggedCuts; further > 0 {
 		r.log.WithField("count", further).Warn("further requests cut")
 	}
 }
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -33,6 +33,8 @@
 	disabled  mechanism.Set
 	// longWaits bounds the requests that wait for a slot longer than maxQueueWait.
 	longWaits admission.LongWaits
+	// cutoff is when the daemon ends the runs that are at work, nil while it isn't shutting down.
+	cutoff atomic.Pointer[time.Time]
 	// waitsEnded means that the daemon is closed to its peers, so that no request waits for a slot any more.
 	waitsEnded atomic.Bool
 
@@ -176,27 +178,32 @@
 	}
 	deadline := arrived.Add(req.Remaining - min(responseReserve, req.Remaining/10))
 	ticket := e.ticket(req, deadline)
+	e.bound(ticket, req, arrived)
 	saturation := gate.Fullness(arrived, waitUnit)
 	e.recordSaturation(saturation)
 	if decision := e.enter(ctx, gate, ticket, req); decision.Verdict != admission.Run {
 		if errors.Is(ctx.Err(), context.Canceled) {
 			decision.Reason = call.Cancelled
 		}
-		res := refusedResult(call.Refuse(decision.Reason, decision.RetryAfter), loadOf(gate))
+		res := refusedResult(call.Refuse(e.outlastReason(decision.Reason, ticket), decision.RetryAfter), loadOf(gate))
 		res.Saturation = saturation
 		return res
 	}
 	started := time.Now()
+	e.bound(ticket, req, arrived)
 	reason := e.closedAtStart(req, started)
+	if reason == call.None && gate.Outlasts(started, ticket) {
+		reason = call.WouldOutlast
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		// The gate gives a free slot without a look at the context.
 		reason = call.Cancelled
 	}
 	if reason != call.None {
 		gate.Settle(started, ticket, admission.Result{Withdrawn: true})
-		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
+		return refusedResult(call.Refuse(e.outlastReason(reason, ticket), unreachableRetryAfter), loadOf(gate))
 	}
-	res := e.execute(ctx, req, deadline)
+	res := e.execute(ctx, req, ticket)
 	res.Waited = started.Sub(arrived)
 	now := time.Now()
 	gate.Settle(now, ticket, gateResult(res, now.Sub(started)))
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -60,7 +60,8 @@
 	answer, ok := r.admit(req, in)
 	if ok {
 		ctx, cancel := context.WithDeadline(in.Context(), req.deadline)
-		answer = r.dispatch(ctx, req)
+		req.active.onEnd(cancel)
+		answer = r.leavingAnswer(req, r.dispatch(ctx, req), time.Now())
 		r.recordFeedback(req, answer)
 		cancel()
 		if answer.Outcome == call.NotRun && req.organisation != "" {
@@ -95,7 +96,7 @@
 	req.header = removeConnectionHeaders(in.Header)
 	req.active.progress.Store(&progress{requestID: req.id, route: req.route.Name})
 	if r.stopsBefore(req) {
-		return call.Refuse(call.Draining, drainingRetryAfter), false
+		return r.leavingAnswer(req, call.Refuse(call.Draining, 0), req.arrivedAt), false
 	}
 	if req.subcall {
 		req.inherit(r.executor.runs.Parent(req.route.Name, req.arrivedAt.Add(head.Timeout)))
@@ -185,8 +186,6 @@
 	minNotReadyRetryAfter = 300 * time.Millisecond
 	// maxNotReadyRetryAfter bounds the Retry-After of a daemon that has waited for long.
 	maxNotReadyRetryAfter = 2 * time.Second
-	// drainingRetryAfter is the Retry-After of a daemon that is about to end; callers find another one at once.
-	drainingRetryAfter = 300 * time.Millisecond
 )
 
 // notReadyRetryAfter returns the Retry-After of a daemon without a configuration: as long as it has waited already. How long a start takes depends
--- a/internal/app/router/leave_test.go
+++ b/internal/app/router/leave_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
-
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 )
 
@@ -18,7 +18,8 @@
 		const leaveTime = 6 * time.Second
 		// Guards against steps that take exactly what is reserved for them: the process was killed at the last one.
 		So(shutdownReserve-httpd.StopSlack-peersReserve, ShouldBeGreaterThan, 200*time.Millisecond)
-		So(leaveTime-shutdownReserve, ShouldBeGreaterThan, noticePeriod+quietPeriod)
+		schedule := shutdown.New(time.Unix(0, 0), leaveTime, shutdown.Closing{Port: httpd.MaxBacklogTime, Rest: shutdownReserve})
+		So(schedule.PortEnd, ShouldHappenAfter, schedule.NoticeEnd.Add(quietPeriod))
 	})
 }
 
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -35,6 +35,8 @@
 	RateLimit RateLimit `msgpack:"rateLimit"`
 	// Redirectable means that the request hasn't been redirected yet and that the sender has another instance for it.
 	Redirectable bool `msgpack:"redirectable,omitempty"`
+	// FinishIn is the time in which the run must have ended, since the sender shuts down; 0 if it doesn't.
+	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
 }
 
 // runResult is the reply to a runRequest.
--- a/internal/app/router/operators.go
+++ b/internal/app/router/operators.go
@@ -34,7 +34,7 @@
 	view := r.view.Load()
 	raw, err := json.MarshalIndent(Status{
 		Host: r.settings.Host, Zone: r.settings.Zone, Service: r.settings.Service, Version: version(view), Revision: view.Revision,
-		Hosts: len(view.Hosts()), Leaving: r.leaving.Load(), InFlight: int64(r.active.count()), Gate: r.executor.load(),
+		Hosts: len(view.Hosts()), Leaving: r.leaving(), InFlight: int64(r.active.count()), Gate: r.executor.load(),
 		Connections: r.peers.Connections(), Opened: r.executor.instance.Opened(),
 	}, "", "  ")
 	if err != nil {
--- /dev/null
+++ b/internal/app/router/outlast.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"time"
+
+	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+)
+
+// setCutoff sets the time at which this daemon, which is shutting down, ends the runs that are at work.
+func (e *executor) setCutoff(at time.Time) { e.cutoff.Store(&at) }
+
+// bound sets the time by which the request's run must have ended: neither the daemon that its caller sent it to nor this one lives longer.
+func (e *executor) bound(ticket *admission.Ticket, req *runRequest, arrived time.Time) {
+	ticket.FinishBy = time.Time{}
+	if req.FinishIn > 0 {
+		ticket.FinishBy = arrived.Add(req.FinishIn)
+	}
+	if own := e.ownFinish(); !own.IsZero() && (ticket.FinishBy.IsZero() || own.Before(ticket.FinishBy)) {
+		ticket.FinishBy = own
+	}
+	if !ticket.FinishBy.IsZero() {
+		ticket.UsualTime = e.targetOf(req.Route)
+	}
+}
+
+// ownFinish returns the time by which runs must have ended since this daemon is shutting down, zero if it isn't.
+func (e *executor) ownFinish() time.Time {
+	cutoff := e.cutoff.Load()
+	if cutoff == nil {
+		return time.Time{}
+	}
+	return cutoff.Add(-finishReserve)
+}
+
+// outlastReason returns the reason of a refusal. If it is this daemon that a run would outlast, the request goes to another instance.
+func (e *executor) outlastReason(reason call.Reason, ticket *admission.Ticket) call.Reason {
+	if reason == call.WouldOutlast && ticket.FinishBy.Equal(e.ownFinish()) {
+		return call.Draining
+	}
+	return reason
+}
+
+// instanceDeadline returns the deadline that the instance is given. The daemons wait beyond FinishBy, so that a run that takes longer than expected
+// ends with the instance's own response.
+func instanceDeadline(ticket *admission.Ticket) time.Time {
+	if !ticket.FinishBy.IsZero() && ticket.FinishBy.Before(ticket.Deadline) {
+		return ticket.FinishBy
+	}
+	return ticket.Deadline
+}
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shares"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
+	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/decide/split"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -33,11 +34,10 @@
 	view atomic.Pointer[catalog.View]
 	// samplers are those of the large services.
 	samplers atomic.Pointer[map[string]*choice.Sampler]
-	// leaving is set by the order to shut down, at leftAt in Unix nanoseconds. closedToPeers is set a while later; from then on the daemon
-	// reports that it is leaving and refuses other daemons' requests.
-	leaving       atomic.Bool
+	// shutdown is set by the order to shut down. closedToPeers is set a while later; from then on the daemon reports that it is leaving and
+	// refuses other daemons' requests.
+	shutdown      atomic.Pointer[shutdown.Schedule]
 	closedToPeers atomic.Bool
-	leftAt        atomic.Int64
 	peers         *peer.Node
 
 	splitter    *split.Splitter
@@ -87,7 +87,7 @@
 	peer.Handle(r.peers, peer.KindChanges, r.control.handleFetch)
 	peer.Handle(r.peers, peer.KindAnnouncement, r.control.handleAnnouncement)
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
-		httpd.WithHeldBytes(r.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.closing))
+		httpd.WithHeldBytes(r.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
 	if settings.Metrics.IsValid() {
 		r.operator = httpd.New(settings.Metrics, r.operatorRoutes(), httpd.WithMaxConns(maxHealthConns))
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -14,18 +14,19 @@
 )
 
 // execute sends the request to the instance; it changes the request's header.
-func (e *executor) execute(ctx context.Context, req *runRequest, deadline time.Time) runResult {
+func (e *executor) execute(ctx context.Context, req *runRequest, ticket *admission.Ticket) runResult {
 	header := http.Header(req.Header)
 	if header == nil {
 		header = http.Header{}
 	}
 	now := time.Now()
+	timeout := instanceDeadline(ticket).Sub(now)
 	e.heads.Forward(header, Forwarded{
-		RequestID: req.RequestID, Timeout: deadline.Sub(now), Instance: req.Instance.ID, Organisation: req.Organisation, CallerService: req.CallerService,
+		RequestID: req.RequestID, Timeout: timeout, Instance: req.Instance.ID, Organisation: req.Organisation, CallerService: req.CallerService,
 	})
 	run := &lineage.Run{Route: req.Route, Root: req.Root, Priority: req.Priority, Retry: req.Retry}
-	e.runs.Begin(run, now.Add(deadline.Sub(now).Truncate(time.Millisecond)))
-	res := e.send(ctx, req, header, deadline)
+	e.runs.Begin(run, now.Add(timeout.Truncate(time.Millisecond)))
+	res := e.send(ctx, req, header, ticket.Deadline)
 	e.runs.End(run, res.Outcome == call.Whole && res.Status < statusFailed)
 	res.Saturation, res.SubcallRefused = run.Saturation()
 	res.SubcallFailed = res.Status >= statusFailed && e.runs.CausedByCall(run, time.Now())
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -29,6 +29,9 @@
 		return refusedResult(call.Refuse(call.Overloaded, time.Second), r.executor.load())
 	}
 	defer release()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	active.onEnd(cancel)
 	res := r.executor.run(ctx, &req)
 	r.recordStatements(req.Instance, &res, time.Now())
 	r.logFailedRun(&req, &res)
--- a/internal/decide/admission/finish.go
+++ b/internal/decide/admission/finish.go
@@ -14,7 +14,14 @@
 	return t.FinishBy.Add(-g.holdTimes.upperBound(t.Operation, t.UsualTime)), true
 }
 
-// outlasts reports whether a run that begins now may go on beyond the ticket's FinishBy.
+// Outlasts reports whether a run that begins now may go on beyond the ticket's FinishBy.
+func (g *Gate) Outlasts(now time.Time, t *Ticket) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.outlasts(now, t)
+}
+
+// outlasts is Outlasts with mu locked.
 func (g *Gate) outlasts(now time.Time, t *Ticket) bool {
 	latest, bounded := g.latestStart(t)
 	return bounded && now.After(latest)
