Gate: the time that a run may need is kept between runs that are far apart

Where a route's runs ended more than 300 ms apart, each replaced the smoothed time, and the deviation from it fell towards 0, so that a run was begun that was likely to outlast a daemon that shuts down. Mean and deviation are smoothed over all runs now.

--- a/internal/decide/admission/latency.go
+++ b/internal/decide/admission/latency.go
@@ -13,16 +13,17 @@
 
 // holdTime is the smoothed hold time of one operation.
 type holdTime struct {
-	seconds float64
-	// deviation is the smoothed absolute difference between a run's hold time and the smoothed one, in seconds.
-	deviation  float64
+	seconds    float64
 	observedAt time.Time
+	// mean and deviation, in seconds, are smoothed over all runs, however far apart they are.
+	mean, deviation float64
 }
 
 const (
 	// holdTimeWeight is the weight of one run in the smoothed hold time.
 	holdTimeWeight = 0.1
-	// deviationWeight and upperBoundDeviations are those of the retransmission timer of RFC 6298.
+	// meanWeight, deviationWeight and upperBoundDeviations are those of the retransmission timer of RFC 6298.
+	meanWeight           = 0.125
 	deviationWeight      = 0.25
 	upperBoundDeviations = 4
 	// decayDelay and decayHalfLife set how fast an estimate decays without new runs: an operation that is refused because of its estimate
@@ -39,15 +40,16 @@
 	times.meanSeconds += (seconds - times.meanSeconds) * holdTimeWeight
 	h := times.byOperation[operation]
 	if h == nil {
-		h = &holdTime{seconds: seconds, deviation: seconds / 2}
+		h = &holdTime{seconds: seconds, mean: seconds, deviation: seconds / 2}
 		times.byOperation[operation] = h
 	}
 	if h.decayed(now) < h.seconds/2 {
 		h.seconds = seconds
 	}
-	h.deviation += (math.Abs(seconds-h.seconds) - h.deviation) * deviationWeight
 	h.seconds += (seconds - h.seconds) * holdTimeWeight
 	h.observedAt = now
+	h.deviation += (math.Abs(seconds-h.mean) - h.deviation) * deviationWeight
+	h.mean += (seconds - h.mean) * meanWeight
 }
 
 // decayed returns the hold time in seconds, reduced by its age.
@@ -83,7 +85,7 @@
 	if h == nil {
 		return usual
 	}
-	return time.Duration((h.seconds + upperBoundDeviations*h.deviation) * float64(time.Second))
+	return time.Duration((h.mean + upperBoundDeviations*h.deviation) * float64(time.Second))
 }
 
 // relativeCost returns the operation's hold time relative to the mean of all operations.
