A connection whose response is still being sent isn't idle

At shutdown Stop closed connections 2 s after their last response was written, also where the caller still read it: it got a part. TestStopWaitsForUnsentResponses failed before.

--- a/internal/wire/httpd/pipeline.go
+++ b/internal/wire/httpd/pipeline.go
@@ -175,11 +175,11 @@
 	return len(p.pending)
 }
 
-// idle returns since when no request is pending, or false if one is.
+// idle returns since when no request is pending, or false if one is or a response is still being sent.
 func (p *pipeline) idle() (time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.idleSince, len(p.pending) == 0
+	return p.idleSince, len(p.pending) == 0 && p.unsentBytes.Load() <= 0
 }
 
 // close cancels all requests of a caller that has disconnected.
