Peer node: a connection that is dialed while the node stops no longer keeps it from stopping

Stop waited forever for a connection that the engine hadn't had when it began to stop: a process that shuts down beside daemons that dial it was killed at the end of its grace.

--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,12 +151,41 @@
 const pollerCount = 2
 
 // Stop closes all connections and the listener.
+//
+// The engine closes the connections that it has when it begins to stop, and then waits for all. One that was being dialed at that moment would
+// keep it waiting, so those that are left are closed until it is done.
 func (n *Node) Stop() {
 	close(n.stopped)
-	n.engine.Stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.engine.Stop()
+	}()
+	ticker := time.NewTicker(stopPollInterval)
+	defer ticker.Stop()
+	for stopping := true; stopping; {
+		select {
+		case <-done:
+			stopping = false
+		case <-ticker.C:
+			n.closeConns()
+		}
+	}
 	n.workers.Close()
 }
 
+// stopPollInterval is how often connections that are left are closed while the engine stops.
+const stopPollInterval = 20 * time.Millisecond
+
+func (n *Node) closeConns() {
+	n.mu.Lock()
+	conns := slices.Collect(maps.Keys(n.conns))
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // Traffic returns the bytes sent and received since the start.
 func (n *Node) Traffic() Traffic {
 	t := Traffic{Bytes: Bytes{Sent: n.bytesSent.Load(), Received: n.bytesReceived.Load()}}
