--- a/internal/decide/shutdown/schedule.go
+++ b/internal/decide/shutdown/schedule.go
@@ -12,6 +12,10 @@
 	instanceUsePeriod = 1900 * time.Millisecond
 	// responseTime is how long the responses to requests that are ended may take to reach their callers.
 	responseTime = 100 * time.Millisecond
+	// Requests at work have workParts of leaveParts of the leave time in any case. If it is so short that closing may take longer than the rest,
+	// it is better that the process is killed while it closes than that requests are cut which callers may rely on.
+	workParts  = 5
+	leaveParts = 6
 	// minRetryAfter is the shortest Retry-After of a refusal: the caller finds another host at once.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -41,15 +45,14 @@
 
 // New returns the schedule of a shutdown that was ordered at the time and must be over within the leave time.
 func New(orderedAt time.Time, leaveTime time.Duration, closing Closing) Schedule {
-	connectionsEnd := orderedAt.Add(leaveTime - closing.Rest)
-	cutoff := connectionsEnd.Add(-responseTime)
+	cutoff := orderedAt.Add(max(leaveTime-closing.Rest-responseTime, leaveTime*workParts/leaveParts))
 	return Schedule{
 		OrderedAt:      orderedAt,
 		InstanceUseEnd: earlier(orderedAt.Add(instanceUsePeriod), cutoff),
 		NoticeEnd:      earlier(orderedAt.Add(noticePeriod), cutoff),
 		PortEnd:        cutoff.Add(-closing.Port),
 		Cutoff:         cutoff,
-		ConnectionsEnd: connectionsEnd,
+		ConnectionsEnd: cutoff.Add(responseTime),
 	}
 }
 
