Waits for an instance whose entry is removed end, as for one that drains

An instance may leave without reporting that it drains. What waited beside it reached it after its drain time, and was cut when it exited. TestWaitForARemovedInstance and TestQueuedAtRemovedInstance failed before.

--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,7 +58,7 @@
 	delivered, retryable int
 	// unreachableAt is when the instance last accepted no connection; zero once it has responded since.
 	unreachableAt time.Time
-	// drainingSince is when the instance was first known to be draining; zero while it isn't.
+	// drainingSince is when the instance was first known to be draining, or when its entry was removed; zero while neither is so.
 	drainingSince time.Time
 	// zoneDrained means that the operator has drained the availability zone of this host.
 	zoneDrained bool
@@ -185,7 +186,7 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			decision.Reason = call.Cancelled
 		}
-		res := refusedResult(call.Refuse(e.outlastReason(decision.Reason, ticket), decision.RetryAfter), loadOf(gate))
+		res := refusedResult(call.Refuse(decision.Reason, decision.RetryAfter), loadOf(gate))
 		res.Saturation = saturation
 		return res
 	}
@@ -201,11 +202,12 @@
 	}
 	if reason != call.None {
 		gate.Settle(started, ticket, admission.Result{Withdrawn: true})
-		return refusedResult(call.Refuse(e.outlastReason(reason, ticket), unreachableRetryAfter), loadOf(gate))
+		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
 	}
 	res := e.execute(ctx, req, ticket)
 	res.Waited = started.Sub(arrived)
 	now := time.Now()
+	res.EndedEarly = res.Status == http.StatusGatewayTimeout && ticket.FinishBy.Before(ticket.Deadline) && ticket.FinishBy.Equal(e.ownFinish())
 	gate.Settle(now, ticket, gateResult(res, now.Sub(started)))
 	e.recordRun(req, res, now.Sub(started), now)
 	res.Load = loadOf(gate)
--- a/internal/app/router/local_state.go
+++ b/internal/app/router/local_state.go
@@ -59,6 +59,10 @@
 	replaced = e.known && local.known && e.current.Incarnation() != local.instance.Incarnation()
 	e.zoneDrained, e.configured, e.table = local.zoneDrained, local.configured, local.table
 	if !local.known {
+		if e.known && e.drainingSince.IsZero() {
+			// An instance that leaves may have its entry removed without reporting that it drains.
+			e.drainingSince = time.Now()
+		}
 		e.known = false
 		return restored, replaced
 	}
@@ -75,7 +79,7 @@
 	return call.Overloaded
 }
 
-// closing reports whether the zone is drained and whether the instance is published as draining.
+// closing reports whether the zone is drained and whether the instance is published as draining or no longer published.
 func (e *executor) closing() (zoneDrained, draining bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
