A read that another daemon's shutdown ended early is repeated; a run that would outlast it says nothing of the instance

The instance beside a leaving daemon is given the time until that daemon's end; its 504 was taken for the final response by callers with seconds left. The result says so now. A refused run was reported as draining, which kept all requests from the instance for up to 2 s; it is wouldOutlast now. TestRunEndedByAnotherDaemonsShutdown and TestOutlastingRequestIsNotHeldAgainstTheInstance failed before.

--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -62,6 +62,8 @@
 	RateLimit RateLimit `msgpack:"rateLimit"`
 	// InstanceLeaving means that the instance is about to end.
 	InstanceLeaving bool `msgpack:"instanceLeaving"`
+	// EndedEarly means that the instance was given less time than the request has, since the daemon beside it shuts down, and that this was too little.
+	EndedEarly bool `msgpack:"endedEarly,omitempty"`
 }
 
 // redirects reports whether the result sends the request to another instance: the instance is slow, and nothing of the request has reached it.
--- a/internal/app/router/outlast.go
+++ b/internal/app/router/outlast.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
-	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
 // setCutoff sets the time at which this daemon, which is shutting down, ends the runs that are at work.
@@ -33,14 +32,6 @@
 	return cutoff.Add(-finishReserve)
 }
 
-// outlastReason returns the reason of a refusal. If it is this daemon that a run would outlast, the request goes to another instance.
-func (e *executor) outlastReason(reason call.Reason, ticket *admission.Ticket) call.Reason {
-	if reason == call.WouldOutlast && ticket.FinishBy.Equal(e.ownFinish()) {
-		return call.Draining
-	}
-	return reason
-}
-
 // instanceDeadline returns the deadline that the instance is given. The daemons wait beyond FinishBy, so that a run that takes longer than expected
 // ends with the instance's own response.
 func instanceDeadline(ticket *admission.Ticket) time.Time {
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -163,7 +163,7 @@
 //
 // A request that may run only once is retried only if it provably did not run. An idempotent one is also retried after a lost response and
 // after a failure, since an unhealthy instance may fail only some of its requests. After a failed sub-call it is not retried: another
-// instance would make the same sub-calls, and the failed one has been retried already.
+// instance would make the same sub-calls, and the failed one has been retried already. A run that another daemon's shutdown ended is.
 func (r *Router) mayRetry(req *request, result attemptResult) bool {
 	switch result.answer.Outcome {
 	case call.NotRun:
@@ -171,8 +171,8 @@
 	case call.Unknown:
 		return req.route.Repeat == routing.Idempotent && result.answer.Reason == call.AnswerLost
 	default:
-		return req.route.Repeat == routing.Idempotent && result.answer.Status == statusFailed &&
-			(!result.subcallFailed || r.settings.Without.Has(mechanism.CallFailures))
+		return req.route.Repeat == routing.Idempotent && (result.endedEarly || result.answer.Status == statusFailed &&
+			(!result.subcallFailed || r.settings.Without.Has(mechanism.CallFailures)))
 	}
 }
 
@@ -197,6 +197,8 @@
 	sendResult    choice.Result
 	arrived       bool
 	subcallFailed bool
+	// endedEarly means that the daemon beside the instance is shutting down and gave the request less time than it has.
+	endedEarly bool
 	// redirected means that the instance is slow and the request goes to another one.
 	redirected bool
 }
@@ -231,7 +233,7 @@
 	r.balancer.Record(inst, choice.Attempt{Route: req.route.Name, Result: result, Took: now.Sub(started), Waited: res.Waited, Load: res.Load}, now)
 	req.attempts.add(inst, result, res, started.Sub(req.arrivedAt), now.Sub(started))
 	req.observe(res)
-	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed, redirected: res.redirects()}
+	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed, endedEarly: res.EndedEarly, redirected: res.redirects()}
 }
 
 // resultAnswer returns the response that an attempt's result stands for, and makes a result that no caller may be sent a lost response. A
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -156,7 +156,7 @@
 		Operator: "Rare: the request goes to another instance by itself. `offers` in the log line has the instances that were tried.",
 	},
 	call.WouldOutlast: {
-		Meaning:  "The daemon that the request was sent to is shutting down, and the request is likely to run longer than it will be there.",
+		Meaning:  "A daemon that the request was sent to, or the one beside the instance, is shutting down, and the request is likely to run longer than it will be there.",
 		Caller:   "Come back after Retry-After; by then requests go to another host.",
 		Operator: "Expected while hosts are restarted, of routes that take seconds. `leaving` in the log has the time that requests have left; a longer grace serves more of them.",
 	},
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -72,7 +72,7 @@
 	UpstreamLimited // upstreamLimited
 	// InstanceSlow means that the instance is slow now and another one may run the request.
 	InstanceSlow // instanceSlow
-	// WouldOutlast means that the request is likely to run longer than the daemon that its caller sent it to, which is shutting down.
+	// WouldOutlast means that the request is likely to run longer than a daemon on its way, which is shutting down.
 	WouldOutlast // wouldOutlast
 )
 
