Daemon: a leaving daemon compares each attempt with its own end

Callers of a daemon that got SIGTERM read a closed connection, or outcomeUnknown, while an upstream worked on their request: one that arrived while the daemon left, its sub-calls, one that waited for a slot for another host, and one with a key that the daemon holds.

Cause: the daemon accepted, queued, handed on and repeated requests by their own deadlines only. Its drains and the close of its port wait for -drain-time each, and a run may take up to -max-timeout. With the default settings both are two minutes, so that the fault needs a shorter -drain-time.

Now the cutoff, leave time and drain time after the order, belongs to each attempt. The gate beside the upstream compares it with what runs take (Ticket.FinishBy), for runs of this daemon and, by a field of the message, of another one that leaves. A request that waited when the order came enters the gate again before it runs. A run that begins has the cutoff as its deadline, so that the upstream is told, except one with an idempotency key for another daemon, whose response the holder keeps. All requests that arrive before the port closes do have the time until the cutoff, since no wait of the shutdown that they depend on ends before.

--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -97,7 +97,7 @@
 		return call.Answer{}, "", false
 	}
 	host := choice.Host
-	answer := d.send(ctx, host, &r, a.keyValid)
+	answer := d.send(ctx, host, &r, earlierBound(a.finishBy, d.ending.cutoff()), a.keyValid)
 	d.checkAnswer(host.Host, answer)
 	now := time.Now()
 	d.placer.Settle(now, choice, r.Operation, placingResult(answer), answer.Load)
@@ -163,12 +163,12 @@
 	}
 }
 
-// send runs the request on the local upstream or forwards it to the daemon on the chosen host.
-func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request, keyValid func() bool) call.Answer {
+// send runs the request on the local upstream or forwards it to the daemon on the chosen host; finishBy is as for executor.run.
+func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
 	if host.Host == d.settings.Host {
-		return d.executor.run(ctx, r, keyValid)
+		return d.executor.run(ctx, r, finishBy, keyValid)
 	}
-	reply, err := d.forward(ctx, peer.KindCall, host, r, keyValid)
+	reply, err := d.forward(ctx, peer.KindCall, host, r, finishBy, keyValid)
 	if err == nil {
 		return reply.decision(ctx)
 	}
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -29,6 +29,8 @@
 	parent *parentRun
 	// keyValid reports whether the caller's key is still valid, for checks after a wait; nil means that no check is needed.
 	keyValid func() bool
+	// finishBy is when the daemon that forwarded the request must have the response, since it is leaving; zero if it isn't.
+	finishBy time.Time
 	// token is the rate-limit token that a caller's request has spent.
 	token rate.Token
 }
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -29,6 +29,8 @@
 	IdempotencyKey string        `msgpack:"idempotencyKey"`
 	Budget         int           `msgpack:"budget"`
 	Depth          int           `msgpack:"depth"`
+	// FinishWithin is the time in which the response must arrive, since the sender is leaving; 0 if it isn't.
+	FinishWithin time.Duration `msgpack:"finishWithin"`
 }
 
 // runResult is the reply to a runRequest.
@@ -43,13 +45,25 @@
 	Load       call.Load     `msgpack:"load"`
 }
 
-func newRunRequest(r *call.Request, now time.Time) runRequest {
-	return runRequest{
+func newRunRequest(r *call.Request, finishBy, now time.Time) runRequest {
+	req := runRequest{
 		ID: r.ID, Organisation: r.Organisation, Operation: r.Operation, Service: r.Service,
 		Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body, Remaining: withoutReturnTime(r.Remaining(now)),
 		Priority: r.Priority, Weight: r.Weight, Idempotent: r.Idempotent, IdempotencyKey: r.IdempotencyKey,
 		Budget: r.Budget, Depth: r.Depth,
 	}
+	if !finishBy.IsZero() {
+		req.FinishWithin = max(withoutReturnTime(finishBy.Sub(now)), 1)
+	}
+	return req
+}
+
+// finishBy returns when the sender must have the response, or zero.
+func (req *runRequest) finishBy(now time.Time) time.Time {
+	if req.FinishWithin == 0 {
+		return time.Time{}
+	}
+	return now.Add(req.FinishWithin)
 }
 
 const (
@@ -136,7 +150,8 @@
 
 func (d *Daemon) handleRunRequest(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
 	defer d.inFlight.begin().end()
-	r := req.request(time.Now())
+	now := time.Now()
+	r := req.request(now)
 	if d.leaving.Load() || r.Service != d.settings.Service {
 		refusal := call.Refuse(call.Draining, time.Second)
 		refusal.BudgetLeft = r.Budget
@@ -147,7 +162,7 @@
 		return newRunResult(bodyMemoryRefusal(r))
 	}
 	defer release()
-	return newRunResult(d.executor.run(ctx, r, nil))
+	return newRunResult(d.executor.run(ctx, r, req.finishBy(now), nil))
 }
 
 // bodyMemoryRefusal refuses a request whose body exceeds the memory left for bodies. Bodies from other daemons are held
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -2,19 +2,55 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
+// ending has the time by which the requests of a leaving daemon must have ended. The daemon may close connections from then on, so each
+// attempt is compared with it: one that goes on would be cut while an upstream works on it.
+type ending struct{ at atomic.Pointer[time.Time] }
+
+// begin sets the cutoff.
+func (e *ending) begin(cutoff time.Time) { e.at.Store(&cutoff) }
+
+// cutoff returns the time by which requests must have ended, or zero while the daemon isn't leaving.
+func (e *ending) cutoff() time.Time {
+	if e == nil || e.at.Load() == nil {
+		return time.Time{}
+	}
+	return *e.at.Load()
+}
+
+// earlierBound returns the earlier of two times, of which a zero one is no bound.
+func earlierBound(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// outlastsRefusal refuses a request for which a leaving daemon has no time left.
+func outlastsRefusal(r *call.Request) call.Answer {
+	refusal := call.Refuse(call.WouldOutlast, time.Second)
+	refusal.BudgetLeft = r.Budget
+	return refusal
+}
+
 // stop shuts the daemon down in stages: callers are still served but told to connect to other hosts, other daemons get time
 // to notice, the requests in flight are finished, idempotency keys are transferred, and only then connections close.
 //
 // Refusing callers at once would lose the requests that arrive before the platform has announced the leave; they
 // are placed on other hosts instead.
 func (d *Daemon) stop() {
+	// Every request that arrives before the port closes has at least this time: the drains and the close of the port begin after the
+	// leave time, and each waits for up to the drain time.
+	lasts := d.settings.LeaveTime + d.settings.DrainTime
+	d.ending.begin(time.Now().Add(lasts))
 	d.leaving.Store(true)
-	d.log.Info("leaving")
+	d.log.WithField("endsInMs", lasts.Milliseconds()).Info("leaving")
 	d.control.announceLeaving()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -131,13 +131,13 @@
 	if sent.Budget = d.daemon.drawBudget(ctx, a); sent.Budget == 0 {
 		return noBudgetRefusal(ctx)
 	}
-	answer := d.forwardToHolder(ctx, host, &sent, a.keyValid)
+	answer := d.forwardToHolder(ctx, host, &sent, d.daemon.ending.cutoff(), a.keyValid)
 	a.account.Settle(sent.Budget, answer.BudgetLeft)
 	return answer
 }
 
-func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request, keyValid func() bool) call.Answer {
-	reply, err := d.daemon.forward(ctx, peer.KindRunOnce, host, sent, keyValid)
+func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
+	reply, err := d.daemon.forward(ctx, peer.KindRunOnce, host, sent, finishBy, keyValid)
 	if err == nil {
 		return reply.decision(ctx)
 	}
@@ -150,7 +150,8 @@
 
 func (d *deduplicator) handleOnce(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
 	defer d.daemon.inFlight.begin().end()
-	a := admittedRequest{request: *req.request(time.Now()), account: budget.New(req.Budget)}
+	now := time.Now()
+	a := admittedRequest{request: *req.request(now), finishBy: req.finishBy(now), account: budget.New(req.Budget)}
 	release, ok := d.daemon.callerServer.Hold(len(req.Body))
 	if !ok {
 		return newRunResult(bodyMemoryRefusal(&a.request))
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -20,6 +20,8 @@
 	runs     *activeRuns
 	// subCallNeeds is the budget that the upstream's sub-calls are expected to need, by operation.
 	subCallNeeds *budget.Needs
+	// ending is that of the daemon; nil means that it never leaves.
+	ending *ending
 }
 
 func newExecutor(s settings.Settings, u *upstream.Client) *executor {
@@ -33,20 +35,39 @@
 }
 
 // run runs the request, or refuses it before the upstream has seen it. After the wait in the queue it calls keyValid
-// and refuses the request if that returns false; nil means that no check is needed.
-func (e *executor) run(ctx context.Context, r *call.Request, keyValid func() bool) call.Answer {
-	ticket := &admission.Ticket{
-		Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority,
-		Deadline: r.Deadline.Add(-refusalTime(r.Remaining(time.Now()))),
-	}
-	if decision := e.gate.Enter(ctx, ticket); decision.Verdict != admission.Run {
-		return e.refuse(r, decision)
-	}
-	if keyValid != nil && !keyValid() {
+// and refuses the request if that returns false; nil means that no check is needed. The run must have ended by finishBy,
+// unless that is zero, and by the cutoff if the daemon is leaving.
+func (e *executor) run(ctx context.Context, r *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
+	for {
+		cutoff := e.ending.cutoff()
+		ticket := &admission.Ticket{
+			Organisation: r.Organisation, Operation: r.Operation, Weight: r.Weight, Priority: r.Priority,
+			Deadline: r.Deadline.Add(-refusalTime(r.Remaining(time.Now()))),
+			FinishBy: earlierBound(finishBy, cutoff),
+		}
+		if decision := e.gate.Enter(ctx, ticket); decision.Verdict != admission.Run {
+			return e.refuse(r, decision)
+		}
+		if keyValid != nil && !keyValid() {
+			e.gate.Settle(time.Now(), ticket, admission.Result{Withdrawn: true})
+			return e.refuse(r, admission.Decision{Reason: call.UnknownKey})
+		}
+		if e.ending.cutoff().Equal(cutoff) {
+			r.Deadline = earlierBound(r.Deadline, runLimit(r, finishBy, cutoff))
+			return e.execute(ctx, r, ticket)
+		}
+		// The daemon began to leave while the request waited, and the gate hasn't compared the run with the time left.
 		e.gate.Settle(time.Now(), ticket, admission.Result{Withdrawn: true})
-		return e.refuse(r, admission.Decision{Reason: call.UnknownKey})
 	}
-	return e.execute(ctx, r, ticket)
+}
+
+// runLimit returns when a run that lasts longer than expected is ended, or zero. The run of a request with an idempotency key goes on after
+// a daemon on its way has ended: the key's holder keeps the response, and the caller may retry with the key to get it.
+func runLimit(r *call.Request, finishBy, cutoff time.Time) time.Time {
+	if r.IdempotencyKey != "" && !r.Idempotent {
+		return cutoff
+	}
+	return earlierBound(finishBy, cutoff)
 }
 
 // maxRefusalTime bounds the time reserved for a refusal.
--- a/internal/app/daemon/owner_test.go
+++ b/internal/app/daemon/owner_test.go
@@ -28,7 +28,7 @@
 		answered := make(chan call.Answer)
 		go func() {
 			r := &call.Request{Organisation: "dealer", Operation: "op", Deadline: time.Now().Add(time.Minute), Budget: 4}
-			answered <- e.run(context.Background(), r, func() bool { return false })
+			answered <- e.run(context.Background(), r, time.Time{}, func() bool { return false })
 		}()
 		for e.gate.Load().Queued == 0 {
 			time.Sleep(time.Millisecond)
@@ -62,7 +62,7 @@
 				running := &admission.Ticket{Organisation: "other", Operation: "op", Deadline: time.Now().Add(time.Hour)}
 				e.gate.Arrive(time.Now(), running)
 				r := &call.Request{Organisation: "dealer", Operation: "op", Deadline: time.Now().Add(c.timeout), Budget: 4}
-				a := e.run(t.Context(), r, nil)
+				a := e.run(t.Context(), r, time.Time{}, nil)
 				if left := time.Until(r.Deadline); a.Outcome != call.NotRun || left != c.left {
 					t.Errorf("outcome %v with %s left, want %s", a.Outcome, left, c.left)
 				}
--- a/internal/app/daemon/redial.go
+++ b/internal/app/daemon/redial.go
@@ -19,13 +19,16 @@
 )
 
 // forward sends the request to the daemon on a host. It dials the host again if that is the only one that can serve the request, and
-// accepted the connection but did not finish the handshake in time.
+// accepted the connection but did not finish the handshake in time. The response must arrive by finishBy, unless that is zero.
 //
 // On a busy machine a ready daemon may take longer than the timeout of one handshake. That timeout is short so that requests go on to
 // another host; where there is none, they would be refused with seconds left.
-func (d *Daemon) forward(ctx context.Context, kind peer.Kind, host lists.Host, r *call.Request, keyValid func() bool) (runResult, error) {
+func (d *Daemon) forward(ctx context.Context, kind peer.Kind, host lists.Host, r *call.Request, finishBy time.Time, keyValid func() bool) (runResult, error) {
 	for dials := 1; ; dials++ {
-		reply, err := peer.Call[runRequest, runResult](ctx, d.peers, host.Peer, kind, newRunRequest(r, time.Now()))
+		if !finishBy.IsZero() && !time.Now().Before(finishBy) {
+			return newRunResult(outlastsRefusal(r)), nil
+		}
+		reply, err := peer.Call[runRequest, runResult](ctx, d.peers, host.Peer, kind, newRunRequest(r, finishBy, time.Now()))
 		if !errors.Is(err, peer.ErrNoHandshake) || dials == maxDials || !d.mayRedial(kind, host.Host, r) {
 			return reply, err
 		}
--- a/internal/app/daemon/truth_test.go
+++ b/internal/app/daemon/truth_test.go
@@ -70,7 +70,7 @@
 	}
 	Convey("A forwarded request leaves time for the reply", t, func() {
 		for _, c := range cases {
-			h := newRunRequest(&call.Request{Deadline: time.Unix(100, 0).Add(c.left)}, time.Unix(100, 0))
+			h := newRunRequest(&call.Request{Deadline: time.Unix(100, 0).Add(c.left)}, time.Time{}, time.Unix(100, 0))
 			So(h.Remaining, ShouldEqual, c.want)
 		}
 	})
