Daemon: what is at work at the end of a leaving daemon is answered before its connections close

Callers read a closed connection when their request had begun before the order to shut down and outlasted the daemon: beside it, on another host, and with an idempotency key.

Cause: nothing ended the requests in flight; the close of the callers' port did, after up to three waits of -drain-time in a row, although the setting is documented as the longest wait for requests in flight.

Now each run and each forwarded request ends at the cutoff, leave time and drain time after the order, and its response is written: outcomeUnknown if it was at an upstream, wouldOutlast if not. The port waits 100 ms beyond its drain time for the responses. A run that had up to three drain times, where the process was not killed before, now has one; an operator who wants the longer time sets it.

TestRequestsAtTheCutoff hangs without the timer.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -35,7 +35,7 @@
 	hosts        usableHosts
 	zones        atomic.Pointer[viewZones]
 	leaving      atomic.Bool
-	ending       ending
+	ending       *ending
 	serving      atomic.Bool
 	inFlight     *inFlight
 
@@ -56,6 +56,7 @@
 	d := &Daemon{
 		settings:  s,
 		inFlight:  newInFlight(),
+		ending:    newEnding(),
 		log:       log,
 		metrics:   telemetry.NewMetrics(s.Host, s.Zone),
 		placer:    placing.New(s.Zone, placing.WithRegion(s.Region), placing.WithKind(s.Placing)),
@@ -65,7 +66,7 @@
 	d.responses = newResponseMetrics(d.metrics.Scope)
 	d.view.Store(lists.NewSet().View())
 	d.executor = newExecutor(s, upstream.New(s.Upstream, upstream.WithMaxResponse(int64(s.BodyBound)), upstream.WithNonIdempotentMaxIdle(s.OnceIdle)))
-	d.executor.ending = &d.ending
+	d.executor.ending = d.ending
 	d.rateLimiter = newRateLimiter(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+maxFrameHead), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...), peer.WithPlaces(d.placeOf))
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -5,16 +5,50 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
 // ending has the time by which the requests of a leaving daemon must have ended. The daemon may close connections from then on, so each
 // attempt is compared with it: one that goes on would be cut while an upstream works on it.
-type ending struct{ at atomic.Pointer[time.Time] }
+type ending struct {
+	at atomic.Pointer[time.Time]
+	// over ends at the cutoff.
+	over context.Context
+	end  context.CancelFunc
+}
+
+func newEnding() *ending {
+	e := &ending{}
+	e.over, e.end = context.WithCancel(context.Background())
+	return e
+}
 
-// begin sets the cutoff.
-func (e *ending) begin(cutoff time.Time) { e.at.Store(&cutoff) }
+// begin sets the cutoff; the returned function must be called when the daemon has stopped.
+func (e *ending) begin(cutoff time.Time) (stop func()) {
+	e.at.Store(&cutoff)
+	timer := time.AfterFunc(time.Until(cutoff), e.end)
+	return func() { timer.Stop() }
+}
+
+// errCutoff is the cause of the end of a request's context at the cutoff.
+var errCutoff = errors.New("daemon: the time of the leaving daemon is over")
+
+// bound returns a context that also ends at the cutoff, with errCutoff as the cause. Requests that are at work then are answered before their
+// connections close.
+func (e *ending) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if e == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.over, func() { cancel(errCutoff) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
 
 // cutoff returns the time by which requests must have ended, or zero while the daemon isn't leaving.
 func (e *ending) cutoff() time.Time {
@@ -24,6 +58,17 @@
 	return *e.at.Load()
 }
 
+// endedByCutoff reports whether the context of a request ended at the cutoff, and not since its caller left.
+func endedByCutoff(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutoff) }
+
+// cutoffAnswer returns the response to a request that the cutoff ended in place of one that its caller cancelled.
+func cutoffAnswer(a call.Answer) call.Answer {
+	if a.Outcome == call.NotRun {
+		return call.Refuse(call.WouldOutlast, time.Second)
+	}
+	return call.UnknownOutcome(call.AnswerLost)
+}
+
 // earlierBound returns the earlier of two times, of which a zero one is no bound.
 func earlierBound(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -48,14 +93,14 @@
 	// Every request that arrives before the port closes has at least this time: the drains and the close of the port begin after the
 	// leave time, and each waits for up to the drain time.
 	lasts := d.settings.LeaveTime + d.settings.DrainTime
-	d.ending.begin(time.Now().Add(lasts))
+	defer d.ending.begin(time.Now().Add(lasts))()
 	d.leaving.Store(true)
 	d.log.WithField("endsInMs", lasts.Milliseconds()).Info("leaving")
 	d.control.announceLeaving()
 	time.Sleep(d.settings.LeaveTime)
 	d.drain()
 	d.dedup.transferKeys()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTime)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTime+responseTime)
 	defer cancel()
 	if err := d.callerServer.Stop(ctx); err != nil {
 		d.log.WithError(err).Warn("callers' port")
@@ -70,6 +115,9 @@
 	d.log.WithField("inFlight", d.inFlight.total.Load()).Info("stopped")
 }
 
+// responseTime is how long the responses to requests that the cutoff ends may take to reach their callers.
+const responseTime = 100 * time.Millisecond
+
 // drain waits until the requests in flight have ended, at most for the drain time.
 func (d *Daemon) drain() { d.inFlight.drain(d.settings.DrainTime) }
 
--- a/internal/app/daemon/leaving_test.go
+++ b/internal/app/daemon/leaving_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -24,7 +26,7 @@
 	s.Slots = 1
 	s.QueueTime = time.Minute
 	e := newExecutor(s, upstream.New(netip.MustParseAddrPort("127.0.0.1:1")))
-	e.ending = &ending{}
+	e.ending = newEnding()
 	now := time.Now()
 	for range 20 {
 		ticket := &admission.Ticket{Operation: "op", Deadline: now.Add(time.Hour)}
@@ -127,6 +129,7 @@
 				refusal.BudgetLeft = req.Budget
 				return newRunResult(refusal)
 			})
+			d.ending = newEnding()
 			d.ending.begin(time.Now().Add(c.left))
 			a := admittedRequest{account: budget.New(8), request: call.Request{
 				ID: "r1", Organisation: "dealer", Operation: "lookup.book", Service: "lookup", IdempotencyKey: c.key, Budget: 8,
@@ -168,3 +171,61 @@
 		So(d.executor.ending.cutoff(), ShouldEqual, cutoff)
 	})
 }
+
+// TestRequestsAtTheCutoff guards against a request that is still at work when a leaving daemon closes its connections, so that its caller reads a
+// closed connection, and against one that its caller cancelled and that counts as ended by the cutoff.
+func TestRequestsAtTheCutoff(t *testing.T) {
+	const shortly = 50 * time.Millisecond
+	hanging := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(hanging.Close)
+	address := netip.MustParseAddrPort(hanging.Listener.Addr().String())
+	request := func() *call.Request {
+		return &call.Request{ID: "r1", Operation: "op", Service: "lookup", Method: http.MethodPost, Path: "/", Header: call.Header{}, Budget: 4, Deadline: time.Now().Add(time.Minute)}
+	}
+	for _, c := range []struct {
+		name    string
+		cancels bool
+		want    call.Reason
+	}{
+		{"ended by the cutoff", false, call.AnswerLost},
+		{"cancelled by the caller", true, call.Cancelled},
+	} {
+		ending := func(t *testing.T) (*ending, context.Context) {
+			e := newEnding()
+			ctx, cancel := context.WithCancel(t.Context())
+			if c.cancels {
+				time.AfterFunc(shortly, cancel)
+				return e, ctx
+			}
+			t.Cleanup(cancel)
+			t.Cleanup(e.begin(time.Now().Add(shortly)))
+			return e, ctx
+		}
+		Convey("A run beside the daemon, "+c.name, t, func() {
+			d := singleHostDaemon(address)
+			e, ctx := ending(t)
+			d.executor.ending = e
+			a := d.executor.run(ctx, request(), time.Time{}, nil)
+			So(a.Outcome.String(), ShouldEqual, call.Unknown.String())
+			So(a.Reason.String(), ShouldEqual, c.want.String())
+			So(d.executor.gate.Load().InFlight, ShouldEqual, 0)
+		})
+		Convey("A run on another host, "+c.name, t, func() {
+			released := make(chan struct{})
+			defer close(released)
+			d := forwardingDaemon(t, func(runRequest) runResult {
+				<-released
+				return runResult{}
+			})
+			e, ctx := ending(t)
+			d.ending = e
+			host, _ := d.view.Load().Host("away-1")
+			a := d.send(ctx, host, request(), time.Time{}, nil)
+			So(a.Outcome.String(), ShouldEqual, call.Unknown.String())
+			So(a.Reason.String(), ShouldEqual, c.want.String())
+		})
+	}
+}
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -38,6 +38,8 @@
 // and refuses the request if that returns false; nil means that no check is needed. The run must have ended by finishBy,
 // unless that is zero, and by the cutoff if the daemon is leaving.
 func (e *executor) run(ctx context.Context, r *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
+	ctx, cancel := e.ending.bound(ctx)
+	defer cancel()
 	for {
 		cutoff := e.ending.cutoff()
 		ticket := &admission.Ticket{
@@ -98,6 +100,9 @@
 	now := time.Now()
 	waited, subCallPressure := run.waited(now)
 	e.gate.Settle(now, ticket, gateResult(answer, max(now.Sub(started)-waited, 0)))
+	if answer.Reason == call.Cancelled && endedByCutoff(ctx) {
+		answer = cutoffAnswer(answer)
+	}
 	left := account.Close()
 	if answer.Outcome == call.Whole {
 		e.subCallNeeds.Learn(r.Operation, granted, granted-left, answer.Status < minFaultStatus)
--- a/internal/app/daemon/redial.go
+++ b/internal/app/daemon/redial.go
@@ -24,11 +24,16 @@
 // On a busy machine a ready daemon may take longer than the timeout of one handshake. That timeout is short so that requests go on to
 // another host; where there is none, they would be refused with seconds left.
 func (d *Daemon) forward(ctx context.Context, kind peer.Kind, host lists.Host, r *call.Request, finishBy time.Time, keyValid func() bool) (runResult, error) {
+	ctx, cancel := d.ending.bound(ctx)
+	defer cancel()
 	for dials := 1; ; dials++ {
 		if !finishBy.IsZero() && !time.Now().Before(finishBy) {
 			return newRunResult(outlastsRefusal(r)), nil
 		}
 		reply, err := peer.Call[runRequest, runResult](ctx, d.peers, host.Peer, kind, newRunRequest(r, finishBy, time.Now()))
+		if errors.Is(err, context.Canceled) && endedByCutoff(ctx) {
+			return reply, peer.ErrLost
+		}
 		if !errors.Is(err, peer.ErrNoHandshake) || dials == maxDials || !d.mayRedial(kind, host.Host, r) {
 			return reply, err
 		}
