Gate: three mean deviations bound a run's time, not four; refusals of a leaving daemon state when callers find another host

The deadline that the instance gets covers what the bound doesn't. A refusal for another reason, such as a full queue, sent callers back to the same daemon within 20 ms.

--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -60,8 +60,8 @@
 	return max(schedule.Cutoff.Sub(now)-finishReserve, minFinishIn)
 }
 
-// leavingAnswer returns the response to a caller of a leaving daemon: a refusal for that reason states when callers find another host, and a
-// request that was ended at the cutoff isn't cancelled.
+// leavingAnswer returns the response to a caller of a leaving daemon: a refusal states when callers find another host, and a request that was
+// ended at the cutoff isn't cancelled.
 func (r *Router) leavingAnswer(req *request, answer call.Answer, now time.Time) call.Answer {
 	schedule := r.shutdown.Load()
 	switch {
@@ -71,8 +71,8 @@
 		return call.UnknownOutcome(call.AnswerLost)
 	case req.active.ended.Load() && answer.Reason == call.Cancelled:
 		return call.Refuse(call.Draining, schedule.RetryAfter(now))
-	case answer.Outcome == call.NotRun && (answer.Reason == call.WouldOutlast || answer.Reason == call.Draining):
-		return call.Refuse(answer.Reason, schedule.RetryAfter(now))
+	case answer.Outcome == call.NotRun && answer.Reason.Temporary():
+		return call.Refuse(answer.Reason, max(answer.RetryAfter, schedule.RetryAfter(now)))
 	default:
 		return answer
 	}
--- a/internal/decide/admission/latency.go
+++ b/internal/decide/admission/latency.go
@@ -22,10 +22,11 @@
 const (
 	// holdTimeWeight is the weight of one run in the smoothed hold time.
 	holdTimeWeight = 0.1
-	// meanWeight, deviationWeight and upperBoundDeviations are those of the retransmission timer of RFC 6298.
-	meanWeight           = 0.125
-	deviationWeight      = 0.25
-	upperBoundDeviations = 4
+	// meanWeight and deviationWeight smooth an operation's mean and deviation. Three mean deviations above the mean cover all but a few of a
+	// hundred runs, also where their times are exponentially distributed; the deadline that the upstream is given covers the rest.
+	meanWeight           = 0.1
+	deviationWeight      = 0.2
+	upperBoundDeviations = 3
 	// decayDelay and decayHalfLife set how fast an estimate decays without new runs: an operation that is refused because of its estimate
 	// has none, and must be admitted again well within 2 s.
 	decayDelay    = 100 * time.Millisecond
