--- a/internal/app/router/active.go
+++ b/internal/app/router/active.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 )
 
 // activeRequests holds the requests in flight: those of callers, and the runs for other daemons.
@@ -25,6 +28,8 @@
 	// cancel ends the request's context, nil while it has none; ended means that the daemon has ended the request.
 	cancel atomic.Pointer[context.CancelFunc]
 	ended  atomic.Bool
+	// finishBy is when the run for another daemon must have ended, if that daemon said so after it had handed the request over.
+	finishBy atomic.Pointer[time.Time]
 }
 
 // progress says how far a request has come.
@@ -33,6 +38,8 @@
 	route     string
 	// instance is the one that the current attempt is sent to, empty before the first attempt; since is when the attempt began.
 	instance string
+	// host is that of the instance.
+	host     netip.Addr
 	attempts int
 	since    time.Time
 	// run means that another daemon handed the request to this one.
@@ -88,8 +95,8 @@
 }
 
 // attempt records that the request is sent to the instance.
-func (a *activeRequest) attempt(req *request, instance string, now time.Time) {
-	a.progress.Store(&progress{requestID: req.id, route: req.route.Name, instance: instance, attempts: len(req.attempts) + 1, since: now})
+func (a *activeRequest) attempt(req *request, inst routing.Instance, now time.Time) {
+	a.progress.Store(&progress{requestID: req.id, route: req.route.Name, instance: inst.ID, host: inst.Address.Addr(), attempts: len(req.attempts) + 1, since: now})
 }
 
 // maxLoggedCuts bounds the log lines on requests that are cut when the daemon stops.
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -85,6 +85,7 @@
 	r.logStage("leaving", schedule)
 	r.executor.setCutoff(schedule.Cutoff)
 	r.shutdown.Store(&schedule)
+	r.sendBounds()
 	time.Sleep(time.Until(schedule.InstanceUseEnd))
 	r.closedToPeers.Store(true)
 	r.executor.endWaits()
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -37,6 +38,8 @@
 	Redirectable bool `msgpack:"redirectable,omitempty"`
 	// FinishIn is the time in which the run must have ended, since the sender shuts down; 0 if it doesn't.
 	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
+	// finishBy is when the run must have ended, if the sender said so later; nil for a request that wasn't handed over.
+	finishBy *atomic.Pointer[time.Time]
 }
 
 // runResult is the reply to a runRequest.
--- a/internal/app/router/outlast.go
+++ b/internal/app/router/outlast.go
@@ -15,6 +15,9 @@
 	if req.FinishIn > 0 {
 		ticket.FinishBy = arrived.Add(req.FinishIn)
 	}
+	if req.finishBy != nil && req.finishBy.Load() != nil {
+		ticket.FinishBy = *req.finishBy.Load()
+	}
 	if own := e.ownFinish(); !own.IsZero() && (ticket.FinishBy.IsZero() || own.Before(ticket.FinishBy)) {
 		ticket.FinishBy = own
 	}
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -207,7 +207,7 @@
 // refused because the instance is slow.
 func (r *Router) attempt(ctx context.Context, req *request, inst routing.Instance, redirectable bool) attemptResult {
 	started := time.Now()
-	req.active.attempt(req, inst.ID, started)
+	req.active.attempt(req, inst, started)
 	msg := r.message(req, inst, started)
 	msg.Redirectable = redirectable
 	var res runResult
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -85,6 +85,7 @@
 	peer.Handle(r.peers, peer.KindRun, r.handleRun)
 	peer.Handle(r.peers, peer.KindHeartbeat, r.reporter.handle)
 	peer.Handle(r.peers, peer.KindChanges, r.control.handleFetch)
+	peer.Handle(r.peers, peer.KindFinishBound, r.handleFinishBound)
 	peer.Handle(r.peers, peer.KindAnnouncement, r.control.handleAnnouncement)
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
 		httpd.WithHeldBytes(r.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -32,6 +32,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	active.onEnd(cancel)
+	req.finishBy = &active.finishBy
 	res := r.executor.run(ctx, &req)
 	r.recordStatements(req.Instance, &res, time.Now())
 	r.logFailedRun(&req, &res)
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -36,7 +36,9 @@
 	KindLayouts // layouts
 	// KindAnnouncement announces that a daemon has what is published.
 	KindAnnouncement // announcement
+	// KindFinishBound states when the runs for a daemon that is shutting down must have ended.
+	KindFinishBound // finishBound
 )
 
 // Kinds is the last kind plus one; no message has kind 0.
-const Kinds = int(KindAnnouncement) + 1
+const Kinds = int(KindFinishBound) + 1
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -23,11 +23,12 @@
 	_ = x[KindProbe-13]
 	_ = x[KindLayouts-14]
 	_ = x[KindAnnouncement-15]
+	_ = x[KindFinishBound-16]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayoutsannouncement"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayoutsannouncementfinishBound"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77, 89}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77, 89, 100}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
