Call graph: callers of sub-calls without a matching deadline come from a fit, not from the draws

Where an instance runs a route with sub-calls and one without, each sub-call without a matching deadline was drawn among all active runs, by shares that the draws themselves moved, so that the route with the most active runs took all. Now a least-squares fit of sub-calls against the time of active runs, in deviations from recent means, names the certain callers, and sub-calls go to these alone, whatever the number of active runs. Until it does, the draw works as before. A heartbeat names the called routes whose callers are certain; the graph drops uncertain edges to them, follows an edge with few reporters faster, and ends edges that the callers leave nothing for.

Tests of Runs with a virtual time get a clock, those of Graph a time; their checks stay.

--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -171,7 +171,7 @@
 		Report: demand.Report{
 			Daemons: 1, Services: map[string]demand.Service{router.settings.Service: service}, Demand: router.shedder.Demand(now), RetryRates: router.retryBudget.Report(now),
 		},
-		Work: map[string]collect.Work{router.settings.Service: work}, Calls: router.executor.runs.Calls(),
+		Work: map[string]collect.Work{router.settings.Service: work}, Calls: router.executor.runs.Calls(), CertainlyCalled: router.executor.runs.CertainlyCalled(),
 	}
 	hb.LeavingInstances = router.told.announced(view)
 	if leaving {
--- a/internal/decide/lineage/failures.go
+++ b/internal/decide/lineage/failures.go
@@ -64,6 +64,9 @@
 	}
 	f := &r.failures[index]
 	f.coincided = true
+	if r.fit.callersOf(f.route) != nil {
+		return
+	}
 	r.coincidences[f.route]++
 	r.recordCaller(run.Route, f.route, coincidenceWeight)
 }
--- a/internal/decide/lineage/learned_test.go
+++ b/internal/decide/lineage/learned_test.go
@@ -60,7 +60,7 @@
 			skew = 0.5 + float64(n)/float64(instances-1)
 		}
 		i := &mixedInstance{
-			runs:  New(WithRand(f.rng.Float64)),
+			runs:  New(WithRand(f.rng.Float64), WithClock(func() time.Time { return f.now })),
 			rates: map[string]float64{"plain": 333 * (2 - skew) / float64(instances), "chain": 2300 * skew / float64(instances)},
 		}
 		f.instances = append(f.instances, i)
@@ -94,7 +94,7 @@
 
 func (f *mixedFleet) report(i *mixedInstance, after time.Duration) {
 	f.in(after, func() {
-		f.graph.Merge(i.runs.Calls())
+		f.graph.Merge(i.runs.Calls(), i.runs.CertainlyCalled(), f.now)
 		f.report(i, reportInterval)
 	})
 }
@@ -149,30 +149,85 @@
 	}
 }
 
+// instanceCounts are the sizes of the fleets that the tests play.
+var instanceCounts = []int{1, 12}
+
+// edges returns the sub-calls a run that the graph has for the two routes.
+func (f *mixedFleet) edges() (plain, chain float64) {
+	return f.graph.Edges()["plain"]["leaf"], f.graph.Edges()["chain"]["leaf"]
+}
+
 func TestGraphOfMixedInstances(t *testing.T) {
 	// Guards against edges that nobody's calls stand behind: with 50 runs of a route without sub-calls beside 35 of one with four each, a
 	// few of the latter's 9,200 sub-calls a second, attributed to the wrong route, are half a sub-call for each of its 333 runs. The ingress would
 	// then refuse requests that need nothing of an overloaded service.
-	for _, instances := range []int{1, 12} {
+	for _, instances := range instanceCounts {
 		for _, c := range []struct {
 			name                      string
 			callFailures, runFailures float64
-			// perRun is how many sub-calls a run is known to make: those of successful runs, or of all runs where none succeeds.
+			// perRun is how many sub-calls a run is known to make: those of successful runs, or of all runs where none succeeds. The case
+			// without is in TestGraphWithinTwoSeconds.
 			perRun float64
 		}{
 			{"no failures", 0, 0, subCalls},
-			{"0.55 of the calls fail", 0.55, 0, subCalls},
+			{"0.55 of the calls fail", 0.55, 0, 0},
 			{"all calls fail", 1, 0, 1},
 			{"runs fail early", 0, 0.3, subCalls},
-			{"runs fail early and 0.55 of the calls fail", 0.55, 0.3, subCalls},
+			{"runs fail early and 0.55 of the calls fail", 0.55, 0.3, 0},
 		} {
 			for seed := range uint64(3) {
 				Convey(fmt.Sprintf("%d instances, %s, seed %d: the graph has the true edges alone", instances, c.name, seed), t, func() {
 					f := newMixedFleet(instances, seed, c.callFailures, c.runFailures)
 					f.play(learningTime)
-					t.Logf("%d instances, %s, seed %d: plain %.3f, chain %.3f", instances, c.name, seed, f.graph.Edges()["plain"]["leaf"], f.graph.Edges()["chain"]["leaf"])
-					So(f.graph.Edges()["plain"]["leaf"], ShouldBeLessThan, 0.02)
-					So(f.graph.Edges()["chain"]["leaf"], ShouldAlmostEqual, c.perRun, 0.05*c.perRun)
+					plain, chain := f.edges()
+					So(plain, ShouldBeLessThan, 0.02)
+					if c.perRun > 0 {
+						So(chain, ShouldAlmostEqual, c.perRun, 0.05*c.perRun)
+					}
+				})
+			}
+		}
+	}
+}
+
+func TestGraphWhenCallsBeginToFail(t *testing.T) {
+	// Guards against taking the start of an overload for a route's sub-calls: at once more runs of both routes begin, and those with
+	// sub-calls make fewer each, since they end at the first that fails.
+	for _, instances := range instanceCounts {
+		for _, callFailures := range []float64{0.55, 1} {
+			for _, growth := range []float64{1, 2} {
+				for seed := range uint64(3) {
+					Convey(fmt.Sprintf("%d instances, %v of the calls begin to fail, %v times the load, seed %d", instances, callFailures, growth, seed), t, func() {
+						f := newMixedFleet(instances, seed, 0, 0)
+						f.play(learningTime)
+						f.callFailures = callFailures
+						for _, i := range f.instances {
+							i.rates["plain"] *= growth
+							i.rates["chain"] *= growth
+						}
+						for range 8 {
+							f.play(learningTime / 4)
+							plain, _ := f.edges()
+							So(plain, ShouldBeLessThan, 0.02)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func TestGraphWithinTwoSeconds(t *testing.T) {
+	for _, instances := range instanceCounts {
+		// Guards against underestimating what a run needs where few succeed: these last longer than those that fail, so that too few of the
+		// sub-calls are attributed to them.
+		for _, runFailures := range []float64{0, 0.3} {
+			for seed := range uint64(3) {
+				Convey(fmt.Sprintf("%d instances, 0.55 of the calls and %v of the runs fail, seed %d: the calls a run are known", instances, runFailures, seed), t, func() {
+					f := newMixedFleet(instances, seed, 0.55, runFailures)
+					f.play(learningTime)
+					_, chain := f.edges()
+					So(chain, ShouldAlmostEqual, subCalls, 0.05*subCalls)
 				})
 			}
 		}
@@ -182,9 +237,26 @@
 			f.play(3 * time.Second)
 			f.caller = "plain"
 			f.play(learningTime)
-			t.Logf("%d instances, release: plain %.3f, chain %.3f", instances, f.graph.Edges()["plain"]["leaf"], f.graph.Edges()["chain"]["leaf"])
-			So(f.graph.Edges()["chain"]["leaf"], ShouldBeLessThan, 0.02)
-			So(f.graph.Edges()["plain"]["leaf"], ShouldAlmostEqual, subCalls, 0.05*subCalls)
+			plain, chain := f.edges()
+			So(chain, ShouldBeLessThan, 0.02)
+			So(plain, ShouldAlmostEqual, subCalls, 0.05*subCalls)
 		})
 	}
 }
+
+func TestGraphLongAfterRelease(t *testing.T) {
+	// Guards against former edges that never end.
+	for _, instances := range instanceCounts {
+		for seed := range uint64(3) {
+			Convey(fmt.Sprintf("%d instances, seed %d: six seconds after a release the graph has the new edges alone", instances, seed), t, func() {
+				f := newMixedFleet(instances, seed, 0, 0)
+				f.play(3 * time.Second)
+				f.caller = "plain"
+				f.play(3 * learningTime)
+				plain, chain := f.edges()
+				So(chain, ShouldBeLessThan, 0.02)
+				So(plain, ShouldAlmostEqual, subCalls, 0.05*subCalls)
+			})
+		}
+	}
+}
--- a/internal/decide/lineage/runs.go
+++ b/internal/decide/lineage/runs.go
@@ -23,6 +23,8 @@
 	deadline time.Time
 	// calls counts the sub-calls attributed to the run, by their route.
 	calls map[string]float64
+	// partlyCounted means that the run began before its route's counts were reset.
+	partlyCounted bool
 
 	mu sync.Mutex
 	// observed holds the mean saturation of each service that the run's sub-calls reached.
@@ -68,13 +70,15 @@
 //
 // An instance doesn't name the parent in its sub-calls, but a sub-call usually has the deadline of its parent, and is attributed to the
 // run with the same deadline. A sub-call with a shorter timeout of its own is attributed to a run of one of the routes that make such
-// sub-calls, which is learned from those whose parent is certain and from runs that fail right after a sub-call. Without this, a sub-call
+// sub-calls, which is learned from the numbers of sub-calls and active runs (fit), and while that isn't enough from sub-calls whose parent is
+// certain and from runs that fail right after a sub-call. Without this, a sub-call
 // for a payment waits behind one for a lookup, and a lookup that must fail at a saturated service deep in the chain is admitted at the
 // ingress daemon all the same.
 type Runs struct {
 	mu     sync.Mutex
 	active []*Run
 	rand   func() float64
+	now    func() time.Time
 	// callerShares holds the smoothed share of each calling route in the sub-calls on a route.
 	callerShares map[routePair]float64
 	// started counts all runs of a route and their sub-calls, succeeded only the runs that succeeded.
@@ -85,6 +89,7 @@
 	coincidences map[string]int
 	// failures holds the failed sub-calls that no failed run has been attributed to yet, oldest first.
 	failures []failure
+	fit      *fit
 }
 
 type routePair struct{ caller, called string }
@@ -117,9 +122,12 @@
 // WithRand sets the random source, which returns numbers in [0, 1).
 func WithRand(random func() float64) Option { return func(r *Runs) { r.rand = random } }
 
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option { return func(r *Runs) { r.now = now } }
+
 // New returns a Runs without active runs.
 func New(opts ...Option) *Runs {
-	r := &Runs{rand: rand.Float64, callerShares: map[routePair]float64{}, started: map[string]*callCounts{}, succeeded: map[string]*callCounts{}, matchFractions: map[string]float64{}, coincidences: map[string]int{}}
+	r := &Runs{rand: rand.Float64, now: time.Now, callerShares: map[routePair]float64{}, started: map[string]*callCounts{}, succeeded: map[string]*callCounts{}, matchFractions: map[string]float64{}, coincidences: map[string]int{}, fit: newFit()}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -133,15 +141,17 @@
 	defer r.mu.Unlock()
 	r.active = slices.Insert(r.active, r.indexByDeadline(deadline), run)
 	countsFor(r.started, run.Route).add(1, nil)
+	r.countInFit(run.Route, 1)
 }
 
 // End removes a run; succeeded means that its instance responded without a failure.
 func (r *Runs) End(run *Run, succeeded bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if succeeded {
+	if succeeded && !run.partlyCounted {
 		countsFor(r.succeeded, run.Route).add(1, run.calls)
 	}
+	r.countInFit(run.Route, -1)
 	for i := r.indexByDeadline(run.deadline); i < len(r.active); i++ {
 		if r.active[i] == run {
 			r.active = slices.Delete(r.active, i, i+1)
@@ -171,6 +181,11 @@
 		r.recordCall(match, route)
 		return match
 	}
+	r.fit.addCall(route)
+	if chosen := r.drawCertainParent(candidates, route); chosen != nil {
+		r.recordCall(chosen, route)
+		return chosen
+	}
 	chosen := r.drawParent(candidates, route)
 	if r.callerShares[routePair{chosen.Route, route}] >= minCallerShare {
 		r.recordCall(chosen, route)
@@ -244,14 +259,20 @@
 	}
 	r.callerShares[routePair{caller, called}] += weight
 	if len(r.callerShares) > maxRoutePairs {
-		clear(r.callerShares)
-		clear(r.started)
-		clear(r.succeeded)
-		clear(r.matchFractions)
-		clear(r.coincidences)
+		r.forget()
 	}
 }
 
+// forget drops all that was learned.
+func (r *Runs) forget() {
+	clear(r.callerShares)
+	clear(r.started)
+	clear(r.succeeded)
+	clear(r.matchFractions)
+	clear(r.coincidences)
+	r.fit = newFit()
+}
+
 // maxRoutePairs bounds the state that is kept over many configuration changes.
 const maxRoutePairs = 1024
 
--- a/internal/decide/lineage/runs_test.go
+++ b/internal/decide/lineage/runs_test.go
@@ -44,6 +44,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		r.rand = rng.Float64
 		now := time.Unix(1000, 0)
+		r.now = func() time.Time { return now }
 		correct, total := 0, 0
 		for n := range 4000 {
 			now = now.Add(10 * time.Millisecond)
@@ -84,6 +85,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		r.rand = rng.Float64
 		now := time.Unix(1000, 0)
+		r.now = func() time.Time { return now }
 		play := func(calls, reads, views int, failFraction float64) (attributed int) {
 			for range calls {
 				now = now.Add(10 * time.Millisecond)
--- a/internal/fleet/collect/collector.go
+++ b/internal/fleet/collect/collector.go
@@ -103,7 +103,7 @@
 	defer c.mu.Unlock()
 	c.demand.Update(hb.From, hb.Group, hb.Report, now)
 	c.rates.Update(hb.From, hb.Group, hb.Counts, hb.CountedFor, now)
-	c.graph.Merge(hb.Calls)
+	c.graph.Merge(hb.Calls, hb.CertainlyCalled, now)
 	for service, work := range hb.Work {
 		c.recordWork(service, hb, work, now)
 	}
@@ -291,7 +291,7 @@
 	hb.Report = c.demand.Aggregate(now)
 	hb.Counts, hb.CountedFor = c.rates.Totals(now)
 	hb.Work, c.work = c.work, map[string]Work{}
-	hb.Calls = c.graph.Edges().Clone()
+	hb.Calls, hb.CertainlyCalled = c.graph.Edges().Clone(), c.graph.Certain(now)
 	member := func(from netip.AddrPort) bool { return !c.demand.IsGroup(from) }
 	hb.Leaving = append(hb.Leaving, c.leavingDaemons.current(now, member)...)
 	hb.LeavingInstances = append(hb.LeavingInstances, c.leavingInstances.current(now, member)...)
--- a/internal/fleet/collect/message.go
+++ b/internal/fleet/collect/message.go
@@ -31,6 +31,8 @@
 	Work map[string]Work `msgpack:"work"`
 	// Calls has the sub-calls per run of the instance, by route.
 	Calls graph.Edges `msgpack:"calls"`
+	// CertainlyCalled has the routes whose callers are certain.
+	CertainlyCalled []string `msgpack:"certainlyCalled"`
 	// Leaving has the hosts whose daemons are shutting down.
 	Leaving []netip.Addr `msgpack:"leaving"`
 	// LeavingInstances has the instances whose responses say that they are about to end.
--- a/internal/fleet/graph/graph.go
+++ b/internal/fleet/graph/graph.go
@@ -1,6 +1,11 @@
 package graph
 
-import "maps"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
 
 // Edges has the number of sub-calls that one run of a route makes on another route, by the names of the calling and the called route.
 type Edges map[string]map[string]float64
@@ -11,11 +16,24 @@
 // its sub-calls return, and in an overload these are late or lost.
 type Graph struct {
 	edges Edges
+	// mergedAt is when each edge was last reported.
+	mergedAt map[edge]time.Time
+	// certainAt is when certain edges to each route were last reported.
+	certainAt map[string]time.Time
 }
 
+// edge is a pair of routes.
+type edge struct{ from, to string }
+
 const (
-	// smoothingFactor is the weight of one daemon's report in the moving average of a known edge.
-	smoothingFactor = 0.2
+	// minWeight is the smallest weight of one daemon's report in the moving average of a known edge, and timeConstant the time in which the
+	// average of an edge with few daemons follows, so that it is as current as that of an edge with many.
+	minWeight    = 0.2
+	timeConstant = 150 * time.Millisecond
+	// certainTTL is how long uncertain edges are disregarded after certain ones to the same route, several heartbeats.
+	certainTTL = 5 * time.Second
+	// minEdge is the number of sub-calls per run below which a known edge ends.
+	minEdge = 0.01
 	// minCalls is the minimum number of sub-calls per run that makes an edge: now and then a sub-call is attributed to the wrong run. Hops
 	// doesn't follow fewer requests than this either.
 	minCalls = 0.1
@@ -24,18 +42,52 @@
 )
 
 // New returns an empty graph.
-func New() *Graph { return &Graph{edges: Edges{}} }
+func New() *Graph {
+	return &Graph{edges: Edges{}, mergedAt: map[edge]time.Time{}, certainAt: map[string]time.Time{}}
+}
 
-// Merge adds what one daemon has observed.
-func (g *Graph) Merge(observed Edges) {
+// Merge adds what one daemon has observed. Zero sub-calls mean that the other callers account for all. The edges to the given routes are
+// certain. Other edges count only while no certain ones to the same route are known: whoever makes the calls is known then, and the edge
+// may come from sub-calls that were attributed to the wrong run.
+func (g *Graph) Merge(observed Edges, certain []string, now time.Time) {
+	for _, to := range certain {
+		known := now.Sub(g.certainAt[to]) <= certainTTL
+		if !known && observed.called(to) {
+			g.dropEdges(to)
+			known = true
+		}
+		if known {
+			g.certainAt[to] = now
+		}
+	}
 	for from, calls := range observed {
 		for to, count := range calls {
-			g.merge(from, to, count)
+			if now.Sub(g.certainAt[to]) > certainTTL || slices.Contains(certain, to) {
+				g.merge(from, to, count, now)
+			}
+		}
+	}
+}
+
+// called reports whether a route makes sub-calls on the given one.
+func (e Edges) called(to string) bool {
+	for _, calls := range e {
+		if calls[to] >= minCalls {
+			return true
 		}
 	}
+	return false
 }
 
-func (g *Graph) merge(from, to string, count float64) {
+// dropEdges drops all edges to a route.
+func (g *Graph) dropEdges(to string) {
+	for from, calls := range g.edges {
+		delete(calls, to)
+		delete(g.mergedAt, edge{from, to})
+	}
+}
+
+func (g *Graph) merge(from, to string, count float64, now time.Time) {
 	old, known := g.edges[from][to]
 	switch {
 	case !known && count < minCalls:
@@ -46,12 +98,34 @@
 		}
 		if len(g.edges) > maxRoutes {
 			clear(g.edges)
+			clear(g.mergedAt)
+			clear(g.certainAt)
 			g.edges[from] = map[string]float64{}
 		}
 		g.edges[from][to] = count
+		g.mergedAt[edge{from, to}] = now
 		return
 	}
-	g.edges[from][to] = old + (count-old)*smoothingFactor
+	elapsed := now.Sub(g.mergedAt[edge{from, to}])
+	g.mergedAt[edge{from, to}] = now
+	weight := max(minWeight, 1-math.Exp(-elapsed.Seconds()/timeConstant.Seconds()))
+	g.edges[from][to] = old + (count-old)*weight
+	if g.edges[from][to] < minEdge {
+		delete(g.edges[from], to)
+		delete(g.mergedAt, edge{from, to})
+	}
+}
+
+// Certain returns the routes to which certain edges have lately been reported.
+func (g *Graph) Certain(now time.Time) []string {
+	var certain []string
+	for to, at := range g.certainAt {
+		if now.Sub(at) <= certainTTL {
+			certain = append(certain, to)
+		}
+	}
+	slices.Sort(certain)
+	return certain
 }
 
 // Edges returns the graph. It must not be changed and is valid until the next Merge.
--- a/internal/fleet/graph/graph_test.go
+++ b/internal/fleet/graph/graph_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -20,11 +21,12 @@
 		}
 		return all
 	}
+	now := time.Unix(1000, 0)
 	Convey("The hops of a route are its own services and those of its direct and indirect sub-calls", t, func() {
 		g := New()
 		So(g.Edges(), ShouldBeEmpty)
-		g.Merge(Edges{"lookup": {"balance": 2}, "balance": {"receipt": 1}})
-		g.Merge(Edges{"receipt": {"leg": 5}, "pay": {"receipt": 1}, "upload": {"leg": 0.02}})
+		g.Merge(Edges{"lookup": {"balance": 2}, "balance": {"receipt": 1}}, nil, now)
+		g.Merge(Edges{"receipt": {"leg": 5}, "pay": {"receipt": 1}, "upload": {"leg": 0.02}}, nil, now)
 		e := g.Edges()
 		So(requestsByService(e, "lookup"), ShouldResemble, map[string]float64{"front": 1, "billing": 2, "photos": 2, "trucks": 10})
 		So(requestsByService(e, "pay"), ShouldResemble, map[string]float64{"billing": 0.9, "front": 0.1, "photos": 1, "trucks": 5})
@@ -32,16 +34,16 @@
 	})
 	Convey("Hops returns for routes that call each other", t, func() {
 		g := New()
-		g.Merge(Edges{"lookup": {"balance": 1}, "balance": {"lookup": 1}})
+		g.Merge(Edges{"lookup": {"balance": 1}, "balance": {"lookup": 1}}, nil, now)
 		So(requestsByService(g.Edges(), "lookup")["billing"], ShouldBeLessThan, 20)
 	})
 	Convey("An edge moves towards each report by a fraction of the difference", t, func() {
 		g := New()
-		g.Merge(Edges{"a": {"b": 4}})
-		g.Merge(Edges{"a": {"b": 9}})
+		g.Merge(Edges{"a": {"b": 4}}, nil, now)
+		g.Merge(Edges{"a": {"b": 9}}, nil, now)
 		So(g.Edges()["a"]["b"], ShouldAlmostEqual, 5)
 		for range 20 {
-			g.Merge(Edges{"a": {"b": 9}})
+			g.Merge(Edges{"a": {"b": 9}}, nil, now)
 		}
 		So(g.Edges()["a"]["b"], ShouldBeGreaterThan, 8.9)
 	})
--- a/internal/load/mesh/host.go
+++ b/internal/load/mesh/host.go
@@ -52,7 +52,7 @@
 	h.retryBudget.SetDaemons(f.scenario.instanceCount())
 	h.pacer, h.knownLimit = &admission.Pacer{}, 0
 	h.gate = newGate(h.service.Slots, h.pacer, f.random.Float64)
-	h.runs = lineage.New(lineage.WithRand(f.random.Float64))
+	h.runs = lineage.New(lineage.WithRand(f.random.Float64), lineage.WithClock(f.now))
 	h.holdTimes = map[string]allot.HoldTime{}
 	h.saturationSum, h.saturationCount, h.delivered, h.retryable = 0, 0, 0, 0
 }
@@ -115,7 +115,7 @@
 			Demand: h.shedder.Demand(f.now()), RetryRates: h.retryBudget.Report(f.now()),
 		},
 		Work:  map[string]collect.Work{h.instance.Service: {HoldTimes: slices.Collect(maps.Values(h.holdTimes)), Delivered: h.delivered, Retryable: h.retryable}},
-		Calls: h.runs.Calls(),
+		Calls: h.runs.Calls(), CertainlyCalled: h.runs.CertainlyCalled(),
 	}
 	clear(h.holdTimes)
 	h.delivered, h.retryable = 0, 0
