--- a/internal/fleet/graph/graph_test.go
+++ b/internal/fleet/graph/graph_test.go
@@ -48,3 +48,60 @@
 		So(g.Edges()["a"]["b"], ShouldBeGreaterThan, 8.9)
 	})
 }
+
+func TestUncertainEdges(t *testing.T) {
+	// Guards against edges that come from sub-calls attributed to the wrong run: an instance that can't tell its routes apart reports them beside
+	// instances that can.
+	start := time.Unix(1000, 0)
+	certain := []string{"leaf"}
+	type report struct {
+		after   time.Duration
+		edges   Edges
+		certain []string
+	}
+	for _, c := range []struct {
+		name    string
+		reports []report
+		want    Edges
+	}{
+		{"an uncertain edge counts while no caller is certain", []report{{0, Edges{"plain": {"leaf": 0.5}}, nil}}, Edges{"plain": {"leaf": 0.5}}},
+		{
+			"a certain edge ends the uncertain ones to the same route",
+			[]report{{0, Edges{"plain": {"leaf": 0.5, "other": 1}}, nil}, {time.Second, Edges{"chain": {"leaf": 4}}, certain}},
+			Edges{"plain": {"other": 1}, "chain": {"leaf": 4}},
+		},
+		{
+			"an uncertain edge doesn't count beside a certain one to the same route",
+			[]report{{0, Edges{"chain": {"leaf": 4}}, certain}, {time.Second, Edges{"plain": {"leaf": 0.5, "other": 1}, "chain": {"leaf": 2}}, nil}},
+			Edges{"plain": {"other": 1}, "chain": {"leaf": 4}},
+		},
+		{
+			"it counts again once nothing certain has been reported for long",
+			[]report{{0, Edges{"chain": {"leaf": 4}}, certain}, {certainTTL + time.Second, Edges{"plain": {"leaf": 0.5}}, nil}},
+			Edges{"plain": {"leaf": 0.5}, "chain": {"leaf": 4}},
+		},
+		{
+			"an edge ends that the known callers leave nothing for",
+			[]report{{0, Edges{"chain": {"leaf": 4}}, certain}, {time.Second, Edges{"chain": {"leaf": 0}, "plain": {"leaf": 3}}, certain}},
+			Edges{"chain": {}, "plain": {"leaf": 3}},
+		},
+		{
+			"a route of which no sub-calls have been counted yet ends nothing",
+			[]report{{0, Edges{"plain": {"leaf": 0.5}}, nil}, {time.Second, Edges{}, certain}},
+			Edges{"plain": {"leaf": 0.5}},
+		},
+	} {
+		Convey(c.name, t, func() {
+			g := New()
+			for _, r := range c.reports {
+				g.Merge(r.edges, r.certain, start.Add(r.after))
+			}
+			for from, calls := range c.want {
+				So(len(g.Edges()[from]), ShouldEqual, len(calls))
+				for to, count := range calls {
+					So(g.Edges()[from][to], ShouldAlmostEqual, count, 0.01)
+				}
+			}
+		})
+	}
+}
