Only a daemon that shuts down ends a run early

An instance's own 504 at a daemon that stays counted as ended early, since both times were zero, so that a read was repeated in the last 10 ms before its deadline. TestTimeoutOfAnInstance failed before.

--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -207,7 +207,7 @@
 	res := e.execute(ctx, req, ticket)
 	res.Waited = started.Sub(arrived)
 	now := time.Now()
-	res.EndedEarly = res.Status == http.StatusGatewayTimeout && ticket.FinishBy.Before(ticket.Deadline) && ticket.FinishBy.Equal(e.ownFinish())
+	res.EndedEarly = res.Status == http.StatusGatewayTimeout && e.shortens(ticket)
 	gate.Settle(now, ticket, gateResult(res, now.Sub(started)))
 	e.recordRun(req, res, now.Sub(started), now)
 	res.Load = loadOf(gate)
--- a/internal/app/router/outlast.go
+++ b/internal/app/router/outlast.go
@@ -43,3 +43,9 @@
 	}
 	return ticket.Deadline
 }
+
+// shortens reports whether the instance was given less time than the request has, since this daemon is shutting down.
+func (e *executor) shortens(ticket *admission.Ticket) bool {
+	own := e.ownFinish()
+	return !own.IsZero() && ticket.FinishBy.Equal(own) && own.Before(ticket.Deadline)
+}
--- a/internal/app/router/outlast_test.go
+++ b/internal/app/router/outlast_test.go
@@ -2,17 +2,58 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 )
 
+// TestTimeoutOfAnInstance guards against repeating a read whose instance responded 504 by itself: only a daemon that shuts down gives it less time
+// than the request has.
+func TestTimeoutOfAnInstance(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Signature", "signed")
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	defer server.Close()
+	for _, c := range []struct {
+		name       string
+		cutoff     time.Duration
+		endedEarly bool
+	}{
+		{"the daemon stays", 0, false},
+		{"the daemon ends before the request's deadline", 2 * time.Second, true},
+		{"the daemon ends after it", time.Minute, false},
+	} {
+		Convey("A 504 is the result of a shutdown only if the daemon's end comes first: "+c.name, t, func() {
+			settings := Settings{Instance: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+			e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")))
+			defer e.instance.Close()
+			e.configured = true
+			if c.cutoff > 0 {
+				e.setCutoff(time.Now().Add(c.cutoff))
+			}
+			res := e.run(t.Context(), &runRequest{
+				RequestID: "1", Method: "GET", Target: "/", HTTPHost: "h", Header: headerFields{"Request-Id": {"1"}}, Remaining: 5 * time.Second, Idempotent: true,
+			})
+			So(res.Status, ShouldEqual, http.StatusGatewayTimeout)
+			So(res.EndedEarly, ShouldEqual, c.endedEarly)
+		})
+	}
+}
+
 func TestOutlastingRequestIsNotHeldAgainstTheInstance(t *testing.T) {
 	// Guards against keeping quick requests from the instance of a leaving daemon, which other daemons may still use, because a slow one would
 	// have outlasted that daemon.
