Peer node: no connection is added to event loops that stop

A call whose connection was still being dialed when the daemon stopped was sent to the other daemon, though nobody would read the response: its caller heard that the outcome was unknown, where 'not sent' is certain.

Cause: Stop closed the connections that the engine had, and nothing kept a dial that was under way from adding one.

Change: dials end with 'not sent' from the moment at which the node begins to stop; addition and stop exclude each other.

--- a/internal/wire/peer/dial.go
+++ b/internal/wire/peer/dial.go
@@ -60,6 +60,9 @@
 
 // open opens a link, after closing an idle one if there are too many.
 func (n *Node) open(key linkKey) (*link, error) {
+	if n.isStopped() {
+		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", key.to, errStopped)
+	}
 	n.enforceMaxLinks()
 	c, err := n.connect(key.to)
 	if err != nil {
@@ -110,7 +113,8 @@
 func (n *Node) addDialed(key linkKey, c *nbio.Conn) (*link, error) {
 	l := n.linkOf(c)
 	l.handshake.done = true
-	if _, err := n.engine.AddConn(c); err != nil {
+	if err := n.addToEngine(c); err != nil {
+		_ = c.Close()
 		n.handleClose(c, err)
 		return nil, errors.Wrapf(ErrNotSent, "add connection to %s to the poller: %v", key.to, err)
 	}
@@ -125,3 +129,14 @@
 	n.links[key] = l
 	return l, nil
 }
+
+// addToEngine adds a dialed connection to the event loops. Loops that end would leave it open, or have a request sent whose response nobody reads.
+func (n *Node) addToEngine(c *nbio.Conn) error {
+	n.adding.RLock()
+	defer n.adding.RUnlock()
+	if n.isStopped() {
+		return errStopped
+	}
+	_, err := n.engine.AddConn(c)
+	return err
+}
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -40,9 +40,11 @@
 	silenceTimeout   time.Duration
 	probes           Probes
 	stopped          chan struct{}
-	secrets          []string
-	maxConns         int
-	handlers         map[Kind]handler
+	// adding is held for reading while a dialed connection is added to the engine, so that none is added once stopped is closed.
+	adding   sync.RWMutex
+	secrets  []string
+	maxConns int
+	handlers map[Kind]handler
 	// announced has the layouts of the messages that handlers take and return; nil encodes all messages by name.
 	announced announcement
 	placeOf   func(netip.Addr) Place
@@ -152,10 +154,10 @@
 
 // Stop closes all connections and the listener.
 //
-// The engine closes the connections that it has when it begins to stop, and then waits for all. One that was being dialed at that moment would
+// The engine closes the connections that it has when it begins to stop, and then waits for all. One that was being accepted at that moment would
 // keep it waiting, so those that are left are closed until it is done.
 func (n *Node) Stop() {
-	close(n.stopped)
+	n.refuseDials()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -177,6 +179,23 @@
 // stopPollInterval is how often connections that are left are closed while the engine stops.
 const stopPollInterval = 20 * time.Millisecond
 
+var errStopped = errors.New("peer: stopped")
+
+func (n *Node) refuseDials() {
+	n.adding.Lock()
+	defer n.adding.Unlock()
+	close(n.stopped)
+}
+
+func (n *Node) isStopped() bool {
+	select {
+	case <-n.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 func (n *Node) closeConns() {
 	n.mu.Lock()
 	conns := slices.Collect(maps.Keys(n.conns))
