Model: a request that is admitted without retries gets none

The router refuses its retries (router.dispatch), the model's daemons spent them, so that confirmations took retries that notices lacked. TestRequestsWithoutRetries failed before.

--- a/internal/load/mesh/request.go
+++ b/internal/load/mesh/request.go
@@ -41,9 +41,11 @@
 	deadline     time.Time
 	subcall      bool
 	// retry marks a sub-call of a run that is itself a retry.
-	retry  bool
-	counts []*Counts
-	done   func(answer)
+	retry bool
+	// noRetry marks a caller's request that is admitted without retries.
+	noRetry bool
+	counts  []*Counts
+	done    func(answer)
 	// finished is set once the request has a response or was cancelled.
 	finished bool
 	// cancelAttempt cancels the current attempt.
@@ -82,10 +84,12 @@
 func (h *host) serve(req *request) {
 	now := h.fleet.now()
 	if !req.subcall {
-		if decision := h.shedder.Admit(req.class(), req.route.Target, now); !decision.Admitted {
+		decision := h.shedder.Admit(req.class(), req.route.Target, now)
+		if !decision.Admitted {
 			req.finish(answer{outcome: notRun, retryAfter: decision.RetryAfter})
 			return
 		}
+		req.noRetry = decision.NoRetry
 	}
 	if req.retry {
 		h.retryBudget.Charge(req.route.Service, now)
@@ -107,7 +111,7 @@
 	if req.finished {
 		return
 	}
-	if !req.tracker.CanRetry() || !now.Before(req.deadline) || req.tracker.Delivered() && !h.retryBudget.Spend(req.route.Service, priority(req.root), now) {
+	if !req.tracker.CanRetry() || !now.Before(req.deadline) || req.tracker.Delivered() && !h.mayRetry(req, now) {
 		req.finish(req.last)
 		return
 	}
@@ -120,6 +124,11 @@
 	h.sendTo(req, instance)
 }
 
+// mayRetry spends a retry for the request, if it may have one.
+func (h *host) mayRetry(req *request, now time.Time) bool {
+	return !req.noRetry && h.retryBudget.Spend(req.route.Service, priority(req.root), now)
+}
+
 // sendTo sends the request to the host of the instance.
 func (h *host) sendTo(req *request, instance routing.Instance) {
 	sent := h.fleet.now()
