--- a/internal/decide/lineage/calls.go
+++ b/internal/decide/lineage/calls.go
@@ -22,8 +22,6 @@
 	// After a restart of the counts, minRestartedRuns are needed, and restartedRunsPerActive for each that was active: short runs end first.
 	minRestartedRuns       = 10
 	restartedRunsPerActive = 2
-	// maxUncounted bounds the sub-calls that are counted later, a few more than a route needs until matches of its deadlines count as certain.
-	maxUncounted = 16
 	// shareTolerance is how far a caller share may have been off before the counts start anew.
 	shareTolerance = 0.05
 )
@@ -74,15 +72,6 @@
 	countsFor(r.started, run.Route).calls[route]++
 }
 
-// recordUncounted counts one of the sub-calls on the route from before its callers were known for the run, which certainly makes such
-// sub-calls. The runs of that time are counted, so that the sub-calls a run would be too few until these are forgotten.
-func (r *Runs) recordUncounted(run *Run, route string) {
-	if r.uncounted[route] > 0 {
-		r.uncounted[route]--
-		r.recordCall(run, route)
-	}
-}
-
 // Calls returns the mean number of sub-calls that a run of each route makes, by the route called. Failed runs end before they have
 // made all of theirs, so only successful runs are counted on routes that have enough of them.
 func (r *Runs) Calls() graph.Edges {
--- a/internal/decide/lineage/runs.go
+++ b/internal/decide/lineage/runs.go
@@ -85,8 +85,6 @@
 	started, succeeded map[string]*callCounts
 	// matchFractions is the smoothed fraction of a route's sub-calls whose deadline matches that of an active run.
 	matchFractions map[string]float64
-	// uncounted has the sub-calls on a route that were counted for no run, since no caller of the route was known.
-	uncounted map[string]int
 	// coincidences counts, by the route of sub-calls, the runs that failed right after such a sub-call had failed.
 	coincidences map[string]int
 	// failures holds the failed sub-calls that no failed run has been attributed to yet, oldest first.
@@ -129,7 +127,7 @@
 
 // New returns a Runs without active runs.
 func New(opts ...Option) *Runs {
-	r := &Runs{rand: rand.Float64, now: time.Now, callerShares: map[routePair]float64{}, started: map[string]*callCounts{}, succeeded: map[string]*callCounts{}, matchFractions: map[string]float64{}, uncounted: map[string]int{}, coincidences: map[string]int{}, fit: newFit()}
+	r := &Runs{rand: rand.Float64, now: time.Now, callerShares: map[routePair]float64{}, started: map[string]*callCounts{}, succeeded: map[string]*callCounts{}, matchFractions: map[string]float64{}, coincidences: map[string]int{}, fit: newFit()}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -181,7 +179,6 @@
 	if r.deadlinesMatch(route, match != nil) && match != nil {
 		r.recordCaller(match.Route, route, callerShareWeight)
 		r.recordCall(match, route)
-		r.recordUncounted(match, route)
 		return match
 	}
 	r.fit.addCall(route)
@@ -192,8 +189,6 @@
 	chosen := r.drawParent(candidates, route)
 	if r.callerShares[routePair{chosen.Route, route}] >= minCallerShare {
 		r.recordCall(chosen, route)
-	} else {
-		r.uncounted[route] = min(r.uncounted[route]+1, maxUncounted)
 	}
 	return chosen
 }
@@ -274,7 +269,6 @@
 	clear(r.started)
 	clear(r.succeeded)
 	clear(r.matchFractions)
-	clear(r.uncounted)
 	clear(r.coincidences)
 	r.fit = newFit()
 }
