Report no more retries than the window still holds

TestLastServiceDecliningHalf: from five seconds after the start of the outage on the window of the daemons that call the last service is used up (2,500 to 2,900 of 3,000 retries), but they reported 230 to 300 a second, their pace. The rate is now bounded by what the window allows within its next tenth.

TestReportWhenTheWindowIsUsedUp failed before.

--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -30,6 +30,9 @@
 	startupFraction = 0.4
 	// burstFraction is the fraction of a window in which the remaining budget may be spent: most failures are shorter than a window.
 	burstFraction = 0.25
+	// headroomBuckets is the time for which a rate must hold, in buckets of the window: requests that are admitted by a reported rate need
+	// their retries within about a second.
+	headroomBuckets = 2
 	// slackFraction is the fraction of the slack that daemons use.
 	slackFraction = 0.6
 )
@@ -225,7 +228,17 @@
 	}
 	recentSeconds := window / bucketsPerWindow * recentBuckets
 	pace := b.usableFraction(a.refilled) * (pacedFraction*b.limits.Ratio*slices.Max(a.requests.recent[:])/recentSeconds + b.slack()/2/window)
-	return max(pace, b.remaining(a)/(burstFraction*window))
+	rate := max(pace, b.remaining(a)/(burstFraction*window))
+	return min(rate, b.headroom(a)/(window/bucketsPerWindow*headroomBuckets))
+}
+
+// headroom is the number of retries that the window allows until headroomBuckets from now, when the oldest spent ones no longer count.
+//
+// The fleet admits requests by the rates of all daemons. After a burst at the start of an outage has used up the window, a daemon earns
+// nothing, whatever its pace is, and requests admitted for that pace would fail when their sub-calls need retries.
+func (b *Budget) headroom(a *account) float64 {
+	expiring := a.spent.sum(bucketsPerWindow-headroomBuckets, headroomBuckets)
+	return max(b.windowLimit(a)-(a.spent.sums[0]-expiring), 0)
 }
 
 // remaining is the number of retries that may be spent ahead of the even pace. Only requests that also count in the windows to come
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -120,6 +120,38 @@
 	})
 }
 
+func TestReportWhenTheWindowIsUsedUp(t *testing.T) {
+	// Guards against requests that are admitted and then fail in an outage that outlasts the saved retries: the window holds no more of them,
+	// but the daemon reports the pace that it would have otherwise, for which the fleet admits requests.
+	Convey("In every second of an outage, a daemon reports about as many retries as it then spends", t, func() {
+		limits := Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+		b := New(limits)
+		now := time.Unix(1000, 0)
+		play := func(duration time.Duration, perSecond int, outage bool) (spent float64) {
+			for range int(duration.Seconds() * float64(perSecond)) {
+				now = now.Add(time.Second / time.Duration(perSecond))
+				b.Earn("s", now)
+				for outage && b.Spend("s", call.Interactive, now) {
+					spent++
+				}
+			}
+			return spent
+		}
+		play(25*time.Second, 400, false)
+		total := 0.0
+		for second := range 20 {
+			reported := b.Report(now)["s"].Earned
+			spent := play(time.Second, 200, true)
+			total += spent
+			// The first second spends what was saved as well.
+			if second > 0 {
+				So(reported, ShouldBeBetween, spent/1.6-5, 1.6*spent+5)
+			}
+		}
+		So(total, ShouldBeGreaterThan, 0.5*limits.Ratio*400*10)
+	})
+}
+
 func TestGrantsFollowDemand(t *testing.T) {
 	// Guards against retries that stay unused at one daemon while requests of another fail without them, and
 	// against failures of requests that need one retry each because others take ten.
