--- a/internal/app/router/beats.go
+++ b/internal/app/router/beats.go
@@ -38,6 +38,9 @@
 	departures     *collect.Departures
 	// settled means that a plan with valid rate allocations was received; until then heartbeats are sent at the shortest interval.
 	settled bool
+	// lastCollector is the host of the daemon that replied last, and lastSettled whether its plan was valid for rates.
+	lastCollector netip.Addr
+	lastSettled   bool
 	// unusableSurges is the number of entries of the last list of surging organisations that could not be used.
 	unusableSurges int
 	// groupSearch and fleetSearch are the searches for collectors that reply.
@@ -243,6 +246,7 @@
 		r.collector.Apply(reply, sent)
 		r.fetchNewer(host, hb, reply, sent)
 	}
+	r.logCollector(host, reply.Plan)
 	r.renewLease(reply.Plan, planMadeAt)
 	r.settled = r.settled || reply.Plan.Settled
 	if reply.Plan.Settled {
@@ -304,6 +308,17 @@
 	}
 }
 
+// logCollector logs which daemon has replied, when it is another one than before or its plan has become valid or invalid for rates.
+func (r *reporter) logCollector(host netip.Addr, plan collect.Plan) {
+	if host == r.lastCollector && plan.Settled == r.lastSettled {
+		return
+	}
+	r.lastCollector, r.lastSettled = host, plan.Settled
+	r.router.log.WithFields(logrus.Fields{
+		"host": host.String(), "reporting": plan.Daemons, "settled": plan.Settled, "planAgeMs": plan.Age.Milliseconds(),
+	}).Info("collector found")
+}
+
 // logMissing logs the number of missing daemons when it changes.
 func (r *reporter) logMissing(hosts []netip.Addr) {
 	if len(hosts) == r.missing {
--- a/internal/app/router/collecting.go
+++ b/internal/app/router/collecting.go
@@ -61,6 +61,14 @@
 	r.router.log.WithFields(logrus.Fields{"organisation": surge.Organisation, "usualShare": surge.UsualFraction}).Info("organisation surges")
 }
 
+// RatesLimited logs which organisations this collector limits to their rates, and by what it does.
+func (r *reporter) RatesLimited(limited collect.RateLimits) {
+	r.router.log.WithFields(logrus.Fields{
+		"organisations": limited.Organisations, "reporting": limited.Reporting, "daemons": limited.Daemons,
+		"collectedForMs": limited.CollectedFor.Milliseconds(), "settled": limited.Settled,
+	}).Info("rates limited")
+}
+
 // DaemonLeaving logs that a daemon is shutting down.
 func (r *reporter) DaemonLeaving(host netip.Addr) {
 	r.router.log.WithField("host", host.String()).Info("daemon leaves")
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
@@ -141,6 +142,7 @@
 	}
 	if req.organisation != "" {
 		req.quota = r.quota.AdmitByDeadline(req.organisation, req.deadline, req.arrivedAt)
+		r.logRateSource(req)
 		if req.quota.Surge {
 			r.reporter.triggerEarly(req.arrivedAt)
 		}
@@ -156,6 +158,22 @@
 	return call.Answer{}, true
 }
 
+// logRateSource logs when the daemon begins to decide by its own share of the rates, since it has no current allocation, and when it ends that.
+func (r *Router) logRateSource(req *request) {
+	if req.quota.Rate == 0 {
+		return
+	}
+	byShare := req.quota.Age < 0
+	if r.ratesByShare.Swap(byShare) == byShare {
+		return
+	}
+	fields := logrus.Fields{"byShare": byShare, "organisation": req.organisation, "demand": req.quota.Demand, "openShare": req.quota.AdmitFraction, "rate": req.quota.Rate}
+	if !byShare {
+		fields["demandAgeMs"] = req.quota.Age.Milliseconds()
+	}
+	r.log.WithFields(fields).Info("rates by share")
+}
+
 func (req *request) class() shed.Class {
 	return shed.Class{Route: req.root, Service: req.service, Rank: req.rank}
 }
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -40,13 +40,15 @@
 	closedToPeers atomic.Bool
 	peers         *peer.Node
 
-	splitter    *split.Splitter
-	balancer    *choice.Balancer
-	quota       *quota.Quota
-	retryBudget *repeats.Budget
-	shedder     *shed.Shedder
-	usualShares *shares.Fractions
-	executor    *executor
+	splitter *split.Splitter
+	balancer *choice.Balancer
+	quota    *quota.Quota
+	// ratesByShare means that the last decision on a rate had no current allocation.
+	ratesByShare atomic.Bool
+	retryBudget  *repeats.Budget
+	shedder      *shed.Shedder
+	usualShares  *shares.Fractions
+	executor     *executor
 	// told has what other daemons say of their instances.
 	told     *toldStatements
 	control  *control
--- a/internal/decide/quota/pool.go
+++ b/internal/decide/quota/pool.go
@@ -1,9 +1,12 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -227,6 +230,36 @@
 	}
 }
 
+// LimitedRate is what a collector bases the allocation of an organisation above its rate limit on.
+type LimitedRate struct {
+	Organisation string `json:"organisation"`
+	// Demand is the fleet's demand in requests per second, and AdmitFraction the fraction of it that is admitted.
+	Demand        float64 `json:"demand"`
+	AdmitFraction float64 `json:"openShare"`
+	// Tokens is the level of the bucket, negative for a debt, and Reserved the part of the rate that is reserved for missing daemons.
+	Tokens   float64 `json:"tokens"`
+	Reserved float64 `json:"reserved"`
+}
+
+// Limited returns the organisations that the allocations limit, those with the greatest demand first, and at most so many.
+func (p *Pool) Limited(allocations map[string]Allocation, most int) []LimitedRate {
+	var limited []LimitedRate
+	for name, a := range allocations {
+		if a.AdmitFraction < 1 {
+			limited = append(limited, LimitedRate{
+				Organisation: name, Demand: a.Demand, AdmitFraction: a.AdmitFraction, Tokens: p.buckets[name].level, Reserved: a.Reserved,
+			})
+		}
+	}
+	slices.SortFunc(limited, func(a, b LimitedRate) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), strings.Compare(a.Organisation, b.Organisation))
+	})
+	return limited[:min(len(limited), most)]
+}
+
+// Age returns how long the pool has collected reports since it started or last forgot what daemons had reported.
+func (p *Pool) Age(now time.Time) time.Duration { return now.Sub(p.started) }
+
 // backlogTime returns how long the rate takes to serve the backlog.
 func (p *Pool) backlogTime(name string, b *bucket) time.Duration {
 	if b.backlog < 1 {
--- a/internal/decide/shares/model_test.go
+++ b/internal/decide/shares/model_test.go
@@ -148,6 +148,8 @@
 
 func (m *model) DaemonLeaving(netip.Addr) {}
 
+func (m *model) RatesLimited(collect.RateLimits) {}
+
 func (m *model) OrganisationSurges(surge shares.Surge) { m.everListed[surge.Organisation] = true }
 
 // elapsed is the simulated time.
--- a/internal/fleet/collect/collector.go
+++ b/internal/fleet/collect/collector.go
@@ -26,6 +26,19 @@
 	DaemonLeaving(host netip.Addr)
 	// OrganisationSurges receives an organisation that the plan lists as surging and the one before did not.
 	OrganisationSurges(surge shares.Surge)
+	// RatesLimited receives what the allocations of organisations above their rate limits are based on. Calls are rate-limited.
+	RatesLimited(limited RateLimits)
+}
+
+// RateLimits are the organisations that a collector limits, and what it knows of the fleet.
+type RateLimits struct {
+	Organisations []quota.LimitedRate
+	// Reporting is the number of daemons that have reported recently, and Daemons that of all, those that have departed included.
+	Reporting, Daemons int
+	// CollectedFor is how long the collector has received reports without losing those of most daemons.
+	CollectedFor time.Duration
+	// Settled means that the daemons use the allocations.
+	Settled bool
 }
 
 // Fleet describes the fleet to a daemon that acts as a collector.
@@ -57,6 +70,8 @@
 	plannedAt   time.Time
 	// observedAt is when the observer last received the shortages of a plan.
 	observedAt time.Time
+	// ratesObservedAt is when the observer last received the organisations above their rate limits.
+	ratesObservedAt time.Time
 	// work is what the group's instances have done since the last group heartbeat, by service.
 	work             map[string]Work
 	leavingDaemons   announcements[netip.Addr]
@@ -73,8 +88,11 @@
 const (
 	// minPlanInterval limits how often a plan is computed: many daemons send a heartbeat within one interval.
 	minPlanInterval = 50 * time.Millisecond
-	// minObserverInterval limits how often the observer receives a plan's shortages.
+	// minObserverInterval limits how often the observer receives a plan's shortages, and minRatesInterval the organisations above their rate limits.
 	minObserverInterval = 500 * time.Millisecond
+	minRatesInterval    = Interval
+	// maxLimitedRates bounds the organisations that the observer receives at once.
+	maxLimitedRates = 10
 	// relayTTL is the maximum age of another collector's plan that is still relayed: two heartbeats.
 	relayTTL = 2 * Interval
 	// leavingTTL is how long a report of a leaving daemon or instance is valid: by then the daemon has stopped or has restarted.
@@ -221,10 +239,27 @@
 	if fleet.Daemons > maxFlatDaemons {
 		interval += GroupInterval
 	}
-	return Plan{
+	plan := Plan{
 		Daemons: reporting, Rates: c.rates.Allocations(hb.Counts, now), Settled: c.rates.Settled(interval, now), Allocations: c.allocations,
 		Surges: c.surges.listed, Surplus: c.surges.surplus,
 	}
+	c.observeRates(plan, fleet, now)
+	return plan
+}
+
+// observeRates tells the observer which organisations the plan limits, at most once per minRatesInterval.
+func (c *Collector) observeRates(plan Plan, fleet Fleet, now time.Time) {
+	if now.Sub(c.ratesObservedAt) < minRatesInterval {
+		return
+	}
+	limited := c.rates.Limited(plan.Rates, maxLimitedRates)
+	if len(limited) == 0 {
+		return
+	}
+	c.ratesObservedAt = now
+	c.observer.RatesLimited(RateLimits{
+		Organisations: limited, Reporting: plan.Daemons, Daemons: fleet.Daemons + fleet.Departed, CollectedFor: c.rates.Age(now), Settled: plan.Settled,
+	})
 }
 
 // relays reports whether another collector's plan takes precedence over this collector's own.
--- a/internal/fleet/collect/model_test.go
+++ b/internal/fleet/collect/model_test.go
@@ -75,6 +75,8 @@
 
 func (discardObserver) OrganisationSurges(shares.Surge) {}
 
+func (discardObserver) RatesLimited(RateLimits) {}
+
 func newFleet(size, clients int, perSecond float64) *fleet {
 	f := &fleet{
 		size: size, rng: rand.New(rand.NewPCG(11, uint64(size))), now: time.Unix(1000, 0), byHost: map[netip.Addr]*daemon{},
--- a/internal/load/mesh/fleet.go
+++ b/internal/load/mesh/fleet.go
@@ -48,6 +48,8 @@
 
 func (noopObserver) OrganisationSurges(shares.Surge) {}
 
+func (noopObserver) RatesLimited(collect.RateLimits) {}
+
 func (noopObserver) DaemonLeaving(netip.Addr) {}
 
 // Simulate simulates the scenario for the given virtual time and returns the results of the callers' requests.
