A daemon doesn't go on admitting by an allocation that isn't renewed, and reports what it has admitted beyond its share

An allocation of an earlier demand admits everything, so an organisation that surges as its collector is lost had 600 requests a second admitted until another collector's plan was valid. A daemon that has admitted clearly more than its share asks for an early heartbeat, and goes by its share if no reply renews the allocation within 150 ms. A new collector takes what daemons state beyond their shares for debt.

--- a/internal/decide/quota/pool.go
+++ b/internal/decide/quota/pool.go
@@ -120,9 +120,12 @@
 	if last := p.reports[key]; len(p.reports) == 0 && p.started.Before(now) || last != nil && last.silent && p.mostSilent() {
 		p.restart(now)
 	}
-	last := p.lastReport(key, counts, up, now)
+	last, first := p.lastReport(key, counts, up, now)
 	elapsed := now.Sub(last.received)
 	for name, count := range counts {
+		if first {
+			p.bucket(name, now).level -= float64(count.Overdraft)
+		}
 		before, known := last.counts[name]
 		last.counts[name] = count
 		switch {
@@ -150,13 +153,14 @@
 	p.started, p.allNew = now, false
 }
 
-// lastReport returns the last report of a reporter, or an empty one if it hasn't reported recently.
-func (p *Pool) lastReport(key reporter, counts map[string]Count, up time.Duration, now time.Time) *report {
-	last := p.reports[key]
+// lastReport returns the last report of a reporter, or an empty one if it hasn't reported recently, which makes this one its first.
+func (p *Pool) lastReport(key reporter, counts map[string]Count, up time.Duration, now time.Time) (last *report, first bool) {
+	last = p.reports[key]
 	if last != nil && last.silent {
 		p.release(last, now)
 	}
-	if last == nil || key.group && now.Sub(last.received) > reporterTTL {
+	first = last == nil || key.group && now.Sub(last.received) > reporterTTL
+	if first {
 		last = &report{counts: map[string]Count{}, fromStart: up <= newUptime, received: now, shares: map[string]demandShare{}}
 		p.reports[key] = last
 		p.allNew = p.allNew && last.fromStart
@@ -167,7 +171,7 @@
 			p.known.add(counts, last.fromStart)
 		}
 	}
-	return last
+	return last, first
 }
 
 func (p *Pool) addCount(name string, group bool, added Count, elapsed time.Duration, now time.Time) {
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -38,6 +38,8 @@
 	// demand is the smoothed rate of requests at this daemon, per second.
 	demand  float64
 	updated time.Time
+	// admitted is the number of requests admitted since the last allocations were applied.
+	admitted int64
 	// credit is the sum of the admitted fractions; each whole unit admits a request.
 	credit float64
 	// demandShare is this daemon's share of the fleet's demand, and tokens the requests it may admit by that share in fallback mode.
@@ -54,6 +56,12 @@
 	// allocationTTL is how long allocations are valid: more than two heartbeat intervals of a busy daemon. One without valid ones is in fallback
 	// mode. Its collector reserves its share of the rates from the same time on.
 	allocationTTL = 1300 * time.Millisecond
+	// A daemon that has admitted renewalOverdraft more requests by an allocation than its share of the rate and of the saved burst sends an early
+	// heartbeat. From maxOverdraft on it goes by its share if the allocation is older than renewalTime, by which a collector has replied: the allocation
+	// may be of an earlier demand, and one that was made before an organisation began to send admits all of its requests.
+	renewalOverdraft = 3
+	maxOverdraft     = 6
+	renewalTime      = 150 * time.Millisecond
 	// savedBurstTime bounds the part of an organisation's burst that is divided by shares, in time at the rate. Without this part, a daemon that
 	// loses the collector would refuse requests of organisations within their rates that arrive unevenly.
 	savedBurstTime = time.Second
@@ -135,6 +143,7 @@
 			share = (1 - a.Reserved) * local / max(a.Demand, local, minDemand)
 		}
 		m.demandShare = smoothShare(m.demandShare, share)
+		m.admitted = 0
 		q.boundTokens(m, q.rates[name], now)
 	}
 }
@@ -146,7 +155,10 @@
 	counts := make(map[string]Count, len(q.meters))
 	for name, m := range q.meters {
 		if now.Sub(m.updated) < idleTTL {
-			counts[name] = Count{Requested: m.count.Requested, Admitted: m.count.Admitted, Share: uint16(m.demandShare * shareUnits)}
+			counts[name] = Count{
+				Requested: m.count.Requested, Admitted: m.count.Admitted, Share: uint16(m.demandShare * shareUnits),
+				Overdraft: uint16(min(max(q.overdraft(m, q.rates[name], now)-renewalOverdraft, 0), math.MaxUint16)),
+			}
 		}
 		m.baseline += (float64(m.count.Requested-m.reported) - m.baseline) * baselineWeight
 		m.reported = m.count.Requested
@@ -183,18 +195,20 @@
 		return Decision{Admitted: true, AdmitFraction: 1, Age: -1}
 	}
 	m := q.meter(name, now)
-	d := Decision{Rate: r.PerSecond, Age: q.allocationAge(now), Surge: m.surging()}
+	overdraft := q.overdraft(m, r, now) - r.savedBurst()/float64(q.daemons)
+	d := Decision{Rate: r.PerSecond, Age: q.allocationAge(now), Surge: m.surging() || overdraft >= renewalOverdraft}
 	m.countRequest(now)
 	switch {
 	case q.leaseEnded(now):
 		d.RetryAfter = leaseRetryAfter
-	case d.Age < 0:
+	case d.Age < 0 || d.Age > renewalTime && overdraft >= maxOverdraft:
 		q.admitByShare(m, r, now, &d)
 	default:
 		q.admitByAllocation(m, name, r, now, &d)
 	}
 	if d.Admitted {
 		m.tokens--
+		m.admitted++
 		m.count.Admitted++
 		d.Counted = true
 	}
@@ -252,6 +266,14 @@
 	d.Backlog = a.backlogAt(r, d.Age)
 }
 
+// overdraft is the number of requests that the daemon has admitted beyond its share since it last applied allocations, negative if it has admitted less.
+func (q *Quota) overdraft(m *meter, r RateLimit, now time.Time) float64 {
+	if q.applied.IsZero() {
+		return 0
+	}
+	return float64(m.admitted) - r.PerSecond*q.share(m)*now.Sub(q.applied).Seconds()
+}
+
 // backlogAt returns the backlog after a time in which the demand has added to it and the rate has served from it.
 func (a Allocation) backlogAt(r RateLimit, age time.Duration) time.Duration {
 	growth := (1-a.AdmitFraction)*a.Demand/(r.PerSecond*max(1-a.Reserved, minServing)) - 1
--- a/internal/decide/quota/rate.go
+++ b/internal/decide/quota/rate.go
@@ -17,6 +17,9 @@
 	Admitted  int64 `msgpack:"admitted"`
 	// Share is the daemon's share of the fleet's demand as of its last allocation, in units of 1/shareUnits.
 	Share uint16 `msgpack:"share,omitempty"`
+	// Overdraft is the number of requests that the daemon has admitted beyond its share since its last allocation. A collector that didn't receive the
+	// daemon's reports before can't tell them from Admitted.
+	Overdraft uint16 `msgpack:"overdraft,omitempty"`
 }
 
 // shareUnits is the number of units of Count.Share in the whole demand: small enough for two bytes on the wire, and fine enough for a
