A collector that is cut off reserves an equal part for daemons whose demand it doesn't know

Shares follow the demand over two seconds. Of an organisation that had just begun to send, nothing was reserved for the daemons that a collector had lost, beyond the equal tenth: it took 0.92 of the rate while they had four fifths from another collector. What no share covered when the first of them became silent is now reserved in equal parts; shares that grew after the loss don't count.

--- a/internal/decide/quota/absence.go
+++ b/internal/decide/quota/absence.go
@@ -28,8 +28,24 @@
 	updated time.Time
 	// share is the part of the fleet's demand, 0 to 1, and burst the part of the saved burst that is reserved while the daemon is silent.
 	share, burst float64
+	// earlier is the share as of at least silentAfter ago, recent a later one, as of recentAt.
+	earlier, recent float64
+	recentAt        time.Time
+	// unassigned is the part that is reserved beyond share while the daemon is silent.
+	unassigned float64
 }
 
+// age keeps the share for a time at which the collector may have lost other daemons: once it has, its own shares grow, since it sees the
+// demand of the others no more.
+func (s *demandShare) age(now time.Time) {
+	if now.Sub(s.recentAt) >= silentAfter {
+		s.earlier, s.recent, s.recentAt = s.recent, s.share, now
+	}
+}
+
+// reserved is the part of the rate that is reserved for a silent daemon's demand.
+func (s demandShare) reserved() float64 { return s.share + s.unassigned }
+
 const (
 	// silentAfter is the time since a daemon's last report after which its share is reserved: by then it admits by that share.
 	silentAfter = allocationTTL
@@ -66,6 +82,7 @@
 // reserveSilent reserves the shares of the daemons that have just become silent. It returns the number of silent daemons that may still be
 // counted as reporting, and that of the others.
 func (p *Pool) reserveSilent(now time.Time) (counted, uncounted int) {
+	var unassigned map[string]float64
 	for key, r := range p.reports {
 		silence := now.Sub(r.received)
 		switch {
@@ -77,12 +94,46 @@
 			uncounted++
 		}
 		if !r.silent {
-			p.reserve(r, now)
+			if unassigned == nil {
+				unassigned = p.unassignedShares(now)
+			}
+			p.reserve(r, unassigned, now)
 		}
 	}
 	return counted, uncounted
 }
 
+// unassignedShares returns, by organisation, the equal part of each daemon that hasn't been silent in what the daemons' shares leave. Shares follow
+// the demand over about two seconds, so they cover little of an organisation that has just begun to send. Without this part, a collector that is cut
+// off then takes nearly the whole rate for itself, while the others have another collector that gives them equal parts.
+func (p *Pool) unassignedShares(now time.Time) map[string]float64 {
+	parts := make(map[string]float64, len(p.buckets))
+	for name := range p.buckets {
+		parts[name] = 1
+	}
+	reporting := p.absent.daemons
+	for key, r := range p.reports {
+		if key.group {
+			continue
+		}
+		overdue := now.Sub(r.received) > silentAfter
+		if r.silent {
+			reporting--
+		}
+		for name, s := range r.shares {
+			if overdue {
+				parts[name] -= s.reserved()
+			} else {
+				parts[name] -= s.earlier
+			}
+		}
+	}
+	for name, rest := range parts {
+		parts[name] = max(rest, 0) / float64(max(reporting, 1))
+	}
+	return parts
+}
+
 // silentShares returns the sums of the silent daemons' shares, by organisation. A silent daemon that has left the list of hosts isn't missing any
 // more. Which ones have left isn't known here, so the shares of all that are uncounted are reduced to the number of missing daemons.
 func (p *Pool) silentShares(missing, uncounted int, now time.Time) map[string]float64 {
@@ -97,7 +148,7 @@
 			part = weight
 		}
 		for name, s := range r.shares {
-			shares[name] += part * s.share
+			shares[name] += part * s.reserved()
 		}
 	}
 	return shares
@@ -118,11 +169,16 @@
 }
 
 // reserve takes a silent daemon's share of the rates since its last report, and of the saved bursts, from the buckets.
-func (p *Pool) reserve(r *report, now time.Time) {
+func (p *Pool) reserve(r *report, unassigned map[string]float64, now time.Time) {
 	r.silent = true
+	for name, part := range unassigned {
+		s := r.shares[name]
+		s.unassigned = part
+		r.shares[name] = s
+	}
 	for name, s := range r.shares {
 		b, rate := p.bucket(name, now), p.rates[name]
-		s.burst = demandShareWeight * s.share * min(max(b.level, 0), rate.savedBurst())
+		s.burst = demandShareWeight * s.reserved() * min(max(b.level, 0), rate.savedBurst())
 		r.shares[name] = s
 		b.level -= s.tokensSince(r.received, rate, now) + s.burst
 	}
@@ -131,17 +187,19 @@
 // release gives back a daemon's reserved share, of which it now reports what it has used.
 func (p *Pool) release(r *report, now time.Time) {
 	r.silent = false
-	if now.Sub(r.received) > settleTTL {
-		return
-	}
+	settles := now.Sub(r.received) <= settleTTL
 	for name, s := range r.shares {
-		p.bucket(name, now).level += s.tokensSince(r.received, p.rates[name], now) + s.burst
+		if settles {
+			p.bucket(name, now).level += s.tokensSince(r.received, p.rates[name], now) + s.burst
+		}
+		s.unassigned = 0
+		r.shares[name] = s
 	}
 }
 
 // tokensSince returns the tokens that a daemon's share of the rate has gained since a time.
 func (s demandShare) tokensSince(from time.Time, r RateLimit, now time.Time) float64 {
-	return demandShareWeight * s.share * r.PerSecond * now.Sub(from).Seconds()
+	return demandShareWeight * s.reserved() * r.PerSecond * now.Sub(from).Seconds()
 }
 
 // coverage returns the part of an organisation's rate that isn't reserved for missing daemons.
@@ -151,7 +209,12 @@
 		return 1
 	}
 	equal := (1 - demandShareWeight) * float64(a.missing) / float64(a.daemons)
-	byDemand := demandShareWeight * (a.shares[name] + p.unknownShare(name))
+	silent, known := a.shares[name]
+	if !known {
+		// The organisation has begun to send since.
+		silent = float64(a.missing-a.unknown) / float64(a.daemons)
+	}
+	byDemand := demandShareWeight * (silent + p.unknownShare(name))
 	return max(1-equal-byDemand, 0)
 }
 
@@ -201,11 +264,12 @@
 	observed := coverage * s.demand / max(fleetDemand, s.demand, minDemand)
 	s.share = smoothShare(s.share, observed)
 	s.updated = now
+	s.age(now)
 	r.shares[name] = s
 }
 
 // decayShares lowers the shares of the organisations that a report doesn't name, which are idle at the daemon.
-func (r *report) decayShares(counts map[string]Count) {
+func (r *report) decayShares(counts map[string]Count, now time.Time) {
 	for name, s := range r.shares {
 		if _, named := counts[name]; named {
 			continue
@@ -214,6 +278,7 @@
 			delete(r.shares, name)
 			continue
 		}
+		s.age(now)
 		r.shares[name] = s
 	}
 }
--- a/internal/decide/quota/pool.go
+++ b/internal/decide/quota/pool.go
@@ -141,7 +141,7 @@
 			last.addShare(name, added, p.buckets[name].demand, p.coverage(name), elapsed, now)
 		}
 	}
-	last.decayShares(counts)
+	last.decayShares(counts, now)
 	last.received = now
 }
 
