--- a/internal/decide/quota/pool.go
+++ b/internal/decide/quota/pool.go
@@ -1,9 +1,12 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -117,9 +120,12 @@
 	if last := p.reports[key]; len(p.reports) == 0 && p.started.Before(now) || last != nil && last.silent && p.mostSilent() {
 		p.restart(now)
 	}
-	last := p.lastReport(key, counts, up, now)
+	last, first := p.lastReport(key, counts, up, now)
 	elapsed := now.Sub(last.received)
 	for name, count := range counts {
+		if first {
+			p.bucket(name, now).level -= float64(count.Overdraft)
+		}
 		before, known := last.counts[name]
 		last.counts[name] = count
 		switch {
@@ -135,7 +141,7 @@
 			last.addShare(name, added, p.buckets[name].demand, p.coverage(name), elapsed, now)
 		}
 	}
-	last.decayShares(counts)
+	last.decayShares(counts, now)
 	last.received = now
 }
 
@@ -147,13 +153,14 @@
 	p.started, p.allNew = now, false
 }
 
-// lastReport returns the last report of a reporter, or an empty one if it hasn't reported recently.
-func (p *Pool) lastReport(key reporter, counts map[string]Count, up time.Duration, now time.Time) *report {
-	last := p.reports[key]
+// lastReport returns the last report of a reporter, or an empty one if it hasn't reported recently, which makes this one its first.
+func (p *Pool) lastReport(key reporter, counts map[string]Count, up time.Duration, now time.Time) (last *report, first bool) {
+	last = p.reports[key]
 	if last != nil && last.silent {
 		p.release(last, now)
 	}
-	if last == nil || key.group && now.Sub(last.received) > reporterTTL {
+	first = last == nil || key.group && now.Sub(last.received) > reporterTTL
+	if first {
 		last = &report{counts: map[string]Count{}, fromStart: up <= newUptime, received: now, shares: map[string]demandShare{}}
 		p.reports[key] = last
 		p.allNew = p.allNew && last.fromStart
@@ -164,7 +171,7 @@
 			p.known.add(counts, last.fromStart)
 		}
 	}
-	return last
+	return last, first
 }
 
 func (p *Pool) addCount(name string, group bool, added Count, elapsed time.Duration, now time.Time) {
@@ -227,6 +234,36 @@
 	}
 }
 
+// LimitedRate is what a collector bases the allocation of an organisation above its rate limit on.
+type LimitedRate struct {
+	Organisation string `json:"organisation"`
+	// Demand is the fleet's demand in requests per second, and AdmitFraction the fraction of it that is admitted.
+	Demand        float64 `json:"demand"`
+	AdmitFraction float64 `json:"openShare"`
+	// Tokens is the level of the bucket, negative for a debt, and Reserved the part of the rate that is reserved for missing daemons.
+	Tokens   float64 `json:"tokens"`
+	Reserved float64 `json:"reserved"`
+}
+
+// Limited returns the organisations that the allocations limit, those with the greatest demand first, and at most so many.
+func (p *Pool) Limited(allocations map[string]Allocation, most int) []LimitedRate {
+	var limited []LimitedRate
+	for name, a := range allocations {
+		if a.AdmitFraction < 1 {
+			limited = append(limited, LimitedRate{
+				Organisation: name, Demand: a.Demand, AdmitFraction: a.AdmitFraction, Tokens: p.buckets[name].level, Reserved: a.Reserved,
+			})
+		}
+	}
+	slices.SortFunc(limited, func(a, b LimitedRate) int {
+		return cmp.Or(cmp.Compare(b.Demand, a.Demand), strings.Compare(a.Organisation, b.Organisation))
+	})
+	return limited[:min(len(limited), most)]
+}
+
+// Age returns how long the pool has collected reports since it started or last forgot what daemons had reported.
+func (p *Pool) Age(now time.Time) time.Duration { return now.Sub(p.started) }
+
 // backlogTime returns how long the rate takes to serve the backlog.
 func (p *Pool) backlogTime(name string, b *bucket) time.Duration {
 	if b.backlog < 1 {
