A daemon's lists are confirmed only by fresh replies that can know better

What callers could see: a withdrawn key accepted for up to a second or so by a daemon that resumes or starts, until its next digest.

- Replies from before a pause counted for a daemon that was still starting: the pause was only looked for in daemons that had served.
Now each pause discards the replies.
- A reply counted for as long as the daemon waited for a list, for instance while it fetched a large one.
Now for 3 s, the time within which a change is to be in force everywhere.
- A daemon that resumed took the replies of any three peers that take no callers as enough.
The hosts of a zone that were paused or cut off together so confirmed each other's old lists at once.

--- a/internal/fleet/spread/core.go
+++ b/internal/fleet/spread/core.go
@@ -176,10 +176,11 @@
 // A process that was stopped, or a host that got no CPU time, continues with
 // its old lists as if no time had passed: a key withdrawn meanwhile would still
 // work. The time between two ticks reveals the pause, and all lists have to be
-// confirmed anew before the next caller is taken.
+// confirmed anew before the next caller is taken. Replies from before the pause don't
+// count either, also while the daemon is still starting.
 func (c *Core) Tick(now time.Time, skip func(host string) bool) Work {
-	if now.Sub(c.lastTick) >= pauseThreshold && c.standing != Starting {
-		c.startConfirming(Waking, now)
+	if now.Sub(c.lastTick) >= pauseThreshold {
+		c.startConfirming(standingAfterPause(c.standing), now)
 	}
 	c.lastTick = now
 	c.updateStanding(now)
@@ -262,7 +263,7 @@
 	}
 	c.lastContact = now
 	if c.standing != Serving && d.Host != c.config.Host {
-		c.replies.peers[d.Host] = d.Ready
+		c.replies.peers[d.Host] = reply{sent: sent, ready: d.Ready}
 		c.updateStanding(now)
 	}
 	return work
--- a/internal/fleet/spread/standing.go
+++ b/internal/fleet/spread/standing.go
@@ -1,6 +1,9 @@
 package spread
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 //go:generate stringer -type=Standing -linecomment
 
@@ -24,8 +27,11 @@
 	pauseThreshold = 2 * time.Second
 	// confirmGrace is how long a daemon asks before it accepts fewer replies than minReplies or minReadyReplies.
 	confirmGrace = 2 * time.Second
-	// minReplies is the number of peers whose replies are enough before confirmGrace has passed. One peer alone may
-	// itself have been partitioned; three from different availability zones seldom are at the same time.
+	// replyTTL is how long a reply counts. A change is to be in force everywhere within this time, so an older reply is
+	// no evidence that a key was not withdrawn meanwhile.
+	replyTTL = 3 * time.Second
+	// minReplies is the number of peers whose replies are enough, together with the platform, for a daemon that starts. One
+	// peer alone may itself have been partitioned; three from different availability zones seldom are at the same time.
 	minReplies = 3
 	// minReadyReplies is the number of peers that take callers whose replies are enough: their versions were confirmed already.
 	minReadyReplies = 2
@@ -44,14 +50,26 @@
 	since time.Time
 	// platform means that the platform answered with all lists.
 	platform bool
-	// peers has the peers that replied, with true for those that take callers.
-	peers map[string]bool
+	// peers has the last reply of each peer.
+	peers map[string]reply
+}
+
+// reply is what confirms the lists in a peer's reply to a digest that was sent at the given time.
+type reply struct {
+	sent time.Time
+	// ready means that the peer takes callers.
+	ready bool
+}
+
+// expire removes replies that are too old to confirm anything.
+func (r *replies) expire(now time.Time) {
+	maps.DeleteFunc(r.peers, func(_ string, p reply) bool { return now.Sub(p.sent) > replyTTL })
 }
 
 func (r *replies) readyPeers() int {
 	count := 0
-	for _, ready := range r.peers {
-		if ready {
+	for _, p := range r.peers {
+		if p.ready {
 			count++
 		}
 	}
@@ -92,6 +110,7 @@
 
 // confirmed reports whether the replies are enough to serve with the lists in force.
 func (c *Core) confirmed(now time.Time) bool {
+	c.replies.expire(now)
 	peers := len(c.activePeers)
 	waited := now.Sub(c.replies.since) >= confirmGrace
 	replied, ready := len(c.replies.peers), c.replies.readyPeers()
@@ -100,18 +119,43 @@
 		return c.replies.platform || (waited && c.standing != Starting)
 	case ready >= min(minReadyReplies, peers), ready > 0 && (waited || c.replies.platform):
 		return true
-	case c.standing != Starting || c.replies.platform:
-		// Peers that take no callers are enough for a daemon that had confirmed lists before, or together with
-		// the platform: otherwise the daemons of a fleet that starts or resumes as a whole would wait for each other.
+	// Peers that take no callers must do as well: otherwise the daemons of a fleet that starts or resumes as a whole would
+	// wait for each other.
+	case c.standing != Starting:
+		// Hosts that were paused or partitioned together have the same old lists, so a few of them prove nothing while others were not asked.
+		return c.allReplied() || (replied > 0 && waited)
+	case c.replies.platform:
 		return replied >= min(minReplies, peers) || (replied > 0 && waited)
 	default:
 		return false
 	}
 }
 
+// allReplied reports whether every active peer has replied.
+func (c *Core) allReplied() bool {
+	if len(c.replies.peers) < len(c.activePeers) {
+		return false
+	}
+	for _, i := range c.activePeers {
+		if _, ok := c.replies.peers[c.hosts[i].Host]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // startConfirming changes the standing and discards earlier replies, so that only new ones confirm the lists.
 func (c *Core) startConfirming(s Standing, now time.Time) {
 	c.standing = s
-	c.replies = replies{since: now, peers: map[string]bool{}}
+	c.replies = replies{since: now, peers: map[string]reply{}}
 	c.nextExchange = now
 }
+
+// standingAfterPause returns the standing of a daemon whose process was paused. One that was still starting has never had
+// confirmed lists, so that it needs the stricter confirmation of a start.
+func standingAfterPause(s Standing) Standing {
+	if s == Starting {
+		return Starting
+	}
+	return Waking
+}
