--- a/internal/app/daemon/door_test.go
+++ b/internal/app/daemon/door_test.go
@@ -39,15 +39,10 @@
 	}
 	d.view.Store(lists.NewView([lists.Kinds]uint64{1, 1, 1, 1}, plans, uses, keys, &lists.Hosts{}))
 	d.servingState.Store(&servingState{Standing: spread.Serving, checkedAt: now.Add(time.Second)})
-	limits := rate.DefaultLimits()
-	homeStarted := now.Add(-24 * time.Hour)
-	home, borrower := rate.NewHome(self, 1, limits, homeStarted), rate.NewBorrower("h", 1, limits)
-	home.SetPlans(plans.Organisations, homeStarted)
-	home.SetList(1, []rate.Member{self}, homeStarted)
+	borrower := rate.NewBorrower("h", 1, rate.DefaultLimits())
 	borrower.SetPlans(plans.Organisations)
 	borrower.SetList(1, []rate.Member{self})
-	ask, _ := borrower.Urgent("dealer", self, 1, rate.Waiting, now)
-	borrower.Hear(self, home.AnswerLease(ask.Message, now), now, now)
+	lendToken(borrower, self, plans, now)
 	d.rateLimiter = &rateLimiter{daemon: d, borrower: borrower, searches: newTokenSearches()}
 	for range 20 {
 		if throttled {
@@ -58,6 +53,16 @@
 	return d
 }
 
+// lendToken lends one token of the organisation dealer to the borrower, from a home with a full bucket.
+func lendToken(borrower *rate.Borrower, self rate.Member, plans *lists.Plans, now time.Time) {
+	homeStarted := now.Add(-24 * time.Hour)
+	home := rate.NewHome(self, 1, rate.DefaultLimits(), homeStarted)
+	home.SetPlans(plans.Organisations, homeStarted)
+	home.SetList(1, []rate.Member{self}, homeStarted)
+	ask, _ := borrower.Urgent("dealer", self, 1, rate.Waiting, now)
+	borrower.Hear(self, home.AnswerLease(ask.Message, now), now, now)
+}
+
 // A service is overloaded and the throttle refuses a caller that is within its rate limit. If the refusal cost a token,
 // the caller's retry after the overload would be refused for exceeding the rate limit.
 func TestOverloadRefusalCostsNoToken(t *testing.T) {
