A request that was on its way when its daemon was paused waits for the lists to be confirmed

What callers could see: a withdrawn key accepted after a pause of any length, for each request that had arrived before it and had not been sent to an instance.

Cause: admission compared the time of the last check of the lists with the request's arrival, which may be before the pause, instead of the present. Later checks of the key, after the queue and before a repeated attempt, took the lists in force for current; the first attempt at another host was not checked at all, though a request may wait for a token before it.

What is left: a pause between the check and the write to the instance.

--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -44,8 +44,8 @@
 	answer := call.Refuse(call.NoUpstream, time.Second)
 	mayHaveRun := false
 	for len(tried) < attemptsPerHop {
-		if len(tried) > 0 && !a.hasValidKey() {
-			answer = call.Refuse(call.UnknownKey, 0)
+		if reason := a.keyCheck.run(ctx); reason != call.None {
+			answer = refuseKey(reason)
 			break
 		}
 		next, host, ok := d.attempt(ctx, a, tried)
@@ -97,7 +97,7 @@
 		return call.Answer{}, "", false
 	}
 	host := choice.Host
-	answer := d.send(ctx, host, &r, earlierBound(a.finishBy, d.ending.cutoff()), a.keyValid)
+	answer := d.send(ctx, host, &r, earlierBound(a.finishBy, d.ending.cutoff()), a.keyCheck)
 	d.checkAnswer(host.Host, answer)
 	now := time.Now()
 	d.placer.Settle(now, choice, r.Operation, placingResult(answer), answer.Load)
@@ -164,11 +164,11 @@
 }
 
 // send runs the request on the local upstream or forwards it to the daemon on the chosen host; finishBy is as for executor.run.
-func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
+func (d *Daemon) send(ctx context.Context, host lists.Host, r *call.Request, finishBy time.Time, check keyCheck) call.Answer {
 	if host.Host == d.settings.Host {
-		return d.executor.run(ctx, r, finishBy, keyValid)
+		return d.executor.run(ctx, r, finishBy, check)
 	}
-	reply, err := d.forward(ctx, peer.KindCall, host, r, finishBy, keyValid)
+	reply, err := d.forward(ctx, peer.KindCall, host, r, finishBy, check)
 	if err == nil {
 		return reply.decision(ctx)
 	}
--- a/internal/app/daemon/door.go
+++ b/internal/app/daemon/door.go
@@ -27,8 +27,8 @@
 	account *budget.Account
 	// parent is the run on whose behalf the local upstream sent the request; nil for a caller's request.
 	parent *parentRun
-	// keyValid reports whether the caller's key is still valid, for checks after a wait; nil means that no check is needed.
-	keyValid func() bool
+	// keyCheck is the check of the caller's key before each attempt and after a wait.
+	keyCheck keyCheck
 	// finishBy is when the daemon that forwarded the request must have the response, since it is leaving; zero if it isn't.
 	finishBy time.Time
 	// token is the rate-limit token that a caller's request has spent.
@@ -72,7 +72,7 @@
 	}
 	a.request.Deadline = now.Add(timeout)
 	a.request.ID = newRequestID()
-	a.keyValid = d.keyCheck(view, key, organisation)
+	a.keyCheck = d.newKeyCheck(view, key, organisation)
 	a.account = budget.New(a.request.Budget)
 	token, wait, ok := d.rateLimiter.Spend(r.Context(), organisation)
 	if !ok {
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -131,13 +131,17 @@
 	if sent.Budget = d.daemon.drawBudget(ctx, a); sent.Budget == 0 {
 		return noBudgetRefusal(ctx)
 	}
-	answer := d.forwardToHolder(ctx, host, &sent, d.daemon.ending.cutoff(), a.keyValid)
+	if reason := a.keyCheck.run(ctx); reason != call.None {
+		a.account.Settle(sent.Budget, sent.Budget)
+		return refuseKey(reason)
+	}
+	answer := d.forwardToHolder(ctx, host, &sent, d.daemon.ending.cutoff(), a.keyCheck)
 	a.account.Settle(sent.Budget, answer.BudgetLeft)
 	return answer
 }
 
-func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
-	reply, err := d.daemon.forward(ctx, peer.KindRunOnce, host, sent, finishBy, keyValid)
+func (d *deduplicator) forwardToHolder(ctx context.Context, host lists.Host, sent *call.Request, finishBy time.Time, check keyCheck) call.Answer {
+	reply, err := d.daemon.forward(ctx, peer.KindRunOnce, host, sent, finishBy, check)
 	if err == nil {
 		return reply.decision(ctx)
 	}
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -34,10 +34,9 @@
 	return &executor{gate: gate, upstream: u, runs: newActiveRuns(), subCallNeeds: budget.NewNeeds()}
 }
 
-// run runs the request, or refuses it before the upstream has seen it. After the wait in the queue it calls keyValid
-// and refuses the request if that returns false; nil means that no check is needed. The run must have ended by finishBy,
-// unless that is zero, and by the cutoff if the daemon is leaving.
-func (e *executor) run(ctx context.Context, r *call.Request, finishBy time.Time, keyValid func() bool) call.Answer {
+// run runs the request, or refuses it before the upstream has seen it. After the wait in the queue it checks the caller's
+// key once more. The run must have ended by finishBy, unless that is zero, and by the cutoff if the daemon is leaving.
+func (e *executor) run(ctx context.Context, r *call.Request, finishBy time.Time, check keyCheck) call.Answer {
 	ctx, cancel := e.ending.bound(ctx)
 	defer cancel()
 	for {
@@ -50,9 +49,9 @@
 		if decision := e.gate.Enter(ctx, ticket); decision.Verdict != admission.Run {
 			return e.refuse(r, decision)
 		}
-		if keyValid != nil && !keyValid() {
+		if reason := check.run(ctx); reason != call.None {
 			e.gate.Settle(time.Now(), ticket, admission.Result{Withdrawn: true})
-			return e.refuse(r, admission.Decision{Reason: call.UnknownKey})
+			return e.refuse(r, admission.Decision{Reason: reason, RetryAfter: refuseKey(reason).RetryAfter})
 		}
 		if e.ending.cutoff().Equal(cutoff) {
 			r.Deadline = earlierBound(r.Deadline, runLimit(r, finishBy, cutoff))
--- a/internal/app/daemon/redial.go
+++ b/internal/app/daemon/redial.go
@@ -23,7 +23,7 @@
 //
 // On a busy machine a ready daemon may take longer than the timeout of one handshake. That timeout is short so that requests go on to
 // another host; where there is none, they would be refused with seconds left.
-func (d *Daemon) forward(ctx context.Context, kind peer.Kind, host lists.Host, r *call.Request, finishBy time.Time, keyValid func() bool) (runResult, error) {
+func (d *Daemon) forward(ctx context.Context, kind peer.Kind, host lists.Host, r *call.Request, finishBy time.Time, check keyCheck) (runResult, error) {
 	ctx, cancel := d.ending.bound(ctx)
 	defer cancel()
 	for dials := 1; ; dials++ {
@@ -37,7 +37,7 @@
 		if !errors.Is(err, peer.ErrNoHandshake) || dials == maxDials || !d.mayRedial(kind, host.Host, r) {
 			return reply, err
 		}
-		if keyValid != nil && !keyValid() {
+		if check.run(ctx) != call.None {
 			return reply, err
 		}
 		d.reportFailure(hostFailure{host: host.Host})
