Scenarios: a pause waits until the process has stopped

In the trial the daemon that was to be paused put the new list of keys into force 1.9 ms after lookup-2 had, and 1.6 ms after lookup-2 had refused the withdrawn key: it had not stopped. kill only sends SIGSTOP. With a trace of the threads' states, at the same load, the last thread stopped 4 to 29 ms after the signal, and in 5 of 12 runs the request was begun before that. With the signal delayed by 50 ms, 2 of 3 runs on two other cores, without busy loops there, failed with the same output; the trace shows the answer 35 and 29 ms before the stop.

So the daemon answered a request some milliseconds after the withdrawal, before the pause that the scenario is about; the withdrawal has 3 s to spread. The scenario's own steps allowed it, so they change, not what it demands: pause returns when the kernel reports that the whole process has stopped, and the new step pending fails if the request was answered before the process resumes.

--- a/internal/proof/scenario/commands_lists_test.go
+++ b/internal/proof/scenario/commands_lists_test.go
@@ -18,6 +18,7 @@
 	return map[string]command{
 		"begin":       cmdBegin,                              // begin TAG send...: send without waiting for the response
 		"finish":      cmdFinish,                             // finish TAG: wait for the response and print it
+		"pending":     cmdPending,                            // pending TAG: fail if the request that was begun is answered already
 		"leave":       signalCommand(syscall.SIGTERM, false), // leave NAME: send SIGTERM without waiting for the daemon's exit
 		"awaitstatus": cmdAwaitStatus,                        // awaitstatus PATTERN NAME...: wait until /statusz of each matches
 		"never":       cmdNever,                              // never DURATION TEXT send...: repeat a send for that time and fail if an output has TEXT
--- a/internal/proof/scenario/commands_test.go
+++ b/internal/proof/scenario/commands_test.go
@@ -45,7 +45,7 @@
 		// crash, shutdown, pause and resume take NAME, NAME.upstream or platform.
 		"crash":    signalCommand(syscall.SIGKILL, true),
 		"shutdown": signalCommand(syscall.SIGTERM, true),
-		"pause":    signalCommand(syscall.SIGSTOP, false),
+		"pause":    cmdPause, // returns when the process has stopped
 		"resume":   signalCommand(syscall.SIGCONT, false),
 		"restart":  cmdRestart, // restart NAME: start a daemon that was stopped or killed, or an empty platform
 		// cut, drop and heal take two hosts, or a host and the platform or a replica; a region stands for all its hosts.
