--- a/internal/fleet/spread/standing.go
+++ b/internal/fleet/spread/standing.go
@@ -84,6 +84,7 @@
 		}
 		return
 	}
+	c.replies.expire(now)
 	if c.holdsNewest() && c.confirmed(now) {
 		c.standing = Serving
 		c.lastContact = now
@@ -110,7 +111,6 @@
 
 // confirmed reports whether the replies are enough to serve with the lists in force.
 func (c *Core) confirmed(now time.Time) bool {
-	c.replies.expire(now)
 	peers := len(c.activePeers)
 	waited := now.Sub(c.replies.since) >= confirmGrace
 	replied, ready := len(c.replies.peers), c.replies.readyPeers()
