Shutdown: where there are no organisations, only a request that no run can have made is refused for its deadline

After the notice period a leaving daemon refuses callers' requests that may outlast it, but not sub-calls. It told these by their missing key, so without organisations it refused them as well: a run that had been begun before the order, and would have ended in time, failed with 500 at its first sub-call later than 2.3 s after the order.

A sub-call has no more time than its run, so a request with a later deadline than all active runs is certainly a caller's; only such a request is refused. One that may be either begins only if it is nearly certain to end by the cutoff, as any request in the notice period.

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -95,7 +95,7 @@
 	}
 	req.header = removeConnectionHeaders(in.Header)
 	req.active.progress.Store(&progress{requestID: req.id, route: req.route.Name})
-	if r.stopsBefore(req) {
+	if r.stopsBefore(req, head.Timeout) {
 		return r.leavingAnswer(req, call.Refuse(call.Draining, 0), req.arrivedAt), false
 	}
 	if req.subcall {
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -44,11 +44,20 @@
 // connect to another host.
 func (r *Router) leaving() bool { return r.shutdown.Load() != nil }
 
-// stopsBefore reports whether a request that has just arrived is refused because the process may end before it does. A sub-call isn't, since that
-// would fail the run that makes it: like the attempts of all requests, it begins if it is likely to end in time.
-func (r *Router) stopsBefore(req *request) bool {
+// stopsBefore reports whether a request that has just arrived is refused because the process may end before it does; timeout is how long its sender
+// waits. A sub-call isn't, since that would fail the run that makes it: like the attempts of all requests, it begins if it is likely to end in time.
+func (r *Router) stopsBefore(req *request, timeout time.Duration) bool {
 	schedule := r.shutdown.Load()
-	return schedule != nil && !req.subcall && schedule.Refuses(req.arrivedAt, req.deadline)
+	return schedule != nil && schedule.Refuses(req.arrivedAt, req.deadline) && !r.maybeSubcall(req, timeout)
+}
+
+// maybeSubcall reports whether the request is a sub-call or, in a configuration without organisations, may be one: only its deadline tells that a
+// request can't come from a run on this host's instance.
+func (r *Router) maybeSubcall(req *request, timeout time.Duration) bool {
+	if req.subcall || r.view.Load().Table.Keyed() {
+		return req.subcall
+	}
+	return r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
 }
 
 // finishIn returns how long a run that begins now may take if its caller sent the request to this daemon, or 0 if there is no bound.
--- a/internal/app/router/leave_test.go
+++ b/internal/app/router/leave_test.go
@@ -6,8 +6,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 )
 
@@ -35,3 +37,41 @@
 		So(leaving.Slots, ShouldEqual, 0)
 	})
 }
+
+// TestSubcallsWithoutOrganisations guards against refusing a sub-call for its deadline where nothing but the deadline tells it from a caller's
+// request: the run that makes it was accepted before the order and fails.
+func TestSubcallsWithoutOrganisations(t *testing.T) {
+	const leaveTime = 6 * time.Second
+	now := time.Now()
+	schedule := shutdown.New(now.Add(-3*time.Second), leaveTime, shutdown.Closing{Port: httpd.MaxBacklogTime, Rest: shutdownReserve})
+	for _, c := range []struct {
+		name string
+		// run is the time that is left to the active run, 0 if there is none; timeout is that of the request.
+		run, timeout time.Duration
+		keyed, stops bool
+	}{
+		{"the run's own deadline", 7 * time.Second, 7 * time.Second, false, false},
+		{"a shorter time than the run has", 7 * time.Second, 4 * time.Second, false, false},
+		{"no time of its own", 7 * time.Second, 0, false, false},
+		{"more time than any run has", 7 * time.Second, 10 * time.Second, false, true},
+		{"no run is active", 0, 7 * time.Second, false, true},
+		{"no run is active and no time is stated", 0, 0, false, true},
+		{"a caller with a key", 7 * time.Second, 7 * time.Second, true, true},
+	} {
+		Convey("A request after the notice period, "+c.name, t, func() {
+			r := newRouterBeside(1)
+			if c.keyed {
+				config := &routing.Config{Version: 2, Organisations: []routing.Organisation{{Name: "o", Keys: []string{"k"}}}}
+				r.control.catalog.Apply(catalog.Changes{Revision: knownRevision + 1, Entries: []catalog.Entry{{Revision: knownRevision + 1, Config: config}}}, now, now)
+				r.control.publish()
+			}
+			So(r.view.Load().Table.Keyed(), ShouldEqual, c.keyed)
+			r.shutdown.Store(&schedule)
+			if c.run > 0 {
+				r.executor.runs.Begin(&lineage.Run{Route: "a"}, now.Add(c.run))
+			}
+			req := &request{arrivedAt: now, deadline: now.Add(effectiveTimeout(c.timeout, 0))}
+			So(r.stopsBefore(req, c.timeout), ShouldEqual, c.stops)
+		})
+	}
+}
