Shutdown: a bound holds for its sender's requests, also those on their way, and ends their waits

Three faults of the message by which a leaving daemon bounds the requests that it had handed over before the order:

- A request that went on waiting for a slot was looked at only when it got one.
If it got none before the cutoff, its caller read 502, outcome unknown, although nothing was run and other instances had slots.
The wait ends at the latest start now, as not run, and the request goes on to another instance.
- It named requests by their ids, which callers choose.
A request of a daemon that stays was refused, or given too little time, if a leaving one had handed over another with the same id, such as the first attempt of a caller that tries again.
The bound holds for the sender's host now.
- Requests have connections of their own, so the message could arrive before the request that it names, or be lost, and the run began without a bound.

--- a/internal/app/router/active.go
+++ b/internal/app/router/active.go
@@ -29,7 +29,7 @@
 	cancel atomic.Pointer[context.CancelFunc]
 	ended  atomic.Bool
 	// finishBy is when the run for another daemon must have ended, if that daemon said so after it had handed the request over.
-	finishBy atomic.Pointer[time.Time]
+	finishBy statedEnd
 }
 
 // progress says how far a request has come.
@@ -42,8 +42,9 @@
 	host     netip.Addr
 	attempts int
 	since    time.Time
-	// run means that another daemon handed the request to this one.
-	run bool
+	// run means that another daemon, on the host sender, handed the request to this one.
+	run    bool
+	sender netip.Addr
 }
 
 func newActiveRequests() *activeRequests {
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -38,8 +37,8 @@
 	Redirectable bool `msgpack:"redirectable,omitempty"`
 	// FinishIn is the time in which the run must have ended, since the sender shuts down; 0 if it doesn't.
 	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
-	// finishBy is when the run must have ended, if the sender said so later; nil for a request that wasn't handed over.
-	finishBy *atomic.Pointer[time.Time]
+	// finishBy is when the run must have ended, if the sender says so later; nil for a request that wasn't handed over.
+	finishBy *statedEnd
 }
 
 // runResult is the reply to a runRequest.
--- a/internal/app/router/outlast.go
+++ b/internal/app/router/outlast.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
 // setCutoff sets the time at which this daemon, which is shutting down, ends the runs that are at work.
@@ -15,8 +17,10 @@
 	if req.FinishIn > 0 {
 		ticket.FinishBy = arrived.Add(req.FinishIn)
 	}
-	if req.finishBy != nil && req.finishBy.Load() != nil {
-		ticket.FinishBy = *req.finishBy.Load()
+	if req.finishBy != nil {
+		if stated := req.finishBy.get(); !stated.IsZero() {
+			ticket.FinishBy = stated
+		}
 	}
 	if own := e.ownFinish(); !own.IsZero() && (ticket.FinishBy.IsZero() || own.Before(ticket.FinishBy)) {
 		ticket.FinishBy = own
@@ -26,6 +30,27 @@
 	}
 }
 
+// enterInTime acquires a slot. The wait of a request also ends when its run would go on beyond the end that its sender states meanwhile: the sender
+// couldn't tell then whether it was run.
+func (e *executor) enterInTime(ctx context.Context, gate *admission.Gate, ticket *admission.Ticket, req *runRequest) admission.Decision {
+	if req.finishBy == nil {
+		return gate.Enter(ctx, ticket)
+	}
+	waiting, end := context.WithCancel(ctx)
+	defer end()
+	bounded := admission.Ticket{Operation: ticket.Operation, UsualTime: e.targetOf(req.Route)}
+	req.finishBy.onSet(func(at time.Time) {
+		bounded.FinishBy = at
+		time.AfterFunc(time.Until(gate.LatestStart(&bounded)), end)
+	})
+	defer req.finishBy.onSet(nil)
+	decision := gate.Enter(waiting, ticket)
+	if decision.Verdict != admission.Run && waiting.Err() != nil && ctx.Err() == nil {
+		decision.Reason = call.WouldOutlast
+	}
+	return decision
+}
+
 // ownFinish returns the time by which runs must have ended since this daemon is shutting down, zero if it isn't.
 func (e *executor) ownFinish() time.Time {
 	cutoff := e.cutoff.Load()
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -56,7 +56,9 @@
 	health   *httpd.Server
 	operator *httpd.Server
 	active   *activeRequests
-	usage    usage
+	// senderBounds has the ends of daemons that hand requests to this one and are shutting down.
+	senderBounds senderBounds
+	usage        usage
 }
 
 // New returns a router with checked settings; it does nothing until Run.
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -12,11 +12,14 @@
 //
 // Other daemons learn of the shutdown within a heartbeat interval. A request that still arrives is refused in the same round trip and goes to
 // another instance; if it ran here, it could outlast the process.
-func (r *Router) handleRun(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
+func (r *Router) handleRun(ctx context.Context, from netip.AddrPort, req runRequest) runResult {
 	now := time.Now()
 	active := r.active.begin(now)
 	defer r.active.end(active)
-	active.progress.Store(&progress{requestID: req.RequestID, route: req.Route, instance: req.Instance.ID, attempts: 1, since: now, run: true})
+	active.progress.Store(&progress{requestID: req.RequestID, route: req.Route, instance: req.Instance.ID, attempts: 1, since: now, run: true, sender: from.Addr()})
+	if finishBy, ok := r.senderBounds.of(from.Addr(), now); ok && req.FinishIn == 0 {
+		active.finishBy.set(finishBy)
+	}
 	if r.closedToPeers.Load() {
 		return refusedResult(call.Refuse(call.Draining, noInstanceRetryAfter), r.executor.load())
 	}
--- a/internal/app/router/waiting.go
+++ b/internal/app/router/waiting.go
@@ -19,11 +19,11 @@
 	ticket.Closed = func() call.Reason { return e.closedToWaiting(gate, req) }
 	patience := e.longPatience(req)
 	if patience == 0 || !e.longWaits.Acquire(len(req.Body), gate.Load().Limit) {
-		return gate.Enter(ctx, ticket)
+		return e.enterInTime(ctx, gate, ticket, req)
 	}
 	defer e.longWaits.Release(len(req.Body))
 	ticket.Patience = patience
-	return gate.Enter(ctx, ticket)
+	return e.enterInTime(ctx, gate, ticket, req)
 }
 
 // longPatience returns how long a caller's request may wait if that is longer than maxQueueWait, or 0. Sub-calls wait by their remaining time.
--- a/internal/decide/admission/finish.go
+++ b/internal/decide/admission/finish.go
@@ -14,6 +14,14 @@
 	return t.FinishBy.Add(-g.holdTimes.upperBound(t.Operation, t.UsualTime)), true
 }
 
+// LatestStart returns when the run must begin at the latest to have ended by the ticket's FinishBy with near certainty; the ticket must have one.
+func (g *Gate) LatestStart(t *Ticket) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	latest, _ := g.latestStart(t)
+	return latest
+}
+
 // Outlasts reports whether a run that begins now may go on beyond the ticket's FinishBy.
 func (g *Gate) Outlasts(now time.Time, t *Ticket) bool {
 	g.mu.Lock()
