Gate: a run of an operation that it hasn't seen and that has no target takes as long as others

For a leaving daemon, such a run began with any time left, 1 ms even, and its caller read the instance's 504. The mean of the other operations stands in for it now. On a gate that has seen nothing, nothing is known, and the run begins as before.

TestFinishByOfUnseenOperation failed before with 0.5 s left beside runs of 1 s.

--- a/internal/decide/admission/finish_test.go
+++ b/internal/decide/admission/finish_test.go
@@ -89,3 +89,25 @@
 		})
 	})
 }
+
+// TestFinishByOfUnseenOperation guards against a run that begins with milliseconds left because its operation has neither run on the instance nor
+// a latency target.
+func TestFinishByOfUnseenOperation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name  string
+		left  time.Duration
+		usual time.Duration
+		runs  bool
+	}{
+		{"less time than the others take", 500 * time.Millisecond, 0, false},
+		{"time for a run like the others", 1100 * time.Millisecond, 0, true},
+		{"its target goes first", 500 * time.Millisecond, 100 * time.Millisecond, true},
+	} {
+		Convey("An operation that hasn't run yet, beside others of 1 s, "+c.name, t, func() {
+			g := gateThatRan(now, repeated(100, time.Second)...)
+			d := g.Arrive(now, &Ticket{Operation: "unseen", Deadline: now.Add(time.Hour), FinishBy: now.Add(c.left), UsualTime: c.usual})
+			So(d.Verdict == Run, ShouldEqual, c.runs)
+		})
+	}
+}
--- a/internal/decide/admission/latency.go
+++ b/internal/decide/admission/latency.go
@@ -80,12 +80,16 @@
 	return time.Duration(h.seconds * float64(time.Second))
 }
 
-// upperBound returns a hold time that runs of the operation seldom exceed, whatever its age, or the usual time while none was observed.
+// upperBound returns a hold time that runs of the operation seldom exceed, whatever its age. While none was observed it is the usual time, or the mean
+// of all operations if that is unknown.
 func (times *holdTimes) upperBound(operation string, usual time.Duration) time.Duration {
 	h := times.byOperation[operation]
-	if h == nil {
+	if h == nil && usual > 0 {
 		return usual
 	}
+	if h == nil {
+		return time.Duration(times.meanSeconds * float64(time.Second))
+	}
 	return time.Duration((h.mean + upperBoundDeviations*h.deviation) * float64(time.Second))
 }
 
