Balancer: a run that was ended by the shutdown of the daemon beside the instance isn't the instance's failure

The instance responds 504 since it was given the daemon's time and not the request's. Daemons counted that as a fault, and avoided the instance for a while after its daemon had started again, as they did for a run that was refused as wouldOutlast before.

--- a/internal/app/router/ending_test.go
+++ b/internal/app/router/ending_test.go
@@ -16,4 +16,9 @@
 		So(sendResult(runResult{Outcome: call.Whole, Status: 500, SubcallFailed: true}, nil), ShouldEqual, choice.Withdrawn)
 		So(sendResult(runResult{Outcome: call.Whole, Status: 200}, nil), ShouldEqual, choice.Served)
 	})
+	// Guards against a restarted daemon whose instance is avoided, since its shutdown had ended runs before.
+	Convey("A run that the shutdown of the daemon beside the instance ended isn't held against the instance either", t, func() {
+		So(sendResult(runResult{Outcome: call.Whole, Status: 504}, nil), ShouldEqual, choice.Failed)
+		So(sendResult(runResult{Outcome: call.Whole, Status: 504, EndedEarly: true}, nil), ShouldEqual, choice.Withdrawn)
+	})
 }
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -310,8 +310,8 @@
 	switch {
 	case err != nil && res.Outcome == call.NotRun && res.Reason != call.Cancelled:
 		return choice.Unreachable
-	case res.Outcome == call.Whole && res.Status >= statusFailed && res.SubcallFailed:
-		// Without this, failures of services further down would drive requests away from healthy instances.
+	case res.Outcome == call.Whole && res.Status >= statusFailed && (res.SubcallFailed || res.EndedEarly):
+		// Without this, failures of services further down, and shutdowns of the daemons beside them, would drive requests away from healthy instances.
 		return choice.Withdrawn
 	case res.Outcome == call.Whole && res.Status >= statusFailed:
 		return choice.Failed
