Shutdown: refusals before an attempt state when callers find another host too

Refusals of a leaving daemon for overload, rate or a missing configuration, which come before the first attempt, kept their own Retry-After, from 50 ms. Callers came back to the same daemon before the platform had sent them elsewhere; only refusals after an attempt had been mended.

TestRefusalsBeforeTheAttempt failed before: 300 ms where at least 2 s are left of the notice period.

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -67,6 +67,8 @@
 		if answer.Outcome == call.NotRun && req.organisation != "" {
 			r.quota.Refund(req.organisation, req.quota)
 		}
+	} else {
+		answer = r.leavingAnswer(req, answer, time.Now())
 	}
 	req.contextEnd = context.Cause(in.Context())
 	res := r.respond(req, answer)
@@ -96,7 +98,7 @@
 	req.header = removeConnectionHeaders(in.Header)
 	req.active.progress.Store(&progress{requestID: req.id, route: req.route.Name})
 	if r.stopsBefore(req, head.Timeout) {
-		return r.leavingAnswer(req, call.Refuse(call.Draining, 0), req.arrivedAt), false
+		return call.Refuse(call.Draining, 0), false
 	}
 	if req.subcall {
 		req.inherit(r.executor.runs.Parent(req.route.Name, req.arrivedAt.Add(head.Timeout)))
--- a/internal/app/router/leave_test.go
+++ b/internal/app/router/leave_test.go
@@ -1,11 +1,17 @@
 package router
 
 import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
@@ -75,3 +81,29 @@
 		})
 	}
 }
+
+// TestRefusalsBeforeTheAttempt guards against callers whose retry meets the same leaving daemon: a refusal that doesn't come from an attempt, such as
+// one for overload or for a missing configuration, invited them back long before they find another host.
+func TestRefusalsBeforeTheAttempt(t *testing.T) {
+	Convey("A leaving daemon's refusal states when callers find another host", t, func() {
+		r := New(Settings{}, fixedSource{}, signedHeads{}, telemetry.NewLog(io.Discard, logrus.InfoLevel))
+		schedule := shutdown.New(time.Now(), 6*time.Second, shutdown.Closing{Port: httpd.MaxBacklogTime, Rest: shutdownReserve})
+		for _, c := range []struct {
+			schedule *shutdown.Schedule
+			least    time.Duration
+			most     time.Duration
+		}{
+			{nil, 0, 2 * time.Second},
+			{&schedule, 2 * time.Second, 4 * time.Second},
+		} {
+			r.shutdown.Store(c.schedule)
+			r.reporter.startedAt = time.Now()
+			recorder := httptest.NewRecorder()
+			r.serve(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+			So(recorder.Code, ShouldEqual, http.StatusServiceUnavailable)
+			var refused refusal
+			So(json.Unmarshal(recorder.Body.Bytes(), &refused), ShouldBeNil)
+			So(refused.RetryAfterMs, ShouldBeBetween, c.least.Milliseconds(), c.most.Milliseconds())
+		}
+	})
+}
