Peers: the time to connect and to transfer a large message is taken off the times that it states

A request states how much time is left, both to its caller's deadline and to the end of a leaving daemon. Both were counted from the arrival of the whole message, so a dial (up to 0.5 s, and as much for the handshake) and the transfer of a large body came on top: a run was begun that its sender couldn't wait for, and its caller read 502 at the cutoff while the instance worked.

Messages that state times age: by the time since the call began when they are encoded, which is after the dial, and by the time since their announcement when they arrive in pieces. Both daemons and the bound of requests handed over earlier use it. No clock is compared between hosts and no message changes. The wait of a large message behind others of its connection is still left out.

--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -58,6 +58,14 @@
 	return req
 }
 
+// Age subtracts the time that has passed on the way from the times that are left.
+func (req *runRequest) Age(elapsed time.Duration) {
+	req.Remaining -= elapsed
+	if req.FinishWithin > 0 {
+		req.FinishWithin = max(req.FinishWithin-elapsed, 1)
+	}
+}
+
 // finishBy returns when the sender must have the response, or zero.
 func (req *runRequest) finishBy(now time.Time) time.Time {
 	if req.FinishWithin == 0 {
--- a/internal/app/daemon/leaving_test.go
+++ b/internal/app/daemon/leaving_test.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -157,6 +158,17 @@
 			So(req.Remaining, ShouldEqual, time.Minute-maxReturnTime)
 		}
 	})
+	Convey("The time on the way is taken off both times, and a bound remains one", t, func() {
+		req := &runRequest{Remaining: 5 * time.Second, FinishWithin: 2 * time.Second}
+		peer.Aging(req).Age(time.Second)
+		So(req.Remaining, ShouldEqual, 4*time.Second)
+		So(req.FinishWithin, ShouldEqual, time.Second)
+		req.Age(time.Minute)
+		So(req.FinishWithin, ShouldBeGreaterThan, 0)
+		req = &runRequest{Remaining: 5 * time.Second}
+		req.Age(time.Second)
+		So(req.FinishWithin, ShouldEqual, 0)
+	})
 }
 
 // TestExecutorLearnsTheCutoff guards against an executor that compares runs with another end than the daemon's.
--- a/internal/app/router/bound.go
+++ b/internal/app/router/bound.go
@@ -15,6 +15,9 @@
 	FinishIn time.Duration `msgpack:"finishIn"`
 }
 
+// Age subtracts the time that has passed on the way from the time that is left.
+func (b *finishBound) Age(elapsed time.Duration) { b.FinishIn = max(b.FinishIn-elapsed, minFinishIn) }
+
 const (
 	// boundTimeout limits the wait for a daemon to confirm a bound, which is sent up to maxBoundAttempts times.
 	boundTimeout     = 400 * time.Millisecond
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -41,6 +41,14 @@
 	finishBy *statedEnd
 }
 
+// Age subtracts the time that has passed on the way from the times that are left.
+func (req *runRequest) Age(elapsed time.Duration) {
+	req.Remaining -= elapsed
+	if req.FinishIn > 0 {
+		req.FinishIn = max(req.FinishIn-elapsed, minFinishIn)
+	}
+}
+
 // runResult is the reply to a runRequest.
 type runResult struct {
 	Outcome    call.Outcome  `msgpack:"outcome"`
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -40,6 +40,7 @@
 		if err := msgpack.Unmarshal(payload, &req); err != nil {
 			return nil, errors.Wrapf(err, "peer: unreadable %s", kind)
 		}
+		age(&req, transferTime(ctx))
 		response, err := encode(respond(ctx, from, req), encodingFor[Resp](remote.Response))
 		return response, errors.Wrapf(err, "peer: encode response to %s", kind)
 	}
@@ -58,7 +59,12 @@
 
 func exchange[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req, unlessSilent bool) (Resp, error) {
 	var resp Resp
-	l, request, response, err := n.registerCall(ctx, to, kind, func(l *link) ([]byte, error) { return encodeFor(l, kind, req) })
+	began := time.Now()
+	l, request, response, err := n.registerCall(ctx, to, kind, func(l *link) ([]byte, error) {
+		sent := req
+		age(&sent, time.Since(began))
+		return encodeFor(l, kind, sent)
+	})
 	if err != nil {
 		return resp, err
 	}
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -30,6 +31,8 @@
 	kind    Kind
 	id      uint64
 	payload []byte
+	// openedAt is when a received frame was announced, if it came in pieces.
+	openedAt time.Time
 }
 
 var (
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -259,7 +259,7 @@
 }
 
 func (l *link) runHandler(ctx context.Context, h handler, f frame) {
-	out, err := h(ctx, l.remote, f.payload, l.remoteLayouts(f.kind))
+	out, err := h(withOpened(ctx, f), l.remote, f.payload, l.remoteLayouts(f.kind))
 	if f.form == formRequest {
 		l.mu.Lock()
 		delete(l.runningHandlers, f.id)
--- a/internal/wire/peer/pieces.go
+++ b/internal/wire/peer/pieces.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -49,7 +50,7 @@
 		return errors.Wrapf(errFrameSize, "stream announcement of %d bytes", len(f.payload))
 	}
 	size := int(binary.BigEndian.Uint32(f.payload[headerSize:]))
-	announced := frame{form: form(f.payload[0]), kind: Kind(f.payload[1]), id: binary.BigEndian.Uint64(f.payload[2:])}
+	announced := frame{form: form(f.payload[0]), kind: Kind(f.payload[1]), id: binary.BigEndian.Uint64(f.payload[2:]), openedAt: time.Now()}
 	_, alreadyOpen := a.streams[f.id]
 	switch {
 	case alreadyOpen:
