--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -60,6 +60,12 @@
 	return r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
 }
 
+// isOver reports whether this daemon is shutting down and has no time left for a run.
+func (r *Router) isOver(now time.Time) bool {
+	schedule := r.shutdown.Load()
+	return schedule != nil && !now.Before(schedule.Cutoff.Add(-finishReserve))
+}
+
 // finishIn returns how long a run that begins now may take if its caller sent the request to this daemon, or 0 if there is no bound.
 func (r *Router) finishIn(now time.Time) time.Duration {
 	schedule := r.shutdown.Load()
--- a/internal/app/router/outlast_test.go
+++ b/internal/app/router/outlast_test.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
+	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 )
@@ -75,3 +76,36 @@
 		So(sendResult(res, nil), ShouldNotEqual, choice.Unreachable)
 	})
 }
+
+// TestNoAttemptAfterTheEnd guards against a run that a leaving daemon begins when it has no time left for the response. A gate that has seen no run
+// has no reason to refuse it: the instance was given a millisecond, and a payment was begun that could only fail.
+func TestNoAttemptAfterTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		left  time.Duration
+		tries bool
+	}{
+		{"the cutoff has passed", -10 * time.Millisecond, false},
+		{"no time for the response is left", finishReserve / 2, false},
+		{"time is left", time.Second, true},
+	} {
+		Convey("A request is sent to an instance only if time is left: "+c.name, t, func() {
+			r := newRouterBeside(1)
+			now := time.Now()
+			schedule := shutdown.Schedule{Cutoff: now.Add(c.left)}
+			r.shutdown.Store(&schedule)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			req := &request{
+				id: "1", arrivedAt: now, deadline: now.Add(10 * time.Second), service: "s", active: &activeRequest{},
+				route: &routing.Route{Name: "r", Attempts: 1},
+			}
+			answer := r.dispatch(ctx, req)
+			So(len(req.attempts) > 0, ShouldEqual, c.tries)
+			if !c.tries {
+				So(answer.Outcome, ShouldEqual, call.NotRun)
+				So(answer.Reason, ShouldEqual, call.WouldOutlast)
+			}
+		})
+	}
+}
