Shutdown: the callers' port stays open for sub-calls while runs on the own instance go on

The port closed to new connections 0.4 s before the requests at work had to end, and a leaving daemon closes a connection after each response. So a run that made its last sub-call 4.75 s after the order failed with 500, although both would have ended in time. While the instance beside the daemon runs something, the port now closes 0.1 s before the cutoff; it takes 50 ms where no connection waits to be accepted. All later steps keep their times.

--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -107,6 +107,7 @@
 	r.reporter.trigger()
 	time.Sleep(time.Until(schedule.NoticeEnd))
 	r.awaitQuiet(quietPeriod, schedule.PortEnd)
+	r.awaitRuns(schedule.SubcallsEnd)
 	cut := time.AfterFunc(time.Until(schedule.Cutoff), r.endActive)
 	defer cut.Stop()
 	r.closeCallers(schedule)
@@ -132,6 +133,13 @@
 	}
 }
 
+// awaitRuns waits until the instance on this host runs nothing that could make a sub-call, or until the end.
+func (r *Router) awaitRuns(end time.Time) {
+	for r.executor.runs.Len() > 0 && time.Now().Before(end) {
+		time.Sleep(quietPollInterval)
+	}
+}
+
 // closeCallers closes the callers' port and, when their requests have ended or are over, their connections.
 func (r *Router) closeCallers(schedule shutdown.Schedule) {
 	r.logStage("closing", schedule)
--- a/internal/decide/shutdown/schedule.go
+++ b/internal/decide/shutdown/schedule.go
@@ -16,6 +16,9 @@
 	// it is better that the process is killed while it closes than that requests are cut which callers may rely on.
 	workParts  = 5
 	leaveParts = 6
+	// lastPortTime is how long before the cutoff the port begins to close even if runs go on: it takes 50 ms where no connection waits to be
+	// accepted, and one that is accepted last has as long until connections close.
+	lastPortTime = 100 * time.Millisecond
 	// minRetryAfter is the shortest Retry-After of a refusal: the caller finds another host at once.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -35,8 +38,11 @@
 	InstanceUseEnd time.Time
 	// NoticeEnd is when callers have had time to move to other hosts.
 	NoticeEnd time.Time
-	// PortEnd is when the callers' port begins to close, at the latest.
+	// PortEnd is when the callers' port begins to close, at the latest, unless runs on this host's instance go on.
 	PortEnd time.Time
+	// SubcallsEnd is when it begins to close in any case. Until then runs make their sub-calls through it, on new connections, since those that
+	// had a response are closed.
+	SubcallsEnd time.Time
 	// Cutoff is when the requests in flight are ended.
 	Cutoff time.Time
 	// ConnectionsEnd is when the callers' connections are closed.
@@ -51,6 +57,7 @@
 		InstanceUseEnd: earlier(orderedAt.Add(instanceUsePeriod), cutoff),
 		NoticeEnd:      earlier(orderedAt.Add(noticePeriod), cutoff),
 		PortEnd:        cutoff.Add(-closing.Port),
+		SubcallsEnd:    cutoff.Add(-min(closing.Port, lastPortTime)),
 		Cutoff:         cutoff,
 		ConnectionsEnd: cutoff.Add(responseTime),
 	}
--- a/internal/decide/shutdown/schedule_test.go
+++ b/internal/decide/shutdown/schedule_test.go
@@ -21,6 +21,7 @@
 		Convey("all steps fit", func() {
 			So(s.ConnectionsEnd.Add(closing.Rest), ShouldEqual, ordered.Add(grace))
 			So(s.PortEnd.Add(closing.Port), ShouldHappenOnOrBefore, s.Cutoff)
+			So(s.SubcallsEnd, ShouldHappenBetween, s.PortEnd, s.Cutoff)
 			So(s.InstanceUseEnd, ShouldHappenBefore, s.NoticeEnd)
 			So(s.NoticeEnd, ShouldHappenBefore, s.PortEnd)
 		})
