Shutdown: whether sub-calls have keys comes from the configuration that recognised the request

The check for a possible sub-call read the current configuration a second time, which may be another one by then, or none. Found by reading; the tests are those of the sub-calls without organisations.

--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -36,6 +36,8 @@
 	// subcall means that the instance on this host makes the request while it runs another. A request without an organisation's key counts
 	// as one if the configuration has organisations.
 	subcall bool
+	// unkeyed means that the configuration has no organisations, so that a sub-call can't be told from a caller's request by its key.
+	unkeyed bool
 	// root is the route of the caller's request: inherited for a sub-call, otherwise the request's own.
 	root string
 	// parent is the run on this host's instance that made the sub-call, as far as it is known.
@@ -129,7 +131,8 @@
 	req.route, req.root = route, route.Name
 	req.service = r.splitter.Pick(route)
 	req.deadline = req.arrivedAt.Add(effectiveTimeout(head.Timeout, route.Timeout))
-	req.subcall = organisation == nil && table.Keyed()
+	req.unkeyed = !table.Keyed()
+	req.subcall = organisation == nil && !req.unkeyed
 	req.rank = rank(route, organisation)
 	req.priority = priority(table.RelativeRank(route, organisation))
 	return call.Answer{}, true
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -54,10 +54,7 @@
 // maybeSubcall reports whether the request is a sub-call or, in a configuration without organisations, may be one: only its deadline tells that a
 // request can't come from a run on this host's instance.
 func (r *Router) maybeSubcall(req *request, timeout time.Duration) bool {
-	if req.subcall || r.view.Load().Table.Keyed() {
-		return req.subcall
-	}
-	return r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
+	return req.subcall || req.unkeyed && r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
 }
 
 // isOver reports whether this daemon is shutting down and has no time left for a run.
--- a/internal/app/router/leave_test.go
+++ b/internal/app/router/leave_test.go
@@ -15,7 +15,6 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 )
 
@@ -66,17 +65,11 @@
 	} {
 		Convey("A request after the notice period, "+c.name, t, func() {
 			r := newRouterBeside(1)
-			if c.keyed {
-				config := &routing.Config{Version: 2, Organisations: []routing.Organisation{{Name: "o", Keys: []string{"k"}}}}
-				r.control.catalog.Apply(catalog.Changes{Revision: knownRevision + 1, Entries: []catalog.Entry{{Revision: knownRevision + 1, Config: config}}}, now, now)
-				r.control.publish()
-			}
-			So(r.view.Load().Table.Keyed(), ShouldEqual, c.keyed)
 			r.shutdown.Store(&schedule)
 			if c.run > 0 {
 				r.executor.runs.Begin(&lineage.Run{Route: "a"}, now.Add(c.run))
 			}
-			req := &request{arrivedAt: now, deadline: now.Add(effectiveTimeout(c.timeout, 0))}
+			req := &request{arrivedAt: now, deadline: now.Add(effectiveTimeout(c.timeout, 0)), unkeyed: !c.keyed}
 			So(r.stopsBefore(req, c.timeout), ShouldEqual, c.stops)
 		})
 	}
