--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -44,11 +44,23 @@
 // connect to another host.
 func (r *Router) leaving() bool { return r.shutdown.Load() != nil }
 
-// stopsBefore reports whether a request that has just arrived is refused because the process may end before it does. A sub-call isn't, since that
-// would fail the run that makes it: like the attempts of all requests, it begins if it is likely to end in time.
-func (r *Router) stopsBefore(req *request) bool {
+// stopsBefore reports whether a request that has just arrived is refused because the process may end before it does; timeout is how long its sender
+// waits. A sub-call isn't, since that would fail the run that makes it: like the attempts of all requests, it begins if it is likely to end in time.
+func (r *Router) stopsBefore(req *request, timeout time.Duration) bool {
 	schedule := r.shutdown.Load()
-	return schedule != nil && !req.subcall && schedule.Refuses(req.arrivedAt, req.deadline)
+	return schedule != nil && schedule.Refuses(req.arrivedAt, req.deadline) && !r.maybeSubcall(req, timeout)
+}
+
+// maybeSubcall reports whether the request is a sub-call or, in a configuration without organisations, may be one: only its deadline tells that a
+// request can't come from a run on this host's instance.
+func (r *Router) maybeSubcall(req *request, timeout time.Duration) bool {
+	return req.subcall || req.unkeyed && r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
+}
+
+// isOver reports whether this daemon is shutting down and has no time left for a run.
+func (r *Router) isOver(now time.Time) bool {
+	schedule := r.shutdown.Load()
+	return schedule != nil && !now.Before(schedule.Cutoff.Add(-finishReserve))
 }
 
 // finishIn returns how long a run that begins now may take if its caller sent the request to this daemon, or 0 if there is no bound.
@@ -92,6 +104,7 @@
 	r.reporter.trigger()
 	time.Sleep(time.Until(schedule.NoticeEnd))
 	r.awaitQuiet(quietPeriod, schedule.PortEnd)
+	r.awaitRuns(schedule.SubcallsEnd)
 	cut := time.AfterFunc(time.Until(schedule.Cutoff), r.endActive)
 	defer cut.Stop()
 	r.closeCallers(schedule)
@@ -117,6 +130,13 @@
 	}
 }
 
+// awaitRuns waits until the instance on this host runs nothing that could make a sub-call, or until the end.
+func (r *Router) awaitRuns(end time.Time) {
+	for r.executor.runs.Len() > 0 && time.Now().Before(end) {
+		time.Sleep(quietPollInterval)
+	}
+}
+
 // closeCallers closes the callers' port and, when their requests have ended or are over, their connections.
 func (r *Router) closeCallers(schedule shutdown.Schedule) {
 	r.logStage("closing", schedule)
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -34,6 +34,9 @@
 		if ctx.Err() != nil || !now.Before(req.deadline) {
 			return deadlineAnswer(ctx, last)
 		}
+		if r.isOver(now) {
+			return lastingAnswer(last, call.Refuse(call.WouldOutlast, 0))
+		}
 		if tracker.Charged() && (req.shed.NoRetry || !r.retryBudget.Spend(req.service, req.priority, now)) {
 			return last
 		}
@@ -310,8 +313,8 @@
 	switch {
 	case err != nil && res.Outcome == call.NotRun && res.Reason != call.Cancelled:
 		return choice.Unreachable
-	case res.Outcome == call.Whole && res.Status >= statusFailed && res.SubcallFailed:
-		// Without this, failures of services further down would drive requests away from healthy instances.
+	case res.Outcome == call.Whole && res.Status >= statusFailed && (res.SubcallFailed || res.EndedEarly):
+		// Without this, failures of services further down, and shutdowns of the daemons beside them, would drive requests away from healthy instances.
 		return choice.Withdrawn
 	case res.Outcome == call.Whole && res.Status >= statusFailed:
 		return choice.Failed
