Quota: refunds and allocations that arrive after a request don't make a daemon go by its share

While instances were out, requests that were admitted and didn't run counted as admitted beyond the daemon's share: it asked for early heartbeats, refused requests of organisations within their rates, and reported a debt to a new collector. On a busy host a request that had arrived before an allocation was applied was decided by the share although the allocation was current.

--- a/internal/decide/quota/overdraft_test.go
+++ b/internal/decide/quota/overdraft_test.go
@@ -62,3 +62,52 @@
 		So(f.pool.buckets["o"].level, ShouldEqual, -30)
 	})
 }
+
+// TestRefundOfAnOverdraft guards against organisations within their rates that are refused while instances are out: their requests, which don't run,
+// counted as admitted beyond the daemon's share.
+func TestRefundOfAnOverdraft(t *testing.T) {
+	limit := RateLimit{PerSecond: 40, Burst: 40}
+	now := time.Unix(1000, 0)
+	q := New(WithRand(func() float64 { return 0.5 }))
+	q.Configure(map[string]RateLimit{"o": limit})
+	q.SetDaemons(5)
+	q.Apply(map[string]Allocation{}, now)
+	now = now.Add(renewalTime)
+	admit := func() Decision {
+		now = now.Add(time.Millisecond)
+		return q.Admit("o", now)
+	}
+	Convey("Requests that didn't run don't count as admitted beyond the share", t, func() {
+		for range 100 {
+			d := admit()
+			So(d.Admitted, ShouldBeTrue)
+			q.Refund("o", d)
+		}
+		So(q.Report(now)["o"].Overdraft, ShouldEqual, 0)
+	})
+	Convey("A refund after a further allocation doesn't reduce what was admitted since", t, func() {
+		earlier := admit()
+		q.Apply(map[string]Allocation{}, now)
+		for range 12 {
+			So(admit().Admitted, ShouldBeTrue)
+		}
+		before := q.Report(now)["o"].Overdraft
+		q.Refund("o", earlier)
+		So(q.Report(now)["o"].Overdraft, ShouldEqual, before)
+	})
+}
+
+// TestAllocationAfterArrival guards against a daemon that goes by its share although it has just received an allocation, since the request had arrived
+// before: organisations within their rates were refused on a busy host.
+func TestAllocationAfterArrival(t *testing.T) {
+	Convey("A request is decided by the allocation that was applied after its arrival", t, func() {
+		now := time.Unix(1000, 0)
+		q := New(WithRand(func() float64 { return 0.5 }))
+		q.Configure(map[string]RateLimit{"o": {PerSecond: 40, Burst: 40}})
+		q.SetDaemons(5)
+		q.Apply(map[string]Allocation{"o": {AdmitFraction: 1, Demand: 10}}, now)
+		d := q.Admit("o", now.Add(-10*time.Millisecond))
+		So(d.Age, ShouldEqual, 0)
+		So(d.AdmitFraction, ShouldEqual, 1)
+	})
+}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -56,12 +56,13 @@
 	// allocationTTL is how long allocations are valid: more than two heartbeat intervals of a busy daemon. One without valid ones is in fallback
 	// mode. Its collector reserves its share of the rates from the same time on.
 	allocationTTL = 1300 * time.Millisecond
-	// A daemon that has admitted renewalOverdraft more requests by an allocation than its share of the rate and of the saved burst sends an early
-	// heartbeat. From maxOverdraft on it goes by its share if the allocation is older than renewalTime, by which a collector has replied: the allocation
-	// may be of an earlier demand, and one that was made before an organisation began to send admits all of its requests.
+	// renewalOverdraft is the number of requests beyond the daemon's share of the rate and of the saved burst after which it sends an early heartbeat.
 	renewalOverdraft = 3
-	maxOverdraft     = 6
-	renewalTime      = 150 * time.Millisecond
+	// maxOverdraft is the number of requests beyond the share from which on the share decides, if the allocation is older than renewalTime. Without
+	// this limit, an allocation from before a surge admits all of its requests for allocationTTL.
+	maxOverdraft = 6
+	// renewalTime is the time within which a collector normally replies to the early heartbeat.
+	renewalTime = 150 * time.Millisecond
 	// savedBurstTime bounds the part of an organisation's burst that is divided by shares, in time at the rate. Without this part, a daemon that
 	// loses the collector would refuse requests of organisations within their rates that arrive unevenly.
 	savedBurstTime = time.Second
@@ -184,6 +185,8 @@
 	Age time.Duration
 	// Backlog is the expected wait of a refused caller behind those refused before, over the fleet; 0 if it isn't known.
 	Backlog time.Duration
+	// applied is when the allocations in force were applied.
+	applied time.Time
 }
 
 // Admit counts a request of the organisation and decides whether it is admitted.
@@ -196,7 +199,7 @@
 	}
 	m := q.meter(name, now)
 	overdraft := q.overdraft(m, r, now) - r.savedBurst()/float64(q.daemons)
-	d := Decision{Rate: r.PerSecond, Age: q.allocationAge(now), Surge: m.surging() || overdraft >= renewalOverdraft}
+	d := Decision{Rate: r.PerSecond, Age: q.allocationAge(now), Surge: m.surging() || overdraft >= renewalOverdraft, applied: q.applied}
 	m.countRequest(now)
 	switch {
 	case q.leaseEnded(now):
@@ -242,6 +245,9 @@
 	defer q.mu.Unlock()
 	if m := q.meters[name]; m != nil {
 		m.count.Admitted--
+		if d.applied.Equal(q.applied) {
+			m.admitted--
+		}
 	}
 }
 
@@ -341,12 +347,12 @@
 	return time.Duration(min(max(seconds, 0), maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// allocationAge is the age of the allocations, or negative without valid ones.
+// allocationAge is the age of the allocations, or negative without valid ones. Those that were applied after a request had arrived are valid for it.
 func (q *Quota) allocationAge(now time.Time) time.Duration {
 	if q.applied.IsZero() || now.Sub(q.applied) > allocationTTL {
 		return -1
 	}
-	return now.Sub(q.applied)
+	return max(now.Sub(q.applied), 0)
 }
 
 func (q *Quota) meter(name string, now time.Time) *meter {
--- a/internal/decide/quota/rate.go
+++ b/internal/decide/quota/rate.go
@@ -17,8 +17,8 @@
 	Admitted  int64 `msgpack:"admitted"`
 	// Share is the daemon's share of the fleet's demand as of its last allocation, in units of 1/shareUnits.
 	Share uint16 `msgpack:"share,omitempty"`
-	// Overdraft is the number of requests that the daemon has admitted beyond its share since its last allocation. A collector that didn't receive the
-	// daemon's reports before can't tell them from Admitted.
+	// Overdraft is the number of requests beyond the daemon's share that it has admitted since its last allocation. A collector that receives its first
+	// report from this daemon takes them off the bucket: Admitted is a total since the start, from which it can't tell what is recent.
 	Overdraft uint16 `msgpack:"overdraft,omitempty"`
 }
 
