--- a/internal/app/router/start_test.go
+++ b/internal/app/router/start_test.go
@@ -15,7 +15,6 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
-	"github.com/foxtailhook/foxtailhook/internal/fleet/bootstrap"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 )
@@ -159,16 +158,21 @@
 		f := startFleet(t, 4, false)
 		f.awaitLoaded(t)
 		seed := f.routers[0]
-		seed.control.copies = bootstrap.NewLimiter(1)
-		busy := 0
-		for range 4 {
+		fetch := func() fetchReply {
 			seed.control.fresh.RecordAnswer(time.Now())
-			if reply := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Purpose: forStart}); reply.Busy {
-				busy++
-				So(reply.Changes.Entries, ShouldBeEmpty)
-			}
+			return seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Purpose: forStart})
+		}
+		allowed := fetch()
+		So(allowed.Busy, ShouldBeFalse)
+		So(allowed.Changes.Entries, ShouldNotBeEmpty)
+
+		const usedUp = 1 << 40
+		seed.control.copies.Count(usedUp, time.Now())
+		for range 4 {
+			reply := fetch()
+			So(reply.Busy, ShouldBeTrue)
+			So(reply.Changes.Entries, ShouldBeEmpty)
 		}
-		So(busy, ShouldBeGreaterThan, 0)
 		announced := seed.control.handleFetch(t.Context(), seed.settings.Peers, fetchRequest{Purpose: forAnnounced})
 		So(announced.Changes.Entries, ShouldNotBeEmpty)
 	})
