--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -35,9 +35,10 @@
 	hosts        usableHosts
 	zones        atomic.Pointer[viewZones]
 	leaving      atomic.Bool
-	ending       *ending
-	serving      atomic.Bool
-	inFlight     *inFlight
+	// ending is when the requests in flight are ended after the order to shut down.
+	ending   *ending
+	serving  atomic.Bool
+	inFlight *inFlight
 
 	control        *control
 	rateLimiter    *rateLimiter
--- a/internal/app/daemon/keys.go
+++ b/internal/app/daemon/keys.go
@@ -43,7 +43,7 @@
 	return k(ctx)
 }
 
-// timeLeft returns the time until the deadline of the context, or twice maxConfirmWait if it has none.
+// timeLeft returns the time until the deadline of the context. Without a deadline it is twice maxConfirmWait, since a wait takes at most half of it.
 func timeLeft(ctx context.Context, now time.Time) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
--- a/internal/app/daemon/leaving.go
+++ b/internal/app/daemon/leaving.go
@@ -11,11 +11,11 @@
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 )
 
-// ending has the time by which the requests of a leaving daemon must have ended. The daemon may close connections from then on, so each
-// attempt is compared with it: one that goes on would be cut while an upstream works on it.
+// ending is the time at which a leaving daemon ends the requests that are still in flight. It closes connections from then on, so no attempt
+// begins that would outlast it.
 type ending struct {
 	at atomic.Pointer[time.Time]
-	// over ends at the cutoff.
+	// over is a context that ends at the cutoff, and end ends it.
 	over context.Context
 	end  context.CancelFunc
 }
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -179,7 +179,7 @@
 	}
 	deadline := arrived.Add(req.Remaining - min(responseReserve, req.Remaining/10))
 	ticket := e.ticket(req, deadline)
-	e.bound(ticket, req, arrived)
+	e.setFinishBy(ticket, req, arrived)
 	saturation := gate.Fullness(arrived, waitUnit)
 	e.recordSaturation(saturation)
 	if decision := e.enter(ctx, gate, ticket, req); decision.Verdict != admission.Run {
@@ -191,7 +191,7 @@
 		return res
 	}
 	started := time.Now()
-	e.bound(ticket, req, arrived)
+	e.setFinishBy(ticket, req, arrived)
 	reason := e.closedAtStart(req, started)
 	if reason == call.None && gate.Outlasts(started, ticket) {
 		reason = call.WouldOutlast
--- a/internal/app/router/leave.go
+++ b/internal/app/router/leave.go
@@ -57,8 +57,8 @@
 	return req.subcall || req.unkeyed && r.executor.runs.MayHaveParent(req.arrivedAt.Add(timeout))
 }
 
-// isOver reports whether this daemon is shutting down and has no time left for a run.
-func (r *Router) isOver(now time.Time) bool {
+// pastCutoff reports whether this daemon is shutting down and has no time left for a run.
+func (r *Router) pastCutoff(now time.Time) bool {
 	schedule := r.shutdown.Load()
 	return schedule != nil && !now.Before(schedule.Cutoff.Add(-finishReserve))
 }
--- a/internal/app/router/outlast.go
+++ b/internal/app/router/outlast.go
@@ -11,8 +11,9 @@
 // setCutoff sets the time at which this daemon, which is shutting down, ends the runs that are at work.
 func (e *executor) setCutoff(at time.Time) { e.cutoff.Store(&at) }
 
-// bound sets the time by which the request's run must have ended: neither the daemon that its caller sent it to nor this one lives longer.
-func (e *executor) bound(ticket *admission.Ticket, req *runRequest, arrived time.Time) {
+// setFinishBy sets the ticket's FinishBy to the time at which a daemon that is shutting down needs the result: the sender, as its message or a later
+// finishBound states, or this daemon.
+func (e *executor) setFinishBy(ticket *admission.Ticket, req *runRequest, arrived time.Time) {
 	ticket.FinishBy = time.Time{}
 	if req.FinishIn > 0 {
 		ticket.FinishBy = arrived.Add(req.FinishIn)
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -34,7 +34,7 @@
 		if ctx.Err() != nil || !now.Before(req.deadline) {
 			return deadlineAnswer(ctx, last)
 		}
-		if r.isOver(now) {
+		if r.pastCutoff(now) {
 			return lastingAnswer(last, call.Refuse(call.WouldOutlast, 0))
 		}
 		if tracker.Charged() && (req.shed.NoRetry || !r.retryBudget.Spend(req.service, req.priority, now)) {
--- a/internal/decide/quota/absence.go
+++ b/internal/decide/quota/absence.go
@@ -31,13 +31,13 @@
 	// earlier is the share as of at least silentAfter ago, recent a later one, as of recentAt.
 	earlier, recent float64
 	recentAt        time.Time
-	// unassigned is the part that is reserved beyond share while the daemon is silent.
+	// unassigned is the part that is reserved in addition to share while the daemon is silent: its equal part of what no daemon's share covers.
 	unassigned float64
 }
 
-// age keeps the share for a time at which the collector may have lost other daemons: once it has, its own shares grow, since it sees the
-// demand of the others no more.
-func (s *demandShare) age(now time.Time) {
+// keepEarlier keeps an older value of the share. A collector that loses other daemons overestimates the shares of those that it still hears,
+// so the value from before the loss is used.
+func (s *demandShare) keepEarlier(now time.Time) {
 	if now.Sub(s.recentAt) >= silentAfter {
 		s.earlier, s.recent, s.recentAt = s.recent, s.share, now
 	}
@@ -264,7 +264,7 @@
 	observed := coverage * s.demand / max(fleetDemand, s.demand, minDemand)
 	s.share = smoothShare(s.share, observed)
 	s.updated = now
-	s.age(now)
+	s.keepEarlier(now)
 	r.shares[name] = s
 }
 
@@ -278,7 +278,7 @@
 			delete(r.shares, name)
 			continue
 		}
-		s.age(now)
+		s.keepEarlier(now)
 		r.shares[name] = s
 	}
 }
--- a/internal/fleet/collect/collector.go
+++ b/internal/fleet/collect/collector.go
@@ -88,9 +88,10 @@
 const (
 	// minPlanInterval limits how often a plan is computed: many daemons send a heartbeat within one interval.
 	minPlanInterval = 50 * time.Millisecond
-	// minObserverInterval limits how often the observer receives a plan's shortages, and minRatesInterval the organisations above their rate limits.
+	// minObserverInterval limits how often the observer receives a plan's shortages.
 	minObserverInterval = 500 * time.Millisecond
-	minRatesInterval    = Interval
+	// minRatesInterval limits how often the observer receives the organisations above their rate limits.
+	minRatesInterval = time.Second
 	// maxLimitedRates bounds the organisations that the observer receives at once.
 	maxLimitedRates = 10
 	// relayTTL is the maximum age of another collector's plan that is still relayed: two heartbeats.
--- a/internal/fleet/spread/standing.go
+++ b/internal/fleet/spread/standing.go
@@ -119,10 +119,10 @@
 		return c.replies.platform || (waited && c.standing != Starting)
 	case ready >= min(minReadyReplies, peers), ready > 0 && (waited || c.replies.platform):
 		return true
-	// Peers that take no callers must do as well: otherwise the daemons of a fleet that starts or resumes as a whole would
+	// Peers that take no callers also confirm the lists, since the daemons of a fleet that starts or resumes as a whole would otherwise
 	// wait for each other.
 	case c.standing != Starting:
-		// Hosts that were paused or partitioned together have the same old lists, so a few of them prove nothing while others were not asked.
+		// All must reply, or the grace must pass: hosts that were paused or partitioned together have the same old lists.
 		return c.allReplied() || (replied > 0 && waited)
 	case c.replies.platform:
 		return replied >= min(minReplies, peers) || (replied > 0 && waited)
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -172,6 +172,7 @@
 	}
 	s.listener = l
 	if err := s.engine.Start(); err != nil {
+		_ = l.Close()
 		return errors.Wrapf(err, "http: start on %s", s.address)
 	}
 	return loops.Await(s.engine.Engine, pollerCount)
