Log crashes of the instance with what was at work there

The daemon beside the instance opens a connection when one ends without a response; a refusal tells the crash.

--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/wire/instance"
@@ -27,6 +28,9 @@
 
 	runs   *lineage.Runs
 	warmUp *warmUp
+	// crashes finds crashes of the instance, and quarantine counts those of all instances of the service by what was at work.
+	crashes    *crashDetector
+	quarantine *quarantine.Table
 	// stated has what the instance says of itself.
 	stated *statements
 	// drainTime is the time after which an instance that has started to drain must receive no new requests.
@@ -89,6 +93,8 @@
 		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
 	warm.observe = e.observeCheck
+	e.quarantine = quarantine.NewTable()
+	e.crashes = newCrashDetector(e.instance.Refuses, e.suspect, e.instanceCrashed)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
 	return e
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -26,7 +26,9 @@
 	})
 	run := &lineage.Run{Route: req.Route, Root: req.Root, Priority: req.Priority, Retry: req.Retry}
 	e.runs.Begin(run, now.Add(timeout.Truncate(time.Millisecond)))
+	e.crashes.begin(req)
 	res := e.send(ctx, req, header, ticket.Deadline)
+	e.crashes.end(req, res.abandoned())
 	e.runs.End(run, res.Outcome == call.Whole && res.Status < statusFailed)
 	res.Saturation, res.SubcallRefused = run.Saturation()
 	res.SubcallFailed = res.Status >= statusFailed && e.runs.CausedByCall(run, time.Now())
@@ -34,6 +36,7 @@
 }
 
 func (e *executor) send(ctx context.Context, req *runRequest, header http.Header, deadline time.Time) runResult {
+	began := time.Now()
 	resp, err := e.instance.Do(ctx, &instance.Request{
 		Method: req.Method, Target: req.Target, Host: req.HTTPHost, Header: header, Body: req.Body, Deadline: deadline, Idempotent: req.Idempotent,
 		ID:      req.RequestID,
@@ -41,11 +44,20 @@
 		Observe: func(status int, h http.Header) { e.observe(req.Instance, req.RequestID, status, h) },
 	})
 	if err != nil {
-		return e.errorResult(ctx, err, deadline)
+		res := e.errorResult(ctx, err, deadline)
+		if res.Reason == call.AnswerLost && instance.IsDisconnect(err) {
+			e.crashes.lost(ctx, began)
+		}
+		return res
 	}
 	return e.responseResult(req, resp)
 }
 
+// abandoned reports whether the instance may still be at work on the request although nobody waits for the response.
+func (res *runResult) abandoned() bool {
+	return res.Outcome == call.Unknown && (res.Reason == call.Cancelled || res.Reason == call.TimedOut)
+}
+
 // errorResult converts an error of the instance's client. The request counts as not run only if no byte of it was sent.
 func (e *executor) errorResult(ctx context.Context, err error, deadline time.Time) runResult {
 	cancelled := errors.Is(ctx.Err(), context.Canceled)
--- a/internal/app/telemetry/metric.go
+++ b/internal/app/telemetry/metric.go
@@ -46,10 +46,11 @@
 	SurgesNotUsed                    // surges_not_used
 	InstanceLoadFaults               // instance_load_faults
 	RequestsRedirected               // requests_redirected
+	InstanceCrashes                  // instance_crashes
 )
 
 // MetricCount is the number of metrics.
-const MetricCount = int(RequestsRedirected) + 1
+const MetricCount = int(InstanceCrashes) + 1
 
 // Description describes a metric for operators.
 type Description struct {
@@ -99,6 +100,7 @@
 	GateWaitsEnded:     {Meaning: "requests whose wait for the instance beside the daemon ended since it or the daemon leaves or its zone is drained; they did not run and are sent elsewhere", Unit: "count", Advice: "grows without a restart or a drain: look for `waiting requests refused` in the log"},
 	InstanceLoadFaults: {Meaning: "responses of the instance beside the daemon that state a load that can't be read", Unit: "count", Advice: "above 0: `instance load not read` in the log has the value; the statement before stays in force"},
 	RequestsRedirected: {Meaning: "requests that the daemon refused before they queued because the instance beside it is slow now, so that they go to another one", Unit: "count", Advice: "above a fifth of `gate_ran` for long: the instance is slow more often than others of its service"},
+	InstanceCrashes:    {Meaning: "crashes of the instance beside the daemon while it worked on requests", Unit: "count", Advice: "grows: `instance crashed` in the log names what was at work; the same fingerprint more than once points at its content"},
 	ZonesDrained:       {Meaning: "availability zones whose instances get no requests since the operator has drained them", Unit: "zones", Advice: "differs between hosts for more than 3 s, or all zones: `zoneDrained` refusals"},
 	OrganisationSurges: {Meaning: "organisations that send far more than usual while a service is short, so that their surplus is rejected first", Unit: "organisations", Advice: "above 0: `organisation surges` in the collector's log names them"},
 	SurgesNotUsed:      {Meaning: "entries of lists of surging organisations that can't be used", Unit: "count", Advice: "grows: a fault of the collector; `surges not used` in the log has its host"},
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -174,7 +174,7 @@
 		if unsent := cn.unsentError(written); unsent != nil {
 			return Response{}, unsent
 		}
-		return Response{}, errors.Wrapf(ErrLost, "%v", err)
+		return Response{}, &lostError{err}
 	}
 	cn.used.add(r.ID)
 	if !stop() || !cn.writtenWhole(written) {
