Content under which three instances have crashed is refused

Cause: what a request did to an instance was forgotten with the request. Attempts are counted within one client attempt, by its id; a repeat has another id and comes at another host, and a crash was a lost response like any other.

After a crash the content runs on one instance at a time, after three it is refused for ten minutes; a run to its end forgives one crash.

--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -69,6 +69,7 @@
 	c.done.Go(c.run)
 	c.done.Go(c.watch)
 	c.done.Go(c.fetchQueued)
+	c.done.Go(c.followQuarantine)
 }
 
 func (c *control) stop() {
--- a/internal/app/router/crash.go
+++ b/internal/app/router/crash.go
@@ -29,10 +29,9 @@
 
 // suspect is a request that was at work at a crash.
 type suspect struct {
-	requestID   string
-	route       string
-	salt        quarantine.Salt
-	fingerprint quarantine.Fingerprint
+	requestID string
+	salt      quarantine.Salt
+	key       quarantine.Key
 }
 
 // abandonedRun is a request that may still be at work although nobody waits for its response.
@@ -52,6 +51,8 @@
 const (
 	// crashCheckTimeout bounds the wait for a connection to the instance; a process on the same host refuses or accepts at once.
 	crashCheckTimeout = 200 * time.Millisecond
+	// crashRecheckPause is the wait before a second look: a process that ends may close its connections before it stops listening.
+	crashRecheckPause = 20 * time.Millisecond
 	// maxCrashChecks bounds the checks after one lost response: one that began before the loss says nothing about it unless it finds a crash.
 	maxCrashChecks = 2
 	// abandonedTTL is how long an instance may go on with a request that nobody waits for. Most end it with its connection.
@@ -128,11 +129,19 @@
 // run finds out whether the instance has crashed, and reports it.
 func (d *crashDetector) run(check *crashCheck) {
 	defer close(check.done)
+	if check.crashed = d.hasCrashed(); check.crashed {
+		d.crashed(d.suspects())
+	}
+}
+
+func (d *crashDetector) hasCrashed() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if check.crashed = d.refuses(ctx); check.crashed {
-		d.crashed(d.suspects())
+	if d.refuses(ctx) {
+		return true
 	}
+	sleep(ctx, crashRecheckPause)
+	return d.refuses(ctx)
 }
 
 // suspects returns what was at work, and forgets the abandoned runs, which have ended with the instance.
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -31,6 +31,10 @@
 	// crashes finds crashes of the instance, and quarantine counts those of all instances of the service by what was at work.
 	crashes    *crashDetector
 	quarantine *quarantine.Table
+	// exclusive lets content under which instances have crashed run one request at a time.
+	exclusive quarantine.Exclusive
+	// spreadCrash tells other daemons of a crash, and returns when they know.
+	spreadCrash func(quarantine.Crash)
 	// stated has what the instance says of itself.
 	stated *statements
 	// drainTime is the time after which an instance that has started to drain must receive no new requests.
@@ -184,6 +188,10 @@
 		return refusedResult(call.Refuse(call.InstanceSlow, redirectRetryAfter), loadOf(gate))
 	}
 	deadline := arrived.Add(req.Remaining - min(responseReserve, req.Remaining/10))
+	if refusal, ok := e.screen(ctx, req, deadline); !ok {
+		return refusal
+	}
+	defer e.endExclusive(req)
 	ticket := e.ticket(req, deadline)
 	e.setFinishBy(ticket, req, arrived)
 	saturation := gate.Fullness(arrived, waitUnit)
@@ -199,6 +207,9 @@
 	started := time.Now()
 	e.setFinishBy(ticket, req, arrived)
 	reason := e.closedAtStart(req, started)
+	if reason == call.None {
+		reason = e.closedToContent(req, started)
+	}
 	if reason == call.None && gate.Outlasts(started, ticket) {
 		reason = call.WouldOutlast
 	}
@@ -208,11 +219,14 @@
 	}
 	if reason != call.None {
 		gate.Settle(started, ticket, admission.Result{Withdrawn: true})
-		return refusedResult(call.Refuse(reason, unreachableRetryAfter), loadOf(gate))
+		return e.refusedAtStart(req, reason, loadOf(gate))
 	}
 	res := e.execute(ctx, req, ticket)
 	res.Waited = started.Sub(arrived)
 	now := time.Now()
+	if res.Outcome == call.Whole {
+		e.clear(req)
+	}
 	res.EndedEarly = res.Status == http.StatusGatewayTimeout && e.shortens(ticket)
 	gate.Settle(now, ticket, gateResult(res, now.Sub(started)))
 	e.recordRun(req, res, now.Sub(started), now)
@@ -221,6 +235,15 @@
 	return res
 }
 
+// refusedAtStart returns the refusal of a request that has got a slot.
+func (e *executor) refusedAtStart(req *runRequest, reason call.Reason, load call.Load) runResult {
+	res := refusedResult(call.Refuse(reason, max(unreachableRetryAfter, req.inspection.verdict.RetryAfter)), load)
+	if reason == call.Suspected {
+		res.Suspect = req.inspection.verdict.Fingerprint
+	}
+	return res
+}
+
 // closedAtStart returns why a request that has got a slot must not reach the instance, or call.None: closedTo says so, or another incarnation has
 // replaced the instance since the request arrived.
 func (e *executor) closedAtStart(req *runRequest, now time.Time) call.Reason {
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quota"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
@@ -51,6 +52,8 @@
 	// saturation and subcallRefused combine the results of the attempts: see runResult.
 	saturation     float64
 	subcallRefused bool
+	// suspect is the fingerprint of the content if it runs on one instance at a time, 0 if it may run anywhere.
+	suspect quarantine.Fingerprint
 	// contextEnd is why the request's context ended before its response was written, nil if it didn't.
 	contextEnd error
 }
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
@@ -37,8 +38,13 @@
 	Redirectable bool `msgpack:"redirectable,omitempty"`
 	// FinishIn is the time in which the run must have ended, since the sender shuts down; 0 if it doesn't.
 	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
+	// Alone means that the sender sends requests with this content to this instance only, since instances have crashed under it.
+	Alone bool `msgpack:"alone,omitempty"`
 	// finishBy is when the run must have ended, if the sender says so later; nil for a request that wasn't handed over.
 	finishBy *statedEnd
+	// inspection is what is known of the request's content, exclusive its fingerprint while no other request with it may run here.
+	inspection inspection
+	exclusive  quarantine.Fingerprint
 }
 
 // Age subtracts the time that has passed on the way from the times that are left.
@@ -74,6 +80,10 @@
 	InstanceLeaving bool `msgpack:"instanceLeaving"`
 	// EndedEarly means that the instance was given less time than the request has, since the daemon beside it shuts down, and that this was too little.
 	EndedEarly bool `msgpack:"endedEarly,omitempty"`
+	// Crashed means that the instance crashed under the request.
+	Crashed bool `msgpack:"crashed,omitempty"`
+	// Suspect is the fingerprint of content that runs on one instance at a time, which the sender chooses by it; 0 if it may run anywhere.
+	Suspect quarantine.Fingerprint `msgpack:"suspect,omitempty"`
 }
 
 // redirects reports whether the result sends the request to another instance: the instance is slow, and nothing of the request has reached it.
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/offers"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
@@ -41,13 +43,18 @@
 			return last
 		}
 		candidates, excluded := tracker.Candidates(r.candidatesFor(req, tracker))
-		inst, ok := r.balancer.Pick(candidates, excluded, req.route.Name, req.deadline.Sub(now), now)
+		inst, ok := r.pick(req, candidates, excluded, now)
 		if !ok {
 			return last
 		}
 		req.retry = req.retry || tracker.Delivered()
 		redirectable := !tracker.Redirected() && r.balancer.HasOther(candidates, excluded, inst.ID, now)
 		result := r.attempt(ctx, req, inst, redirectable)
+		if result.suspect != 0 && req.suspect == 0 {
+			req.suspect = result.suspect
+			tracker.Defer()
+			continue
+		}
 		if redirectable && result.redirected {
 			tracker.Redirect(inst.ID)
 		} else {
@@ -61,6 +68,14 @@
 	return last
 }
 
+// pick chooses the instance for the next attempt. All daemons choose the same one for content that runs on one instance at a time.
+func (r *Router) pick(req *request, candidates []routing.Instance, excluded map[string]bool, now time.Time) (routing.Instance, bool) {
+	if req.suspect != 0 {
+		return choice.ByFingerprint(uint64(req.suspect), candidates, excluded)
+	}
+	return r.balancer.Pick(candidates, excluded, req.route.Name, req.deadline.Sub(now), now)
+}
+
 // noInstanceAnswer returns the response to a request if no instance can be sent it.
 func (r *Router) noInstanceAnswer(req *request) call.Answer {
 	view := r.view.Load()
@@ -110,7 +125,7 @@
 // candidatesFor returns the instances that may be sent the request. For a large service they are a sample at the first attempt; a later one
 // depends on which instances were tried before, so it starts from all.
 func (r *Router) candidatesFor(req *request, tracker *offers.Tracker) []routing.Instance {
-	if sampler := (*r.samplers.Load())[req.service]; sampler != nil && !tracker.Started() {
+	if sampler := (*r.samplers.Load())[req.service]; sampler != nil && !tracker.Started() && req.suspect == 0 {
 		if candidates := r.available(r.staying(req, sampler.Draw())); len(candidates) >= minSampledCandidates {
 			return candidates
 		}
@@ -170,7 +185,7 @@
 func (r *Router) mayRetry(req *request, result attemptResult) bool {
 	switch result.answer.Outcome {
 	case call.NotRun:
-		return result.answer.Reason != call.Cancelled && result.answer.Reason != call.DeadlineTooNear
+		return !slices.Contains(finalRefusals, result.answer.Reason)
 	case call.Unknown:
 		return req.route.Repeat == routing.Idempotent && result.answer.Reason == call.AnswerLost
 	default:
@@ -179,6 +194,9 @@
 	}
 }
 
+// finalRefusals are the reasons for which no other instance runs a request that one hasn't run.
+var finalRefusals = []call.Reason{call.Cancelled, call.DeadlineTooNear, call.Quarantined, call.Suspected}
+
 // statusFailed is the HTTP status of an instance that failed; its timeouts and refusals have other statuses.
 const statusFailed = 500
 
@@ -204,6 +222,8 @@
 	endedEarly bool
 	// redirected means that the instance is slow and the request goes to another one.
 	redirected bool
+	// suspect is the fingerprint of content that runs on one instance at a time, which is another one than this.
+	suspect quarantine.Fingerprint
 }
 
 // attempt sends the request to the daemon on the instance's host, or runs it directly if that is this daemon. A redirectable request may be
@@ -236,7 +256,7 @@
 	r.balancer.Record(inst, choice.Attempt{Route: req.route.Name, Result: result, Took: now.Sub(started), Waited: res.Waited, Load: res.Load}, now)
 	req.attempts.add(inst, result, res, started.Sub(req.arrivedAt), now.Sub(started))
 	req.observe(res)
-	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed, endedEarly: res.EndedEarly, redirected: res.redirects()}
+	return attemptResult{answer: answer, sendResult: result, arrived: res.Arrived, subcallFailed: res.SubcallFailed, endedEarly: res.EndedEarly, redirected: res.redirects(), suspect: res.Suspect}
 }
 
 // resultAnswer returns the response that an attempt's result stands for, and makes a result that no caller may be sent a lost response. A
@@ -286,7 +306,7 @@
 		RequestID: req.id, Instance: inst.Incarnation(), Route: req.route.Name, Root: req.root, CallerService: r.settings.Service, Organisation: req.organisation,
 		Method: req.method, Target: req.target, HTTPHost: req.httpHost, Header: headerFields(req.header), Body: req.body,
 		Remaining: req.deadline.Sub(now), Priority: req.priority, Idempotent: req.route.Repeat == routing.Idempotent,
-		Subcall: req.subcall, Retry: req.retry, RateLimit: r.told.limit(inst.Incarnation()), FinishIn: r.finishIn(now),
+		Subcall: req.subcall, Retry: req.retry, Alone: req.suspect != 0, RateLimit: r.told.limit(inst.Incarnation()), FinishIn: r.finishIn(now),
 	}
 }
 
--- a/internal/app/router/record.go
+++ b/internal/app/router/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
@@ -31,12 +32,14 @@
 	InFlight int   `json:"inFlight"`
 	Queued   int   `json:"queued"`
 	Limit    int   `json:"limit"`
+	// Crashed means that the instance crashed under the request.
+	Crashed bool `json:"crashed,omitempty"`
 }
 
 func (a *attempts) add(inst routing.Instance, result choice.Result, res runResult, at, took time.Duration) {
 	entry := attempt{
 		Instance: inst.ID, Result: result.String(), Status: res.Status, AtMs: at.Milliseconds(), TookMs: took.Milliseconds(), WaitedMs: res.Waited.Milliseconds(),
-		InFlight: res.Load.InFlight, Queued: res.Load.Queued, Limit: res.Load.Limit,
+		InFlight: res.Load.InFlight, Queued: res.Load.Queued, Limit: res.Load.Limit, Crashed: res.Crashed,
 	}
 	if res.Reason != call.None {
 		entry.Reason = res.Reason.String()
@@ -111,11 +114,15 @@
 	if res.Outcome == call.Whole || res.redirects() {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"requestId": req.RequestID, "instance": req.Instance.ID, "route": req.Route, "outcome": res.Outcome.String(), "reason": res.Reason.String(),
 		"remainingMs": req.Remaining.Milliseconds(), "waitedMs": res.Waited.Milliseconds(), "arrived": res.Arrived,
 		"inFlight": res.Load.InFlight, "queued": res.Load.Queued, "limit": res.Load.Limit,
-	}).Info("run")
+	}
+	if verdict := req.inspection.verdict; verdict.Crashes > 0 {
+		fields["crashes"], fields["content"] = verdict.Crashes, quarantine.Key{Route: req.Route, Fingerprint: verdict.Fingerprint}.String()
+	}
+	r.log.WithFields(fields).Info("run")
 }
 
 func (r *Router) recordEarlyRefusal(fault httpd.Fault, answer call.Answer) {
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -83,6 +83,7 @@
 	r.view.Store(catalog.New().View(nil))
 	r.samplers.Store(&map[string]*choice.Sampler{})
 	r.executor = newExecutor(settings, heads, newWarmUp(settings, heads, log, r.metrics))
+	r.executor.spreadCrash = r.spreadCrash
 	r.peers = peer.New(settings.Peers, r.peerOptions()...)
 	r.control = newControl(r, source)
 	r.reporter = newReporter(r)
@@ -91,6 +92,8 @@
 	peer.Handle(r.peers, peer.KindChanges, r.control.handleFetch)
 	peer.Handle(r.peers, peer.KindFinishBound, r.handleFinishBound)
 	peer.Handle(r.peers, peer.KindAnnouncement, r.control.handleAnnouncement)
+	peer.Handle(r.peers, peer.KindCrash, r.handleCrash)
+	peer.Handle(r.peers, peer.KindQuarantine, r.handleQuarantine)
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
 		httpd.WithHeldBytes(r.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		res := e.errorResult(ctx, err, deadline)
 		if res.Reason == call.AnswerLost && instance.IsDisconnect(err) {
-			e.crashes.lost(ctx, began)
+			res.Crashed = e.crashes.lost(ctx, began)
 		}
 		return res
 	}
--- a/internal/app/router/suspects.go
+++ b/internal/app/router/suspects.go
@@ -1,14 +1,36 @@
 package router
 
 import (
-	"fmt"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
+	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
+	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
+const (
+	// maxSuspects bounds the contents that the report of one crash names.
+	maxSuspects = 512
+	// maxLoggedSuspects bounds the requests that one log line on a crash names.
+	maxLoggedSuspects = 20
+	// suspectedRetryAfter is the Retry-After if content that runs on one instance at a time could not begin there: a run has ended by then.
+	suspectedRetryAfter = 250 * time.Millisecond
+)
+
+// inspection is what is known of a request's content.
+type inspection struct {
+	verdict quarantine.Verdict
+	// version is the table's at that time, made whether there was an inspection.
+	version uint64
+	made    bool
+}
+
 // content returns what makes the request the same as others for the instance.
 func (req *runRequest) content() *quarantine.Content {
 	return &quarantine.Content{
@@ -16,24 +38,134 @@
 	}
 }
 
+// inspect brings the verdict on the request's content up to date.
+func (e *executor) inspect(req *runRequest, now time.Time) quarantine.Verdict {
+	if e.disabled.Has(mechanism.Quarantine) {
+		return quarantine.Verdict{}
+	}
+	if version := e.quarantine.Version(); !req.inspection.made || req.inspection.version != version {
+		req.inspection = inspection{verdict: e.quarantine.Check(req.content(), now), version: version, made: true}
+	}
+	return req.inspection.verdict
+}
+
+// screen reports whether the request's content may run here now, and otherwise returns the refusal. Content under which all but one of the crashes
+// that are allowed have happened waits while it runs for another request.
+func (e *executor) screen(ctx context.Context, req *runRequest, deadline time.Time) (refusal runResult, ok bool) {
+	for {
+		verdict := e.inspect(req, time.Now())
+		switch {
+		case verdict.Refused:
+			e.warmUp.metrics.Counter(telemetry.RequestsQuarantined).Inc(1)
+			return refusedResult(call.Refuse(call.Quarantined, verdict.RetryAfter), e.load()), false
+		case verdict.Alone && !req.Alone:
+			res := refusedResult(call.Refuse(call.Suspected, suspectedRetryAfter), e.load())
+			res.Suspect = verdict.Fingerprint
+			return res, false
+		case !verdict.Alone:
+			return runResult{}, true
+		}
+		ended, begun := e.exclusive.Begin(verdict.Fingerprint)
+		if begun {
+			req.exclusive = verdict.Fingerprint
+			return runResult{}, true
+		}
+		if !await(ctx, ended, deadline) {
+			return refusedResult(call.Refuse(call.Suspected, suspectedRetryAfter), e.load()), false
+		}
+	}
+}
+
+// await waits until the channel is closed, and returns false if the context or the time ends before.
+func await(ctx context.Context, closed <-chan struct{}, deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-closed:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// endExclusive lets the next request with the content run, if this one kept it from running.
+func (e *executor) endExclusive(req *runRequest) {
+	if req.exclusive != 0 {
+		e.exclusive.End(req.exclusive)
+		req.exclusive = 0
+	}
+}
+
+// closedToContent returns why a request that has got a slot must not run because of its content, or call.None.
+func (e *executor) closedToContent(req *runRequest, now time.Time) call.Reason {
+	switch verdict := e.inspect(req, now); {
+	case verdict.Refused:
+		e.warmUp.metrics.Counter(telemetry.RequestsQuarantined).Inc(1)
+		return call.Quarantined
+	case verdict.Alone && req.exclusive == 0:
+		return call.Suspected
+	default:
+		return call.None
+	}
+}
+
+// clear records that the instance has run the request to its end.
+func (e *executor) clear(req *runRequest) {
+	if req.inspection.verdict.Crashes > 0 || e.quarantine.Version() != req.inspection.version {
+		e.quarantine.Succeeded(req.content())
+	}
+}
+
 // suspect returns the request as one that was at work at a crash.
 func (e *executor) suspect(req *runRequest) suspect {
 	salt := e.quarantine.Salt()
-	return suspect{requestID: req.RequestID, route: req.Route, salt: salt, fingerprint: req.content().Fingerprint(salt)}
+	return suspect{requestID: req.RequestID, salt: salt, key: quarantine.Key{Route: req.Route, Fingerprint: req.content().Fingerprint(salt)}}
 }
 
-// instanceCrashed logs a crash of the instance with what was at work there.
+// instanceCrashed logs a crash of the instance and holds it against what was at work there, on all daemons to which the same content may come. What
+// was at work on an instance that was about to end isn't suspected.
 func (e *executor) instanceCrashed(suspects []suspect) {
 	e.mu.Lock()
-	id, planned := e.current.ID, !e.drainingSince.IsZero()
+	of, planned := e.current.Incarnation(), !e.drainingSince.IsZero()
 	e.mu.Unlock()
+	_, leaving := e.stated.leavingFor(of, time.Now())
+	planned = planned || leaving
 	e.warmUp.metrics.Counter(telemetry.InstanceCrashes).Inc(1)
-	var named []string
+	e.warmUp.log.WithFields(logrus.Fields{
+		"instance": of.ID, "planned": planned, "atWork": len(suspects), "suspects": describe(suspects),
+	}).Warn("instance crashed")
+	if planned || e.disabled.Has(mechanism.Quarantine) {
+		return
+	}
+	for _, crash := range crashesOf(suspects) {
+		e.spreadCrash(crash)
+	}
+}
+
+// describe returns what a log line says of the suspects.
+func describe(suspects []suspect) []string {
+	var described []string
 	for i := range suspects[:min(len(suspects), maxLoggedSuspects)] {
-		named = append(named, fmt.Sprintf("%s %s %016x", suspects[i].requestID, suspects[i].route, suspects[i].fingerprint))
+		described = append(described, suspects[i].requestID+" "+suspects[i].key.String())
 	}
-	e.warmUp.log.WithFields(logrus.Fields{"instance": id, "draining": planned, "atWork": len(suspects), "suspects": named}).Warn("instance crashed")
+	return described
 }
 
-// maxLoggedSuspects bounds the requests that one log line on a crash names.
-const maxLoggedSuspects = 20
+// crashesOf returns the reports on one crash: one for each salt, since the salt may have changed while requests were at work.
+func crashesOf(suspects []suspect) []quarantine.Crash {
+	var crashes []quarantine.Crash
+	id := quarantine.CrashID(rand.Uint64())
+	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
+		i := slices.IndexFunc(crashes, func(c quarantine.Crash) bool { return c.Salt == s.salt })
+		if i < 0 {
+			i = len(crashes)
+			crashes = append(crashes, quarantine.Crash{ID: id, Salt: s.salt, Suspects: map[string][]quarantine.Fingerprint{}})
+		}
+		known := crashes[i].Suspects[s.key.Route]
+		if !slices.Contains(known, s.key.Fingerprint) {
+			crashes[i].Suspects[s.key.Route] = append(known, s.key.Fingerprint)
+		}
+	}
+	return crashes
+}
--- a/internal/app/telemetry/metric_string.go
+++ b/internal/app/telemetry/metric_string.go
@@ -48,11 +48,14 @@
 	_ = x[InstanceLoadFaults-37]
 	_ = x[RequestsRedirected-38]
 	_ = x[InstanceCrashes-39]
+	_ = x[RequestsQuarantined-40]
+	_ = x[ContentsQuarantined-41]
+	_ = x[ContentsSuspected-42]
 }
 
-const _Metric_name = "answersanswer_secondsgate_limitgate_runninggate_queuedgate_rangate_waitedgate_refusedgate_evictedgate_expiredgate_sheddoors_closingservinglist_versionmembers_leavingmembers_suspectrate_shardsrate_tokens_outrate_tokens_lentrate_asksrate_waitsrate_given_backpeer_connectionspeer_faultspeer_bytes_sentpeer_bytes_receivedword_agestore_callszones_drainedinstance_coldinstance_suspectedinstance_limitresponses_replacedgate_reservedgate_waits_endedorganisations_surgingsurges_not_usedinstance_load_faultsrequests_redirectedinstance_crashes"
+const _Metric_name = "answersanswer_secondsgate_limitgate_runninggate_queuedgate_rangate_waitedgate_refusedgate_evictedgate_expiredgate_sheddoors_closingservinglist_versionmembers_leavingmembers_suspectrate_shardsrate_tokens_outrate_tokens_lentrate_asksrate_waitsrate_given_backpeer_connectionspeer_faultspeer_bytes_sentpeer_bytes_receivedword_agestore_callszones_drainedinstance_coldinstance_suspectedinstance_limitresponses_replacedgate_reservedgate_waits_endedorganisations_surgingsurges_not_usedinstance_load_faultsrequests_redirectedinstance_crashesrequests_quarantinedcontents_quarantinedcontents_suspected"
 
-var _Metric_index = [...]uint16{0, 7, 21, 31, 43, 54, 62, 73, 85, 97, 109, 118, 131, 138, 150, 165, 180, 191, 206, 222, 231, 241, 256, 272, 283, 298, 317, 325, 336, 349, 362, 380, 394, 412, 425, 441, 462, 477, 497, 516, 532}
+var _Metric_index = [...]uint16{0, 7, 21, 31, 43, 54, 62, 73, 85, 97, 109, 118, 131, 138, 150, 165, 180, 191, 206, 222, 231, 241, 256, 272, 283, 298, 317, 325, 336, 349, 362, 380, 394, 412, 425, 441, 462, 477, 497, 516, 532, 552, 572, 590}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -160,6 +160,16 @@
 		Caller:   "Come back after Retry-After; by then requests go to another host.",
 		Operator: "Expected while hosts are restarted, of routes that take seconds. `leaving` in the log has the time that requests have left; a longer grace serves more of them.",
 	},
+	call.Quarantined: {
+		Meaning:  "Three instances or more have crashed while they ran requests with this content: organisation, route, method, host, target and body. It is not run for as long as Retry-After says, and then tried once.",
+		Caller:   "Don't repeat it unchanged; other requests are served as usual.",
+		Operator: "`content quarantined` and `instance crashed` in the logs have the content's keyed hash and the ids of the requests. Mend the instances; `-without quarantine` turns it off on a daemon.",
+	},
+	call.Suspected: {
+		Meaning:  "Two instances have crashed while they ran requests with this content, so that it runs on one instance at a time, and that one could not take it in time.",
+		Caller:   "Come back after Retry-After.",
+		Operator: "`instance crashed` in the logs names the requests that were at work. One that runs to its end clears the content.",
+	},
 	call.TimedOut: {
 		Meaning:  "The time that the caller or the operator allows ran out while the request was at work, so it may have run.",
 		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
--- a/internal/decide/mechanism/mechanism.go
+++ b/internal/decide/mechanism/mechanism.go
@@ -52,9 +52,11 @@
 	BacklogRetryAfter // backlogReturns
 	// InstanceSpeed sends requests by the slowness that instances state and by their own speeds, and redirects requests from slow ones.
 	InstanceSpeed // instanceSpeed
+	// Quarantine refuses content under which several instances have crashed.
+	Quarantine // quarantine
 )
 
-const last = InstanceSpeed
+const last = Quarantine
 
 // Names returns the names of all mechanisms, in order of declaration.
 func Names() []string {
--- a/internal/decide/mechanism/mechanism_string.go
+++ b/internal/decide/mechanism/mechanism_string.go
@@ -26,11 +26,12 @@
 	_ = x[OrganisationShares-15]
 	_ = x[BacklogRetryAfter-16]
 	_ = x[InstanceSpeed-17]
+	_ = x[Quarantine-18]
 }
 
-const _Mechanism_name = "planplannedRepeatslentRepeatsoffersAgaincallFailuresrankedCallszonesfaultstimelyReturnscoldPacepositionalMessageszoneFetchesshortCallslongWaitsnoRetryRequestsorganisationSharesbacklogReturnsinstanceSpeed"
+const _Mechanism_name = "planplannedRepeatslentRepeatsoffersAgaincallFailuresrankedCallszonesfaultstimelyReturnscoldPacepositionalMessageszoneFetchesshortCallslongWaitsnoRetryRequestsorganisationSharesbacklogReturnsinstanceSpeedquarantine"
 
-var _Mechanism_index = [...]uint8{0, 4, 18, 29, 40, 52, 63, 68, 74, 87, 95, 113, 124, 134, 143, 158, 176, 190, 203}
+var _Mechanism_index = [...]uint8{0, 4, 18, 29, 40, 52, 63, 68, 74, 87, 95, 113, 124, 134, 143, 158, 176, 190, 203, 213}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/internal/decide/offers/course.go
+++ b/internal/decide/offers/course.go
@@ -76,6 +76,9 @@
 	t.exclude(id)
 }
 
+// Defer records that the attempt reached no instance and that another one takes its place, with its charge.
+func (t *Tracker) Defer() { t.charged = t.Delivered() }
+
 // exclude leaves out the instance.
 func (t *Tracker) exclude(id string) {
 	if t.tried == nil {
--- a/internal/decide/quarantine/entry.go
+++ b/internal/decide/quarantine/entry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -16,6 +17,15 @@
 	Suspects map[string][]Fingerprint `msgpack:"suspects"`
 }
 
+// Key names a content.
+type Key struct {
+	Route       string
+	Fingerprint Fingerprint
+}
+
+// String returns the key for a log line.
+func (k Key) String() string { return fmt.Sprintf("%s %016x", k.Route, uint64(k.Fingerprint)) }
+
 // Entry is what a table knows of one content, in the form in which tables exchange it.
 type Entry struct {
 	Salt        Salt        `msgpack:"salt"`
@@ -41,6 +51,9 @@
 	// holdTime is the time after which one crash fewer counts, from the last one on. A content is then tried once more; if that crashes an
 	// instance too, it is refused for twice as long.
 	holdTime = 10 * time.Minute
+	// aloneTime is how long content runs on one instance at a time after its first crash. Many requests may have the same content, and they are held
+	// up no longer than those that were at work need to be repeated.
+	aloneTime = time.Second
 	// maxHeld bounds the crashes that are held against one content, and so the time for which it is refused.
 	maxHeld = 8
 	// maxForgiven bounds the crashes that are remembered as forgiven.
@@ -78,7 +91,13 @@
 
 // crashes returns how many crashes count against the content.
 func (r *record) crashes(now time.Time) int {
-	return max(len(r.held)-int(now.Sub(r.lastAt)/holdTime), 0)
+	return max(len(r.held)-max(int(now.Sub(r.lastAt)/holdTime), 0), 0)
+}
+
+// alone reports whether the content runs on one instance at a time.
+func (r *record) alone(now time.Time) bool {
+	crashes := r.crashes(now)
+	return crashes == maxCrashes-1 || crashes > 0 && crashes < maxCrashes && now.Sub(r.lastAt) < aloneTime
 }
 
 // refusedFor returns how long the content is still refused.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -15,7 +16,7 @@
 	// of its own and then uses the one that it heard last, so that all tables of a service soon have the same.
 	salts []*saltRecords
 	size  int
-	// version changes with each crash that is added.
+	// version changes with each change.
 	version atomic.Uint64
 }
 
@@ -41,8 +42,8 @@
 	// Refused means that it must not run, for the next RetryAfter.
 	Refused    bool
 	RetryAfter time.Duration
-	// Alone means that the next crash would be the last one that is allowed, so that the content runs on one instance at a time. Fingerprint is the
-	// same for all requests that must not run beside each other.
+	// Alone means that the content runs on one instance at a time: the next crash would be the last one that is allowed, or the last one was so
+	// recent that all who lost a request by it may be repeating it now. Fingerprint is the same for all requests that must not run beside each other.
 	Alone       bool
 	Fingerprint Fingerprint
 }
@@ -110,8 +111,8 @@
 	return r
 }
 
-// Report holds the crash against all contents that were at work, and returns how many of them are refused from now on.
-func (t *Table) Report(crash Crash, now time.Time) (refused int) {
+// Report holds the crash against all contents that were at work, and returns those that are refused from now on.
+func (t *Table) Report(crash Crash, now time.Time) (refused []Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	records := t.recordsOf(crash.Salt)
@@ -121,7 +122,7 @@
 			before := r.crashes(now)
 			r.add(crash.ID, now)
 			if before < maxCrashes && r.crashes(now) >= maxCrashes {
-				refused++
+				refused = append(refused, Key{route, f})
 			}
 		}
 	}
@@ -130,41 +131,70 @@
 	return refused
 }
 
-// Version returns a number that changes when crashes are added, so that a verdict is current as long as it doesn't.
+// Version returns a number that changes with each change of the table, so that a verdict is current as long as it doesn't.
 func (t *Table) Version() uint64 { return t.version.Load() }
 
 // Check returns the verdict on a content. It takes no time while there are no records of its route.
+//
+// Instances that crash at the same moment are reported with different salts, so that all records of the content count together.
 func (t *Table) Check(content *Content, now time.Time) Verdict {
-	worst := Verdict{}
-	t.each(content, func(f Fingerprint, r *record) {
-		if crashes := r.crashes(now); crashes > worst.Crashes {
-			worst = Verdict{Crashes: crashes, Refused: crashes >= maxCrashes, Alone: crashes == maxCrashes-1, Fingerprint: f}
-			if worst.Refused {
-				worst.RetryAfter = r.refusedFor(now)
-			}
+	fingerprints := t.fingerprints(content)
+	if len(fingerprints) == 0 {
+		return Verdict{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all, verdict := record{}, Verdict{}
+	for _, s := range fingerprints {
+		r := t.find(s, content.Route)
+		if r == nil || len(r.held) == 0 {
+			continue
 		}
-	})
-	return worst
+		if verdict.Fingerprint == 0 {
+			verdict.Fingerprint = s.fingerprint
+		}
+		for _, id := range r.held {
+			all.add(id, r.lastAt)
+		}
+	}
+	verdict.Crashes, verdict.Alone = all.crashes(now), all.alone(now)
+	if verdict.Refused = verdict.Crashes >= maxCrashes; verdict.Refused {
+		verdict.RetryAfter = all.refusedFor(now)
+	}
+	return verdict
 }
 
 // Succeeded records that an instance has run the content to its end, which speaks for it: one crash fewer is held against it.
 func (t *Table) Succeeded(content *Content) {
-	t.each(content, func(_ Fingerprint, r *record) { r.forgive() })
+	fingerprints := t.fingerprints(content)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range fingerprints {
+		if r := t.find(s, content.Route); r != nil && len(r.held) > 0 {
+			r.forgive()
+			break
+		}
+	}
+	t.version.Add(1)
 }
 
-// each calls f with each record of the content. The content is hashed without the lock, since a body may be large.
-func (t *Table) each(content *Content, f func(Fingerprint, *record)) {
+// salted is a content's fingerprint with a salt.
+type salted struct {
+	salt        Salt
+	fingerprint Fingerprint
+}
+
+// fingerprints returns the content's fingerprints with the salts of its route's records, in an order that is the same in all tables. The content is
+// hashed without the lock, since a body may be large.
+func (t *Table) fingerprints(content *Content) []salted {
+	var fingerprints []salted
 	for _, salt := range t.saltsFor(content.Route) {
-		fingerprint := content.Fingerprint(salt)
-		t.mu.Lock()
-		if r := t.find(salt, content.Route, fingerprint); r != nil {
-			f(fingerprint, r)
-		}
-		t.mu.Unlock()
+		fingerprints = append(fingerprints, salted{salt, content.Fingerprint(salt)})
 	}
+	return fingerprints
 }
 
-// saltsFor returns the salts with records of the route.
+// saltsFor returns the salts with records of the route, in their own order.
 func (t *Table) saltsFor(route string) []Salt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -177,14 +207,15 @@
 			salts = append(salts, records.salt)
 		}
 	}
+	slices.SortFunc(salts, func(a, b Salt) int { return bytes.Compare(a[:], b[:]) })
 	return salts
 }
 
 // find returns the record of a fingerprint, or nil.
-func (t *Table) find(salt Salt, route string, f Fingerprint) *record {
+func (t *Table) find(s salted, route string) *record {
 	for _, records := range t.salts {
-		if records.salt == salt {
-			return records.byRoute[route][f]
+		if records.salt == s.salt {
+			return records.byRoute[route][s.fingerprint]
 		}
 	}
 	return nil
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -74,6 +74,10 @@
 	InstanceSlow // instanceSlow
 	// WouldOutlast means that the request is likely to run longer than a daemon on its way, which is shutting down.
 	WouldOutlast // wouldOutlast
+	// Quarantined means that several instances have crashed while they ran requests with this content.
+	Quarantined // quarantined
+	// Suspected means that instances have crashed under this content, so that it runs on one instance at a time, and that one has no time for it.
+	Suspected // suspected
 )
 
 // Priority orders requests under overload; a higher priority is shed later.
@@ -108,7 +112,7 @@
 func (r Reason) Temporary() bool {
 	switch r {
 	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided, ZoneDrained, WarmingUp, NoAllowedRegion,
-		UpstreamLimited, InstanceSlow, WouldOutlast:
+		UpstreamLimited, InstanceSlow, WouldOutlast, Quarantined, Suspected:
 		return true
 	default:
 		return false
@@ -168,4 +172,6 @@
 	UpstreamLimited:  statusUnavailable,
 	InstanceSlow:     statusUnavailable,
 	WouldOutlast:     statusUnavailable,
+	Quarantined:      statusUnavailable,
+	Suspected:        statusUnavailable,
 }
--- a/internal/domain/call/reason_string.go
+++ b/internal/domain/call/reason_string.go
@@ -33,11 +33,13 @@
 	_ = x[UpstreamLimited-22]
 	_ = x[InstanceSlow-23]
 	_ = x[WouldOutlast-24]
+	_ = x[Quarantined-25]
+	_ = x[Suspected-26]
 }
 
-const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegionupstreamLimitedinstanceSlowwouldOutlast"
+const _Reason_name = "nonebadRequestunknownKeyunknownOperationnotAllowedoverRateoverloadednoUpstreamdeadlineTooNeartooLargedrainingnotReadybudgetSpentrepeatedupstreamShedanswerLostcancelledundecidedtimedOutzoneDrainedwarmingUpnoAllowedRegionupstreamLimitedinstanceSlowwouldOutlastquarantinedsuspected"
 
-var _Reason_index = [...]uint16{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219, 234, 246, 258}
+var _Reason_index = [...]uint16{0, 4, 14, 24, 40, 50, 58, 68, 78, 93, 101, 109, 117, 128, 136, 148, 158, 167, 176, 184, 195, 204, 219, 234, 246, 258, 269, 278}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -38,7 +38,11 @@
 	KindAnnouncement // announcement
 	// KindFinishBound states when the runs for a daemon that is shutting down must have ended.
 	KindFinishBound // finishBound
+	// KindCrash reports the crash of an instance with what was at work there.
+	KindCrash // crash
+	// KindQuarantine asks for the crashes that a daemon knows of.
+	KindQuarantine // quarantine
 )
 
 // Kinds is the last kind plus one; no message has kind 0.
-const Kinds = int(KindFinishBound) + 1
+const Kinds = int(KindQuarantine) + 1
--- a/internal/wire/peer/kind_string.go
+++ b/internal/wire/peer/kind_string.go
@@ -24,11 +24,13 @@
 	_ = x[KindLayouts-14]
 	_ = x[KindAnnouncement-15]
 	_ = x[KindFinishBound-16]
+	_ = x[KindCrash-17]
+	_ = x[KindQuarantine-18]
 }
 
-const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayoutsannouncementfinishBound"
+const _Kind_name = "calldigestfetchleasehandoverconfirmrecalloncelegacyrunbeatchangesprobelayoutsannouncementfinishBoundcrashquarantine"
 
-var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77, 89, 100}
+var _Kind_index = [...]uint8{0, 4, 10, 15, 20, 28, 35, 41, 45, 51, 54, 58, 65, 70, 77, 89, 100, 105, 115}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
