Responses without end are given up at bounds on heads and on all bodies together

One endless head took a daemon process to 2.5 GB and beyond, ten endless sequences of interim responses to 7.3 GB; its limit is 284 MB, so it was killed with all requests that it held, and the request went on to the next host. Cause: bodies were bounded one by one, heads and interim responses by nothing, and closing a body that had been given up read on to its end.

A head, with the interim responses before it, has 256 kB; all bodies that arrive have a quarter of the memory together, in pieces that are reused; the connection is closed at once. So do health checks and the upstream's client; the store's heads have 64 kB.

--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -93,7 +93,7 @@
 
 func newExecutor(settings Settings, heads Heads, warm *warmUp) *executor {
 	e := &executor{
-		heads: heads, instance: instance.New(settings.Instance), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
+		heads: heads, instance: instance.New(settings.Instance, instance.WithMaxArriving(int64(settings.heldBytes()))), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
 		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
 	warm.observe = e.observeCheck
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -95,7 +95,7 @@
 	peer.Handle(r.peers, peer.KindCrash, r.handleCrash)
 	peer.Handle(r.peers, peer.KindQuarantine, r.handleQuarantine)
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
-		httpd.WithHeldBytes(r.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
+		httpd.WithHeldBytes(settings.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
 	if settings.Metrics.IsValid() {
 		r.operator = httpd.New(settings.Metrics, r.operatorRoutes(), httpd.WithMaxConns(maxHealthConns))
@@ -129,7 +129,8 @@
 	maxHealthConns = 64
 	// callersDescriptorDivisor divides the file descriptors: callers' connections may use half, the rest is for the instance and peers.
 	callersDescriptorDivisor = 2
-	// heldMemoryDivisor divides the memory: bodies may use a quarter while they arrive or wait.
+	// heldMemoryDivisor divides the memory: the bodies of requests may use a quarter while they arrive or wait, and those of responses while they
+	// arrive.
 	heldMemoryDivisor = 4
 	// defaultConns and defaultHeldBytes apply if the settings have no limits.
 	defaultConns     = 4096
@@ -143,13 +144,6 @@
 	return max(r.settings.Descriptors/callersDescriptorDivisor, 1)
 }
 
-func (r *Router) heldBytes() int {
-	if r.settings.MemoryBytes == 0 {
-		return defaultHeldBytes
-	}
-	return int(r.settings.MemoryBytes / heldMemoryDivisor)
-}
-
 // Run serves until ctx ends, then shuts down; an error says which listener failed to start.
 func (r *Router) Run(ctx context.Context) error {
 	if err := r.start(); err != nil {
--- a/internal/app/router/settings.go
+++ b/internal/app/router/settings.go
@@ -88,3 +88,11 @@
 	}
 	return nil
 }
+
+// heldBytes returns the memory that the bodies of requests, and as much that those of responses, may use.
+func (s *Settings) heldBytes() int {
+	if s.MemoryBytes == 0 {
+		return defaultHeldBytes
+	}
+	return int(s.MemoryBytes / heldMemoryDivisor)
+}
--- a/internal/wire/instance/belongs_test.go
+++ b/internal/wire/instance/belongs_test.go
@@ -211,7 +211,7 @@
 	Convey("Each status of three digits is passed on, skipped or refused", t, func() {
 		for status := range 1000 {
 			head := fmt.Sprintf("HTTP/1.1 %03d X\r\nX-Request: 1\r\nContent-Length: 0\r\n\r\n", status)
-			cn := &conn{reader: bufio.NewReader(strings.NewReader(head + response("1", "next")))}
+			cn := &conn{reader: newHeadReader(strings.NewReader(head + response("1", "next")))}
 			r := request("1")
 			req, err := r.httpRequest()
 			So(err, ShouldBeNil)
@@ -241,7 +241,7 @@
 	} {
 		Convey(c.name, t, func() {
 			head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request: 1\r\nContent-Length: 4\r\n\r\n", c.status)
-			cn := &conn{reader: bufio.NewReader(strings.NewReader(head))}
+			cn := &conn{reader: newHeadReader(strings.NewReader(head))}
 			r := request("1")
 			r.Method = c.method
 			req, err := r.httpRequest()
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 var (
@@ -55,8 +56,10 @@
 type Client struct {
 	address     netip.AddrPort
 	maxResponse int64
-	pool        pool
-	opened      atomic.Uint64
+	// arriving bounds the response bodies that arrive at once.
+	arriving *bounded.Budget
+	pool     pool
+	opened   atomic.Uint64
 }
 
 // Option configures a client.
@@ -65,6 +68,11 @@
 // WithMaxResponse bounds the size of a response body in bytes.
 func WithMaxResponse(bytes int64) Option { return func(c *Client) { c.maxResponse = bytes } }
 
+// WithMaxArriving bounds the bytes of all response bodies that arrive at once.
+func WithMaxArriving(bytes int64) Option {
+	return func(c *Client) { c.arriving = bounded.NewBudget(bytes) }
+}
+
 // WithNonIdempotentMaxIdle sets how long a connection may be idle before a request that is not idempotent opens a new one instead.
 func WithNonIdempotentMaxIdle(d time.Duration) Option {
 	return func(c *Client) { c.pool.nonIdempotentMaxIdle = d }
@@ -75,6 +83,10 @@
 	dialTimeout = 500 * time.Millisecond
 	// defaultMaxResponse bounds a response body in bytes, since all of it is buffered before any of it is forwarded.
 	defaultMaxResponse = 64 << 20
+	// defaultMaxArriving bounds all response bodies that arrive at once, in bytes.
+	defaultMaxArriving = 72 << 20
+	// maxHead bounds the head of a response in bytes, with the interim responses before it. Callers read no larger ones.
+	maxHead = 256 << 10
 	// maxStrayResponses is how many responses to earlier requests are skipped before the request fails.
 	maxStrayResponses = 2
 	// concurrentWriteSize is the size in bytes above which a body is written while the response is read: a
@@ -84,7 +96,7 @@
 
 // New returns a client for the instance at the address.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	c := &Client{address: address, maxResponse: defaultMaxResponse, pool: newPool()}
+	c := &Client{address: address, maxResponse: defaultMaxResponse, arriving: bounded.NewBudget(defaultMaxArriving), pool: newPool()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -135,7 +147,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnsent, "connect: %v", err)
 	}
-	return &conn{Conn: tcpConn, reader: bufio.NewReader(tcpConn), writer: bufio.NewWriterSize(nil, writeBufferSize)}, nil
+	return newConn(tcpConn), nil
 }
 
 // keepAlive detects dead idle connections: the next request on one would wait for a response until its deadline.
@@ -186,7 +198,7 @@
 // readResponse reads the response that belongs to the request, skipping responses to other requests.
 func (c *Client) readResponse(cn *conn, r *Request, req *http.Request) (Response, error) {
 	for range maxStrayResponses + 1 {
-		header, err := readHeader(cn.reader, req)
+		header, err := cn.reader.readHeader(req)
 		if err != nil {
 			return Response{}, err
 		}
@@ -212,30 +224,21 @@
 	return Response{}, errors.New("received only responses to other requests")
 }
 
-// readHeader reads a response's header, skipping interim (1xx) responses.
-func readHeader(from *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(from, req)
-		if err != nil {
-			return nil, err
-		}
-		if res.StatusCode < http.StatusContinue {
-			return nil, errors.Errorf("status %03d does not exist", res.StatusCode)
-		}
-		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
-			return res, nil
-		}
-	}
-}
-
-// readAll reads the body, up to one byte beyond the limit, into one allocation if its size is known.
+// readAll reads the body, into one allocation if its size is known and small.
 func (c *Client) readAll(res *http.Response) ([]byte, error) {
-	if res.Request != nil && res.Request.Method == http.MethodHead {
+	switch {
+	case res.Request != nil && res.Request.Method == http.MethodHead:
 		return nil, nil
+	case res.ContentLength > c.maxResponse:
+		return nil, bounded.ErrTooLarge
+	case res.ContentLength < 0 || res.ContentLength > maxPreallocatedBody:
+		return c.arriving.ReadAll(res.Body, c.maxResponse)
 	}
-	if res.ContentLength < 0 || res.ContentLength > min(c.maxResponse, maxPreallocatedBody) {
-		return io.ReadAll(io.LimitReader(res.Body, c.maxResponse+1))
+	give, ok := c.arriving.Take(int(res.ContentLength))
+	if !ok {
+		return nil, bounded.ErrFull
 	}
+	defer give()
 	raw := make([]byte, res.ContentLength)
 	_, err := io.ReadFull(res.Body, raw)
 	return raw, err
@@ -245,9 +248,8 @@
 const maxPreallocatedBody = 1 << 20
 
 // readBody reads the whole body. One without a length ends with the connection: it is complete only if the instance
-// closed the connection normally; a reset is an error.
+// closed the connection normally; a reset is an error. A body that isn't read to its end isn't closed, since that would read on: the connection is.
 func (c *Client) readBody(cn *conn, res *http.Response) (Response, error) {
-	defer func() { _ = res.Body.Close() }()
 	cn.reusable = !res.Close
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return Response{}, errors.New("status 101 (switching protocols) is not supported")
@@ -256,9 +258,6 @@
 	if err != nil {
 		return Response{}, err
 	}
-	if int64(len(raw)) > c.maxResponse {
-		return Response{}, errors.Errorf("response body exceeds %d bytes", c.maxResponse)
-	}
 	cn.recordIdleTimeout(res.Header, time.Now())
 	return Response{Status: res.StatusCode, Header: res.Header, Body: raw}, nil
 }
--- a/internal/wire/instance/client_test.go
+++ b/internal/wire/instance/client_test.go
@@ -255,14 +255,14 @@
 			p := newPool()
 			near, far := net.Pipe()
 			defer func() { _ = far.Close() }()
-			p.put(&conn{Conn: near, reader: bufio.NewReader(near), idleSince: start, idleTimeout: c.idleTimeout})
+			p.put(&conn{Conn: near, reader: newHeadReader(near), idleSince: start, idleTimeout: c.idleTimeout})
 			So(p.get(&Request{ID: "1", Idempotent: c.idempotent}, start.Add(c.idleFor)) != nil, ShouldEqual, c.wantReuse)
 		})
 	}
 	Convey("A sweep closes connections idle for too long", t, func() {
 		p := newPool()
 		near, far := net.Pipe()
-		p.put(&conn{Conn: near, reader: bufio.NewReader(near), idleSince: start})
+		p.put(&conn{Conn: near, reader: newHeadReader(near), idleSince: start})
 		p.sweep(start.Add(defaultIdleTimeout + time.Second))
 		_, err := far.Read(make([]byte, 1))
 		So(err, ShouldEqual, io.EOF)
--- a/internal/wire/instance/conn.go
+++ b/internal/wire/instance/conn.go
@@ -15,7 +15,7 @@
 // conn is one connection to the instance, used by one request at a time.
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
+	reader   headReader
 	writer   *bufio.Writer
 	reusable bool
 	// writeBegun reports whether any byte of the current request was written to the kernel.
@@ -27,6 +27,10 @@
 	used recentIDs
 }
 
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: newHeadReader(c), writer: bufio.NewWriterSize(nil, writeBufferSize)}
+}
+
 // Write writes to the connection and records that it did.
 func (cn *conn) Write(p []byte) (int, error) {
 	n, err := cn.Conn.Write(p)
--- a/internal/wire/instance/monitor.go
+++ b/internal/wire/instance/monitor.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -171,19 +170,17 @@
 // readResponses passes on the responses on the connection, without their bodies, until it ends or the receiver is done.
 func readResponses(c net.Conn, responses chan<- healthResponse, done <-chan struct{}) {
 	defer close(responses)
-	reader := bufio.NewReader(c)
+	reader := newHeadReader(c)
 	for {
 		if _, err := reader.Peek(1); err != nil {
 			return
 		}
 		begun := time.Now()
-		res, err := readHeader(reader, nil)
+		res, err := reader.readHeader(nil)
 		if err != nil {
 			return
 		}
-		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBody))
-		_ = res.Body.Close()
-		if err != nil {
+		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBody)); err != nil || n == maxHealthBody {
 			return
 		}
 		select {
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -32,13 +32,16 @@
 // timeoutMargin is how much longer than the wait of the watch its response may take; it also bounds dialing.
 const timeoutMargin = 2 * time.Second
 
+// maxHead bounds the head of a response in bytes.
+const maxHead = 64 << 10
+
 // New returns a client for the service at the address. It connects from localIP; if that is invalid or unspecified, the system chooses.
 func New(address netip.AddrPort, localIP netip.Addr) *Client {
 	dialer := &net.Dialer{Timeout: timeoutMargin}
 	if localIP.IsValid() && !localIP.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(localIP, 0))
 	}
-	return &Client{address: address, httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}}
+	return &Client{address: address, httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHead}}}
 }
 
 // Reads returns the number of calls to Watch.
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // Names of HTTP headers between daemon and upstream.
@@ -32,6 +33,8 @@
 	idempotent           *http.Transport
 	nonIdempotentMaxIdle time.Duration
 	maxResponse          int64
+	// arriving bounds the response bodies that arrive at once.
+	arriving *bounded.Budget
 }
 
 const (
@@ -41,6 +44,9 @@
 	// defaultNonIdempotentMaxIdle is below the idle timeouts that are common for upstreams (2 s and more).
 	defaultNonIdempotentMaxIdle = time.Second
 	defaultMaxResponse          = 64 << 20
+	// maxArriving bounds all response bodies that arrive at once, and maxHead the head of one, in bytes.
+	maxArriving = 72 << 20
+	maxHead     = 256 << 10
 )
 
 // Option configures a client.
@@ -62,7 +68,7 @@
 // it, the outcome of that request is unknown, and unlike an idempotent one it
 // can't be retried. A new connection for each would cost about 1 ms per request.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	c := &Client{address: address, maxResponse: defaultMaxResponse, nonIdempotentMaxIdle: defaultNonIdempotentMaxIdle}
+	c := &Client{address: address, maxResponse: defaultMaxResponse, nonIdempotentMaxIdle: defaultNonIdempotentMaxIdle, arriving: bounded.NewBudget(maxArriving)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -77,6 +83,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     maxIdle,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
@@ -158,8 +166,8 @@
 const unreachableRetryAfter = time.Second
 
 func (c *Client) readResponse(res *http.Response) call.Answer {
-	body, err := io.ReadAll(io.LimitReader(res.Body, c.maxResponse+1))
-	if err != nil || int64(len(body)) > c.maxResponse {
+	body, err := c.arriving.ReadAll(res.Body, c.maxResponse)
+	if err != nil {
 		return call.UnknownOutcome(call.AnswerLost)
 	}
 	if res.ContentLength >= 0 && int64(len(body)) != res.ContentLength && res.Request.Method != http.MethodHead {
