--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -40,6 +40,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
+	// lastTick is when the last periodic work began; resumed requests a question for what happened while the daemon was paused.
+	lastTick time.Time
+	resumed  chan struct{}
 	// peerBytes reports the traffic between daemons, last at peerBytesAt.
 	peerBytes   telemetry.PeerBytes
 	peerBytesAt time.Time
@@ -58,7 +61,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &control{
 		router: r, source: source, catalog: catalog.New(), takeover: fresh.NewRandomTakeover(), copies: bootstrap.NewLimiter(r.settings.LinkBytes),
-		tasks: make(chan func()), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel,
+		tasks: make(chan func()), resumed: make(chan struct{}, 1), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel,
 	}
 	c.loader = bootstrap.NewLoader(c, r.settings.Peers, r.settings.Seeds)
 	c.announcer = bootstrap.NewAnnouncer(c, r.settings.Peers)
@@ -86,7 +89,10 @@
 			return
 		case task := <-c.tasks:
 			task()
-		case now := <-ticker.C:
+		case <-ticker.C:
+			// The ticker's own time may be from before a pause.
+			now := time.Now()
+			c.noticePause(now)
 			if c.catalog.Expire(now) {
 				c.publish()
 				c.logCatalog("lapsed")
--- a/internal/app/router/quarantine.go
+++ b/internal/app/router/quarantine.go
@@ -52,10 +52,12 @@
 	quarantineInterval = 5 * time.Second
 	// quarantineTimeout bounds the wait for the reply.
 	quarantineTimeout = 500 * time.Millisecond
-	// quarantineStartPause is the pause between two questions of a daemon that has just started and has had no reply.
-	quarantineStartPause = 200 * time.Millisecond
-	// quarantineStartTries bounds these questions.
-	quarantineStartTries = 5
+	// quarantineStartPause is the pause before a daemon that has just started asks again or looks again whether it knows whom to ask, and
+	// quarantineStartTries bounds the questions.
+	quarantineStartPause = 20 * time.Millisecond
+	quarantineStartTries = 20
+	// maxTickGap is the longest time between two ticks of a daemon that wasn't paused.
+	maxTickGap = 5 * tickInterval
 )
 
 // spreadCrash records the crash, and tells the daemons to which the content at work may come. It returns when they know, or after maxCrashHold.
@@ -152,8 +154,19 @@
 	return quarantineReply{Entries: r.executor.quarantine.Entries(time.Now())}
 }
 
-// followQuarantine asks other daemons of the service for crashes that this one doesn't know of: at once when it starts, and then periodically, since
-// a report may have missed it while it was cut off.
+// noticePause requests a question for crashes if the time between two ticks says that the daemon was paused.
+func (c *control) noticePause(now time.Time) {
+	if !c.lastTick.IsZero() && now.Sub(c.lastTick) > maxTickGap {
+		select {
+		case c.resumed <- struct{}{}:
+		default:
+		}
+	}
+	c.lastTick = now
+}
+
+// followQuarantine asks other daemons of the service for crashes that this one doesn't know of: at once when it starts or was paused, and then
+// periodically, since a report may have missed it while it was cut off.
 func (c *control) followQuarantine() {
 	for tries := 0; tries < quarantineStartTries && c.ctx.Err() == nil; sleep(c.ctx, quarantineStartPause) {
 		if !c.router.view.Load().Complete() {
@@ -165,7 +178,11 @@
 		tries++
 	}
 	for c.ctx.Err() == nil {
-		sleep(c.ctx, quarantineInterval/2+rand.N(quarantineInterval))
+		select {
+		case <-c.ctx.Done():
+		case <-c.resumed:
+		case <-time.After(quarantineInterval/2 + rand.N(quarantineInterval)):
+		}
 		c.router.askForCrashes(c.ctx)
 		c.router.updateQuarantine()
 	}
