--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -48,10 +48,21 @@
 	Fingerprint Fingerprint
 }
 
+// Option sets one property of a table.
+type Option func(*Table)
+
+// WithSalt sets the first salt, which is otherwise random.
+func WithSalt(salt Salt) Option { return func(t *Table) { t.recordsOf(salt) } }
+
 // NewTable returns an empty table.
-func NewTable() *Table {
+func NewTable(opts ...Option) *Table {
 	t := &Table{}
-	t.recordsOf(NewSalt())
+	for _, opt := range opts {
+		opt(t)
+	}
+	if len(t.salts) == 0 {
+		t.recordsOf(NewSalt())
+	}
 	return t
 }
 
--- a/internal/load/mesh/caller.go
+++ b/internal/load/mesh/caller.go
@@ -30,14 +30,15 @@
 	for _, c := range counts {
 		c.Requests++
 	}
-	f.sendToDaemon(r, start, counts, func(a answer) {
+	content := f.contentOf(r)
+	f.sendToDaemon(r, content, start, counts, func(a answer) {
 		remaining := r.Patience - f.now().Sub(start)
 		if a.outcome == succeeded || a.outcome == failed && r.AtMostOnce || a.retryAfter > remaining/maxRetryWaitDivisor {
 			countOutcome(r, counts, a, f.now().Sub(start))
 			return
 		}
 		f.clock.After(a.retryAfter, func() {
-			f.sendToDaemon(r, start, counts, func(a answer) { countOutcome(r, counts, a, f.now().Sub(start)) })
+			f.sendToDaemon(r, content, start, counts, func(a answer) { countOutcome(r, counts, a, f.now().Sub(start)) })
 		})
 	})
 }
@@ -45,7 +46,7 @@
 // reconnectDelay is how long a caller waits whose daemon accepts no connections.
 const reconnectDelay = 500 * time.Millisecond
 
-func (f *fleet) sendToDaemon(r *Route, start time.Time, counts []*Counts, done func(answer)) {
+func (f *fleet) sendToDaemon(r *Route, content string, start time.Time, counts []*Counts, done func(answer)) {
 	h := f.hosts[f.random.IntN(len(f.hosts))]
 	f.clock.After(clientDelay, func() {
 		if f.now().Before(h.daemonDownUntil) {
@@ -54,7 +55,10 @@
 		}
 		req := &request{
 			route: r, root: r, organisation: fmt.Sprint(f.random.IntN(organisations)), deadline: earlier(f.now().Add(r.Timeout), start.Add(r.Patience)), counts: counts,
-			done: func(a answer) { f.clock.After(clientDelay, func() { done(a) }) },
+			content: content, done: func(a answer) { f.clock.After(clientDelay, func() { done(a) }) },
+		}
+		if r.Fatal {
+			req.organisation = "fatal"
 		}
 		h.serve(req)
 	})
--- a/internal/load/mesh/fleet.go
+++ b/internal/load/mesh/fleet.go
@@ -35,8 +35,8 @@
 	// instances holds the registered instances by service.
 	instances map[string][]routing.Instance
 	byID      map[string]*host
-	// started is the number of executions so far.
-	started int
+	// started is the number of executions so far, contents that of the different contents, and crashes that of the reported crashes.
+	started, contents, crashes int
 
 	collector *collect.Collector
 }
--- a/internal/load/mesh/host.go
+++ b/internal/load/mesh/host.go
@@ -41,6 +41,7 @@
 
 	restartState
 	limitState
+	crashState
 }
 
 // startDaemon starts the host's daemon without any state of an earlier one.
@@ -53,6 +54,7 @@
 	h.pacer, h.knownLimit = &admission.Pacer{}, 0
 	h.gate = newGate(h.service.Slots, h.pacer, f.random.Float64)
 	h.runs = lineage.New(lineage.WithRand(f.random.Float64), lineage.WithClock(f.now))
+	h.crashState = newCrashState()
 	h.holdTimes = map[string]allot.HoldTime{}
 	h.saturationSum, h.saturationCount, h.delivered, h.retryable = 0, 0, 0, 0
 }
--- a/internal/load/mesh/request.go
+++ b/internal/load/mesh/request.go
@@ -6,6 +6,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/offers"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
@@ -26,6 +27,9 @@
 	result     choice.Result
 	retryAfter time.Duration
 	load       call.Load
+	// final means that no other instance runs the request, and suspect, if not 0, that it runs on one instance at a time, which is chosen by it.
+	final   bool
+	suspect quarantine.Fingerprint
 	// delivered means that the request reached an instance, and subcallFailed that a failed sub-call caused its failure.
 	delivered, subcallFailed bool
 	// responseLost means that the instance ran the request but its response was lost.
@@ -38,8 +42,11 @@
 	// root is the route of the caller's request that this one is part of.
 	root         *Route
 	organisation string
-	deadline     time.Time
-	subcall      bool
+	// content is the same in each attempt, also of the caller, and suspect its fingerprint if it runs on one instance at a time.
+	content  string
+	suspect  quarantine.Fingerprint
+	deadline time.Time
+	subcall  bool
 	// retry marks a sub-call of a run that is itself a retry.
 	retry bool
 	// noRetry marks a caller's request that is admitted without retries.
@@ -116,7 +123,7 @@
 		return
 	}
 	candidates, excluded := req.tracker.Candidates(h.fleet.instances[req.route.Service])
-	instance, ok := h.balancer.Pick(candidates, excluded, req.route.Name, req.deadline.Sub(now), now)
+	instance, ok := h.pick(req, candidates, excluded, now)
 	if !ok {
 		req.finish(req.last)
 		return
@@ -124,6 +131,14 @@
 	h.sendTo(req, instance)
 }
 
+// pick chooses the instance for the next attempt.
+func (h *host) pick(req *request, candidates []routing.Instance, excluded map[string]bool, now time.Time) (routing.Instance, bool) {
+	if req.suspect != 0 {
+		return choice.ByFingerprint(uint64(req.suspect), candidates, excluded)
+	}
+	return h.balancer.Pick(candidates, excluded, req.route.Name, req.deadline.Sub(now), now)
+}
+
 // mayRetry spends a retry for the request, if it may have one.
 func (h *host) mayRetry(req *request, now time.Time) bool {
 	return !req.noRetry && h.retryBudget.Spend(req.route.Service, priority(req.root), now)
@@ -173,11 +188,17 @@
 	if req.finished {
 		return
 	}
+	if a.suspect != 0 && req.suspect == 0 {
+		req.suspect = a.suspect
+		req.tracker.Defer()
+		h.sendNext(req)
+		return
+	}
 	req.tracker.Record(id, a.result, a.delivered)
 	if req.last.outcome == notRun || a.outcome != notRun {
 		req.last = a
 	}
-	if a.outcome == succeeded || a.outcome == failed && (req.route.AtMostOnce || a.subcallFailed && !h.fleet.without(mechanism.CallFailures) || !a.responseLost && a.result != choice.Failed) {
+	if a.outcome == succeeded || a.final || a.outcome == failed && (req.route.AtMostOnce || a.subcallFailed && !h.fleet.without(mechanism.CallFailures) || !a.responseLost && a.result != choice.Failed) {
 		req.finish(req.last)
 		return
 	}
--- a/internal/load/mesh/restart.go
+++ b/internal/load/mesh/restart.go
@@ -55,7 +55,10 @@
 func (f *fleet) losePower(down time.Duration) {
 	f.collector = collect.New(noopObserver{}, f.scenario.Without)
 	for _, h := range f.hosts {
-		h.crash(down)
+		// Without power there is no daemon that reports the crash.
+		for _, e := range h.endInstance(down) {
+			e.endLost()
+		}
 		h.daemonDownUntil = f.now().Add(down)
 		h.startDaemon()
 	}
@@ -63,12 +66,29 @@
 
 // crash ends the instance and its executions, and restarts it, cold, after the given time.
 func (h *host) crash(down time.Duration) {
+	atWork := h.endInstance(down)
+	end := func() {
+		for _, e := range atWork {
+			e.endLost()
+		}
+	}
+	if h.fleet.without(mechanism.Quarantine) || len(atWork) == 0 {
+		end()
+		return
+	}
+	h.reportCrash(atWork, end)
+}
+
+// endLost ends the execution since its instance has crashed.
+func (e *execution) endLost() {
+	e.end(answer{outcome: failed, result: choice.Lost, delivered: true, responseLost: true})
+}
+
+// endInstance ends the instance, restarts it, cold, after the given time, and returns what was at work in the order of its beginning.
+func (h *host) endInstance(down time.Duration) []*execution {
 	now := h.fleet.now()
 	h.downUntil, h.coldUntil, h.arrivals = now.Add(down), now.Add(down+h.service.ColdStart), nil
 	inOrder := slices.SortedFunc(maps.Keys(h.active), func(a, b *execution) int { return a.sequence - b.sequence })
-	for _, e := range inOrder {
-		e.end(answer{outcome: failed, result: choice.Lost, delivered: true, responseLost: true})
-	}
 	h.fleet.clock.At(h.downUntil, func() {
 		if h.service.ColdRate > 0 && !h.fleet.without(mechanism.ColdPacing) {
 			h.pacer.Pace(h.service.ColdRate, h.coldUntil)
@@ -76,6 +96,7 @@
 		}
 		h.publishCold()
 	})
+	return inOrder
 }
 
 // resume starts requests that wait at the gate until the pacing ends.
--- a/internal/load/mesh/scene.go
+++ b/internal/load/mesh/scene.go
@@ -48,6 +48,8 @@
 	// all, including its retry.
 	Target, Timeout, Patience time.Duration
 	Attempts                  int
+	// Fatal means that all its requests have the same content, which makes the instance crash that runs it.
+	Fatal bool
 	// AtMostOnce means that a request that may have run is not retried.
 	AtMostOnce bool
 }
--- a/internal/load/mesh/tally.go
+++ b/internal/load/mesh/tally.go
@@ -23,8 +23,10 @@
 	Seconds []map[string]*Counts
 	// Services has the requests and retries sent to each service in each tenth of a second.
 	Services map[string][]Sent
-	// Crashes counts the crashes of cold instances by service.
+	// Crashes counts the crashes of cold instances, and of those that ran a fatal request, by service.
 	Crashes map[string]int
+	// FatalUnderWay has, for each crash under a fatal request, how many other fatal requests were at work then.
+	FatalUnderWay []int
 	// LimitUse is the highest number of requests that an instance with a rate limit received in one window, as a fraction of the bound.
 	LimitUse float64
 }
--- a/internal/load/mesh/visit.go
+++ b/internal/load/mesh/visit.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
 	"github.com/foxtailhook/foxtailhook/internal/decide/lineage"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
@@ -44,6 +45,8 @@
 	lineageRun *lineage.Run
 	// sequence numbers the executions in the order of their starts.
 	sequence int
+	// exclusive is the content's fingerprint while no other request with it may run on the instance.
+	exclusive quarantine.Fingerprint
 }
 
 // Decide receives the gate's decision on an execution that waited in its queue.
@@ -63,6 +66,9 @@
 		return
 	}
 	e.deadline = req.deadline.Add(-responseReserve)
+	if !e.screen() {
+		return
+	}
 	e.ticket = admission.Ticket{
 		Operation: req.route.Name, Weight: 1, Priority: priority(req.root), Organisation: req.organisation, Deadline: e.deadline, Waiter: e,
 	}
@@ -134,6 +140,10 @@
 		return
 	}
 	f.clock.At(e.deadline, func() { e.end(answer{outcome: failed, result: choice.Lost, delivered: true}) })
+	if e.request.route.Fatal {
+		f.clock.After(fatalWork, e.crashFatally)
+		return
+	}
 	work := e.host.work(e.request.route)
 	if len(e.request.route.Subcalls) == 0 {
 		f.clock.After(work, e.complete)
@@ -148,6 +158,9 @@
 		e.end(answer{outcome: failed, result: choice.Lost, delivered: true, responseLost: true})
 		return
 	}
+	if !e.ended {
+		e.host.quarantine.Succeeded(e.request.quarantineContent())
+	}
 	e.end(answer{outcome: succeeded, result: choice.Served, delivered: true})
 }
 
@@ -183,7 +196,7 @@
 func (e *execution) sendSubcall(route string, then func()) {
 	f := e.host.fleet
 	r := f.routesByName[route]
-	req := &request{route: r, subcall: true, counts: e.request.counts, deadline: earlier(e.deadline, f.now().Add(r.Timeout))}
+	req := &request{route: r, subcall: true, content: e.subcallContent(r), counts: e.request.counts, deadline: earlier(e.deadline, f.now().Add(r.Timeout))}
 	parent := e.host.runs.Parent(route, req.deadline)
 	req.root, req.retry = f.routesByName[parent.Root], parent.Retry
 	req.done = func(a answer) {
@@ -235,6 +248,7 @@
 func (e *execution) release(result choice.Result) {
 	now := e.host.fleet.now()
 	delete(e.host.active, e)
+	e.endExclusive()
 	for _, req := range e.subcalls {
 		req.cancel()
 	}
