--- a/internal/app/router/crash_test.go
+++ b/internal/app/crash/detector_test.go
@@ -1,4 +1,4 @@
-package router
+package crash
 
 import (
 	"context"
@@ -12,12 +12,15 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 )
 
+// request is a request to the instance.
+type request struct{ id string }
+
 // crashingInstance is an instance that refuses connections once it has crashed, and says so after a while.
 type crashingInstance struct {
 	mu      sync.Mutex
 	crashed bool
 	checks  int
-	reports [][]suspect
+	reports [][]Suspect
 }
 
 // checkTime is how long the instance takes to refuse a connection or to accept it.
@@ -37,38 +40,38 @@
 	i.crashed = crashed
 }
 
-func (i *crashingInstance) report(suspects []suspect) {
+func (i *crashingInstance) report(suspects []Suspect) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.reports = append(i.reports, suspects)
 }
 
-func (i *crashingInstance) detector() *crashDetector {
-	return newCrashDetector(i.refuses, func(req *runRequest) suspect {
-		return suspect{requestID: req.RequestID, key: quarantine.Key{Route: req.Route}}
+func (i *crashingInstance) detector() *Detector[*request] {
+	return NewDetector(i.refuses, func(req *request) Suspect {
+		return Suspect{RequestID: req.id, Key: quarantine.Key{Route: "r"}}
 	}, i.report)
 }
 
 // ids returns the requests that a report names.
-func ids(suspects []suspect) map[string]bool {
+func ids(suspects []Suspect) map[string]bool {
 	named := map[string]bool{}
 	for _, s := range suspects {
-		named[s.requestID] = true
+		named[s.RequestID] = true
 	}
 	return named
 }
 
-// TestCrashDetector guards against crashes that aren't noticed or are reported once for each request at work, and against connections that break
+// TestDetector guards against crashes that aren't noticed or are reported once for each request at work, and against connections that break
 // being taken for crashes.
-func TestCrashDetector(t *testing.T) {
+func TestDetector(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey("With three requests at work,", t, func() {
 			i := &crashingInstance{}
 			d := i.detector()
-			requests := []*runRequest{{RequestID: "a"}, {RequestID: "b"}, {RequestID: "c"}}
+			requests := []*request{{id: "a"}, {id: "b"}, {id: "c"}}
 			began := time.Now()
 			for _, req := range requests {
-				d.begin(req)
+				d.Begin(req)
 			}
 			time.Sleep(time.Second)
 			lose := func() (crashes int) {
@@ -77,8 +80,8 @@
 				for n, req := range requests {
 					losing.Go(func() {
 						time.Sleep(time.Duration(n) * time.Millisecond)
-						crashed := d.lost(t.Context(), began)
-						d.end(req, false)
+						crashed := d.Lost(t.Context(), began)
+						d.End(req, false)
 						mu.Lock()
 						defer mu.Unlock()
 						if crashed {
@@ -94,7 +97,7 @@
 			So(i.reports, ShouldBeEmpty)
 			// A crash is one report with all that was at work, for all requests that are lost by it.
 			for _, req := range requests {
-				d.begin(req)
+				d.Begin(req)
 			}
 			i.setCrashed(true)
 			So(lose(), ShouldEqual, 3)
@@ -103,7 +106,7 @@
 			// The next instance's connections that break are no crash of the earlier one.
 			i.setCrashed(false)
 			time.Sleep(time.Second)
-			So(d.lost(t.Context(), time.Now()), ShouldBeFalse)
+			So(d.Lost(t.Context(), time.Now()), ShouldBeFalse)
 			So(i.reports, ShouldHaveLength, 1)
 		})
 	})
@@ -111,14 +114,14 @@
 		Convey("A request that is lost while a check goes on which began before is checked itself", t, func() {
 			i := &crashingInstance{}
 			d := i.detector()
-			req := &runRequest{RequestID: "a"}
-			d.begin(req)
+			req := &request{id: "a"}
+			d.Begin(req)
 			began := time.Now()
 			var first sync.WaitGroup
-			first.Go(func() { d.lost(t.Context(), began) })
+			first.Go(func() { d.Lost(t.Context(), began) })
 			time.Sleep(checkTime - time.Millisecond)
 			lost := make(chan bool)
-			go func() { lost <- d.lost(t.Context(), began) }()
+			go func() { lost <- d.Lost(t.Context(), began) }()
 			time.Sleep(checkTime / 2)
 			i.setCrashed(true)
 			So(<-lost, ShouldBeTrue)
@@ -130,9 +133,9 @@
 		Convey("An instance that listens for a moment longer than its connections last has crashed", t, func() {
 			i := &crashingInstance{}
 			d := i.detector()
-			d.begin(&runRequest{RequestID: "a"})
-			time.AfterFunc(crashRecheckPause/2, func() { i.setCrashed(true) })
-			So(d.lost(t.Context(), time.Now()), ShouldBeTrue)
+			d.Begin(&request{id: "a"})
+			time.AfterFunc(recheckPause/2, func() { i.setCrashed(true) })
+			So(d.Lost(t.Context(), time.Now()), ShouldBeTrue)
 			So(i.reports, ShouldHaveLength, 1)
 		})
 	})
@@ -145,14 +148,14 @@
 				id    string
 				after time.Duration
 			}{{"old", abandonedTTL}, {"recent", time.Millisecond}} {
-				req := &runRequest{RequestID: c.id}
-				d.begin(req)
-				d.end(req, true)
+				req := &request{id: c.id}
+				d.Begin(req)
+				d.End(req, true)
 				time.Sleep(c.after)
 			}
-			req := &runRequest{RequestID: "a"}
-			d.begin(req)
-			So(d.lost(t.Context(), time.Now()), ShouldBeTrue)
+			req := &request{id: "a"}
+			d.Begin(req)
+			So(d.Lost(t.Context(), time.Now()), ShouldBeTrue)
 			So(ids(i.reports[0]), ShouldResemble, map[string]bool{"a": true, "recent": true})
 		})
 	})
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -40,9 +40,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
-	// lastTick is when the last periodic work began; resumed requests a question for what happened while the daemon was paused.
+	// lastTick is when the last periodic work began.
 	lastTick time.Time
-	resumed  chan struct{}
 	// peerBytes reports the traffic between daemons, last at peerBytesAt.
 	peerBytes   telemetry.PeerBytes
 	peerBytesAt time.Time
@@ -61,7 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &control{
 		router: r, source: source, catalog: catalog.New(), takeover: fresh.NewRandomTakeover(), copies: bootstrap.NewLimiter(r.settings.LinkBytes),
-		tasks: make(chan func()), resumed: make(chan struct{}, 1), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel,
+		tasks: make(chan func()), fetchQueue: make(chan netip.AddrPort, 1), ctx: ctx, cancel: cancel,
 	}
 	c.loader = bootstrap.NewLoader(c, r.settings.Peers, r.settings.Seeds)
 	c.announcer = bootstrap.NewAnnouncer(c, r.settings.Peers)
@@ -72,7 +71,7 @@
 	c.done.Go(c.run)
 	c.done.Go(c.watch)
 	c.done.Go(c.fetchQueued)
-	c.done.Go(c.followQuarantine)
+	c.done.Go(c.followCrashes)
 }
 
 func (c *control) stop() {
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/allot"
@@ -29,12 +30,12 @@
 	runs   *lineage.Runs
 	warmUp *warmUp
 	// crashes finds crashes of the instance, and quarantine counts those of all instances of the service by what was at work.
-	crashes    *crashDetector
+	crashes    *crash.Detector[*runRequest]
 	quarantine *quarantine.Table
 	// exclusive lets content under which instances have crashed run one request at a time.
 	exclusive quarantine.Exclusive
 	// spreadCrash tells other daemons of a crash, and returns when they know.
-	spreadCrash func(quarantine.Crash)
+	spreadCrash func([]crash.Suspect)
 	// stated has what the instance says of itself.
 	stated *statements
 	// drainTime is the time after which an instance that has started to drain must receive no new requests.
@@ -98,7 +99,7 @@
 	}
 	warm.observe = e.observeCheck
 	e.quarantine = quarantine.NewTable()
-	e.crashes = newCrashDetector(e.instance.Refuses, e.suspect, e.instanceCrashed)
+	e.crashes = crash.NewDetector(e.instance.Refuses, e.suspect, e.instanceCrashed)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
 	return e
--- a/internal/app/router/quarantine_test.go
+++ b/internal/app/router/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
@@ -60,7 +61,7 @@
 			})
 			f.awaitLoaded(t)
 			reporter := f.routers[1]
-			reporter.spreadCrash(crashUnder(reporter.executor.quarantine, 1, fatal()))
+			reporter.crashes.Spread([]crash.Suspect{reporter.executor.suspect(fatal())})
 			So(f.knowing(fatal(), 1), ShouldEqual, len(f.routers))
 		})
 	}
@@ -69,20 +70,24 @@
 		f.awaitLoaded(t)
 		for id := range 3 {
 			for _, r := range f.routers[:3] {
-				r.recordCrash(crashUnder(f.routers[0].executor.quarantine, id+1, fatal()), netip.Addr{})
+				r.executor.quarantine.Report(crashUnder(f.routers[0].executor.quarantine, id+1, fatal()), time.Now())
 			}
 		}
 		missed := f.routers[3]
-		So(missed.askForCrashes(t.Context()), ShouldBeTrue)
-		So(missed.executor.quarantine.Check(fatal().content(), time.Now()).Refused, ShouldBeTrue)
+		missed.crashes.Resumed()
+		for end := time.Now().Add(time.Minute); !missed.executor.quarantine.Check(fatal().content(), time.Now()).Refused; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the daemon doesn't know after a minute")
+			}
+		}
 	})
 }
 
 // TestScreen guards against content that crashes instances and runs nevertheless, or beside itself when the next crash would be the last.
 func TestScreen(t *testing.T) {
-	crash := func(r *Router, times int) {
+	crashes := func(r *Router, times int) {
 		for id := range times {
-			r.recordCrash(crashUnder(r.executor.quarantine, id+1, fatal()), netip.Addr{})
+			r.executor.quarantine.Report(crashUnder(r.executor.quarantine, id+1, fatal()), time.Now())
 		}
 	}
 	for _, c := range []struct {
@@ -100,7 +105,7 @@
 	} {
 		Convey(fmt.Sprintf("After %d crashes, sent to the only instance for it: %v", c.crashes, c.alone), t, func() {
 			r, req := newRouterBeside(4), fatal()
-			crash(r, c.crashes)
+			crashes(r, c.crashes)
 			req.Alone = c.alone
 			res, ok := r.executor.screen(t.Context(), req, time.Now().Add(time.Minute))
 			So(ok, ShouldEqual, c.reason == call.None)
@@ -120,14 +125,14 @@
 	}{
 		{"and runs if that succeeds", func(r *Router) { r.executor.quarantine.Succeeded(fatal().content()) }, call.None},
 		{"and is refused if that crashes the instance", func(r *Router) {
-			r.recordCrash(crashUnder(r.executor.quarantine, 9, fatal()), netip.Addr{})
+			r.executor.quarantine.Report(crashUnder(r.executor.quarantine, 9, fatal()), time.Now())
 		}, call.Quarantined},
 		{"and runs if that is cut off", func(*Router) {}, call.None},
 	} {
 		r := newRouterBeside(4)
 		synctest.Test(t, func(t *testing.T) {
 			Convey("Of two requests that run alone, the second waits for the first "+c.name, t, func() {
-				crash(r, 2)
+				crashes(r, 2)
 				first, second := fatal(), fatal()
 				first.Alone, second.Alone = true, true
 				deadline := time.Now().Add(time.Minute)
@@ -149,12 +154,12 @@
 	// Guards against a request that waits for a slot while another one with its content crashes an instance, and that runs then.
 	Convey("A request is screened again when it has got a slot", t, func() {
 		r, req := newRouterBeside(4), fatal()
-		crash(r, 2)
+		crashes(r, 2)
 		req.Alone = true
 		_, ok := r.executor.screen(t.Context(), req, time.Now().Add(time.Minute))
 		So(ok, ShouldBeTrue)
 		So(r.executor.closedToContent(req, time.Now()), ShouldEqual, call.None)
-		r.recordCrash(crashUnder(r.executor.quarantine, 9, fatal()), netip.Addr{})
+		r.executor.quarantine.Report(crashUnder(r.executor.quarantine, 9, fatal()), time.Now())
 		So(r.executor.closedToContent(req, time.Now()), ShouldEqual, call.Quarantined)
 	})
 }
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/choice"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
@@ -49,6 +50,8 @@
 	shedder      *shed.Shedder
 	usualShares  *shares.Fractions
 	executor     *executor
+	// crashes keeps the daemons of the service alike in what they know of crashes.
+	crashes *crash.Spreader
 	// told has what other daemons say of their instances.
 	told     *toldStatements
 	control  *control
@@ -83,7 +86,6 @@
 	r.view.Store(catalog.New().View(nil))
 	r.samplers.Store(&map[string]*choice.Sampler{})
 	r.executor = newExecutor(settings, heads, newWarmUp(settings, heads, log, r.metrics))
-	r.executor.spreadCrash = r.spreadCrash
 	r.peers = peer.New(settings.Peers, r.peerOptions()...)
 	r.control = newControl(r, source)
 	r.reporter = newReporter(r)
@@ -92,8 +94,8 @@
 	peer.Handle(r.peers, peer.KindChanges, r.control.handleFetch)
 	peer.Handle(r.peers, peer.KindFinishBound, r.handleFinishBound)
 	peer.Handle(r.peers, peer.KindAnnouncement, r.control.handleAnnouncement)
-	peer.Handle(r.peers, peer.KindCrash, r.handleCrash)
-	peer.Handle(r.peers, peer.KindQuarantine, r.handleQuarantine)
+	r.crashes = crash.NewSpreader(r.executor.quarantine, r.peers, r.crashReceivers, log, r.metrics)
+	r.executor.spreadCrash = r.crashes.Spread
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
 		httpd.WithHeldBytes(settings.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -26,9 +26,9 @@
 	})
 	run := &lineage.Run{Route: req.Route, Root: req.Root, Priority: req.Priority, Retry: req.Retry}
 	e.runs.Begin(run, now.Add(timeout.Truncate(time.Millisecond)))
-	e.crashes.begin(req)
+	e.crashes.Begin(req)
 	res := e.send(ctx, req, header, ticket.Deadline)
-	e.crashes.end(req, res.abandoned())
+	e.crashes.End(req, res.abandoned())
 	e.runs.End(run, res.Outcome == call.Whole && res.Status < statusFailed)
 	res.Saturation, res.SubcallRefused = run.Saturation()
 	res.SubcallFailed = res.Status >= statusFailed && e.runs.CausedByCall(run, time.Now())
@@ -46,7 +46,7 @@
 	if err != nil {
 		res := e.errorResult(ctx, err, deadline)
 		if res.Reason == call.AnswerLost && instance.IsDisconnect(err) {
-			res.Crashed = e.crashes.lost(ctx, began)
+			res.Crashed = e.crashes.Lost(ctx, began)
 		}
 		return res
 	}
--- a/internal/app/router/suspects.go
+++ b/internal/app/router/suspects.go
@@ -2,26 +2,19 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
 
-const (
-	// maxSuspects bounds the contents that the report of one crash names.
-	maxSuspects = 512
-	// maxLoggedSuspects bounds the requests that one log line on a crash names.
-	maxLoggedSuspects = 20
-	// suspectedRetryAfter is the Retry-After if content that runs on one instance at a time could not begin there: a run has ended by then.
-	suspectedRetryAfter = 250 * time.Millisecond
-)
+// suspectedRetryAfter is the Retry-After if content that runs on one instance at a time could not begin there: a run has ended by then.
+const suspectedRetryAfter = 250 * time.Millisecond
 
 // inspection is what is known of a request's content.
 type inspection struct {
@@ -118,14 +111,13 @@
 }
 
 // suspect returns the request as one that was at work at a crash.
-func (e *executor) suspect(req *runRequest) suspect {
-	salt := e.quarantine.Salt()
-	return suspect{requestID: req.RequestID, salt: salt, key: quarantine.Key{Route: req.Route, Fingerprint: req.content().Fingerprint(salt)}}
+func (e *executor) suspect(req *runRequest) crash.Suspect {
+	return crash.SuspectOf(e.quarantine, req.RequestID, req.content())
 }
 
 // instanceCrashed logs a crash of the instance and holds it against what was at work there, on all daemons to which the same content may come. What
 // was at work on an instance that was about to end isn't suspected.
-func (e *executor) instanceCrashed(suspects []suspect) {
+func (e *executor) instanceCrashed(suspects []crash.Suspect) {
 	e.mu.Lock()
 	of, planned := e.current.Incarnation(), !e.drainingSince.IsZero()
 	e.mu.Unlock()
@@ -133,39 +125,9 @@
 	planned = planned || leaving
 	e.warmUp.metrics.Counter(telemetry.InstanceCrashes).Inc(1)
 	e.warmUp.log.WithFields(logrus.Fields{
-		"instance": of.ID, "planned": planned, "atWork": len(suspects), "suspects": describe(suspects),
+		"instance": of.ID, "planned": planned, "atWork": len(suspects), "suspects": crash.Describe(suspects),
 	}).Warn("instance crashed")
-	if planned || e.disabled.Has(mechanism.Quarantine) {
-		return
-	}
-	for _, crash := range crashesOf(suspects) {
-		e.spreadCrash(crash)
-	}
-}
-
-// describe returns what a log line says of the suspects.
-func describe(suspects []suspect) []string {
-	var described []string
-	for i := range suspects[:min(len(suspects), maxLoggedSuspects)] {
-		described = append(described, suspects[i].requestID+" "+suspects[i].key.String())
-	}
-	return described
-}
-
-// crashesOf returns the reports on one crash: one for each salt, since the salt may have changed while requests were at work.
-func crashesOf(suspects []suspect) []quarantine.Crash {
-	var crashes []quarantine.Crash
-	id := quarantine.CrashID(rand.Uint64())
-	for _, s := range suspects[:min(len(suspects), maxSuspects)] {
-		i := slices.IndexFunc(crashes, func(c quarantine.Crash) bool { return c.Salt == s.salt })
-		if i < 0 {
-			i = len(crashes)
-			crashes = append(crashes, quarantine.Crash{ID: id, Salt: s.salt, Suspects: map[string][]quarantine.Fingerprint{}})
-		}
-		known := crashes[i].Suspects[s.key.Route]
-		if !slices.Contains(known, s.key.Fingerprint) {
-			crashes[i].Suspects[s.key.Route] = append(known, s.key.Fingerprint)
-		}
+	if !planned && !e.disabled.Has(mechanism.Quarantine) {
+		e.spreadCrash(suspects)
 	}
-	return crashes
 }
