--- a/internal/app/crash/detector.go
+++ b/internal/app/crash/detector.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Lost reports whether the instance has crashed under a request that began at the given time and whose connection has just ended. When it returns,
-// the crash is reported.
+// Lost reports whether the instance has crashed under a request that began at the given time and whose connection has just ended, and that is still at
+// work by Begin and End. When it returns, the crash is reported.
 func (d *Detector[R]) Lost(ctx context.Context, began time.Time) bool {
 	lostAt := time.Now()
 	for range maxChecks {
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
@@ -46,6 +47,7 @@
 	runNeeds       *budget.Needs
 	throttles      *pressure.Throttles
 	executor       *executor
+	crashes        *crash.Spreader
 	peers          *peer.Node
 	dedup          *deduplicator
 	callerServer   *httpd.Server
@@ -67,11 +69,12 @@
 	d.responses = newResponseMetrics(d.metrics.Scope)
 	d.view.Store(lists.NewSet().View())
 	d.executor = newExecutor(s, upstream.New(s.Upstream, upstream.WithMaxResponse(int64(s.BodyBound)), upstream.WithNonIdempotentMaxIdle(s.OnceIdle)))
-	d.executor.ending = d.ending
+	d.executor.ending, d.executor.crashed = d.ending, d.upstreamCrashed
 	d.rateLimiter = newRateLimiter(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
 	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+maxFrameHead), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...), peer.WithPlaces(d.placeOf))
 	peer.Handle(d.peers, peer.KindCall, d.handleRunRequest)
+	d.crashes = crash.NewSpreader(d.executor.quarantine, d.peers, d.crashReceivers, log, d.metrics)
 	d.rateLimiter.registerHandlers(d.peers)
 	peer.Handle(d.peers, peer.KindDigest, d.handleDigest)
 	peer.Handle(d.peers, peer.KindFetch, d.handleFetch)
@@ -106,6 +109,7 @@
 	d.control.start()
 	d.rateLimiter.start()
 	d.control.done.Go(d.reportMetrics)
+	d.control.done.Go(d.followCrashes)
 	d.awaitLists(ctx)
 	if err := startAll(d.callerServer.Start); err != nil {
 		return err
--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -73,7 +73,8 @@
 func retryable(r call.Request, a call.Answer) bool {
 	switch a.Outcome {
 	case call.NotRun:
-		return a.Reason.Temporary()
+		// Other hosts may not know yet that the content has crashed several upstreams.
+		return a.Reason.Temporary() && a.Reason != call.Quarantined
 	case call.Unknown:
 		return r.Idempotent
 	default:
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/foxtailhook/foxtailhook/internal/app/crash"
 	"github.com/foxtailhook/foxtailhook/internal/app/settings"
 	"github.com/foxtailhook/foxtailhook/internal/decide/admission"
 	"github.com/foxtailhook/foxtailhook/internal/decide/budget"
 	"github.com/foxtailhook/foxtailhook/internal/decide/limit"
+	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/decide/queue"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
@@ -20,6 +22,13 @@
 	runs     *activeRuns
 	// subCallNeeds is the budget that the upstream's sub-calls are expected to need, by operation.
 	subCallNeeds *budget.Needs
+	// crashed receives what was at work at a crash.
+	crashed func([]crash.Suspect)
+	// crashes finds crashes of the upstream, and quarantine counts those of all upstreams of the service by what was at work.
+	crashes    *crash.Detector[*call.Request]
+	quarantine *quarantine.Table
+	// exclusive lets content under which upstreams have crashed run one request at a time.
+	exclusive quarantine.Exclusive
 	// ending is that of the daemon; nil means that it never leaves.
 	ending *ending
 }
@@ -31,7 +40,14 @@
 		admission.WithWait(s.QueueTime),
 		admission.WithLength(s.QueueLength),
 	)
-	return &executor{gate: gate, upstream: u, runs: newActiveRuns(), subCallNeeds: budget.NewNeeds()}
+	e := &executor{gate: gate, upstream: u, runs: newActiveRuns(), subCallNeeds: budget.NewNeeds(), quarantine: quarantine.NewTable(), crashed: func([]crash.Suspect) {}}
+	e.crashes = crash.NewDetector(u.Refuses, e.suspect, func(suspects []crash.Suspect) { e.crashed(suspects) })
+	return e
+}
+
+// suspect returns the request as one that was at work at a crash.
+func (e *executor) suspect(r *call.Request) crash.Suspect {
+	return crash.SuspectOf(e.quarantine, r.ID, contentOf(r))
 }
 
 // run runs the request, or refuses it before the upstream has seen it. After the wait in the queue it checks the caller's
@@ -39,6 +55,11 @@
 func (e *executor) run(ctx context.Context, r *call.Request, finishBy time.Time, check keyCheck) call.Answer {
 	ctx, cancel := e.ending.bound(ctx)
 	defer cancel()
+	end, refusal, ok := e.screen(ctx, r)
+	if !ok {
+		return e.refuse(r, refusal)
+	}
+	defer end()
 	for {
 		cutoff := e.ending.cutoff()
 		ticket := &admission.Ticket{
@@ -53,6 +74,10 @@
 			e.gate.Settle(time.Now(), ticket, admission.Result{Withdrawn: true})
 			return e.refuse(r, admission.Decision{Reason: reason, RetryAfter: refuseKey(reason).RetryAfter})
 		}
+		if verdict := e.quarantine.Check(contentOf(r), time.Now()); verdict.Refused {
+			e.gate.Settle(time.Now(), ticket, admission.Result{Withdrawn: true})
+			return e.refuse(r, admission.Decision{Reason: call.Quarantined, RetryAfter: verdict.RetryAfter})
+		}
 		if e.ending.cutoff().Equal(cutoff) {
 			r.Deadline = earlierBound(r.Deadline, runLimit(r, finishBy, cutoff))
 			return e.execute(ctx, r, ticket)
@@ -94,7 +119,7 @@
 	account := budget.NewFor(granted, e.subCallNeeds.Expect(r.Operation, r.Depth+1))
 	token, run := e.runs.add(r, account)
 	started := time.Now()
-	answer := e.upstream.Do(ctx, r, token)
+	answer := e.runOnUpstream(ctx, r, token)
 	e.runs.remove(token)
 	now := time.Now()
 	waited, subCallPressure := run.waited(now)
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,6 +89,16 @@
 	}
 }
 
+// Refuses opens a connection to the upstream, and reports whether it was refused: no process listens at the address any more.
+func (c *Client) Refuses(ctx context.Context) bool {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", c.address.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (c *Client) transport(r *call.Request) *http.Transport {
 	if r.Idempotent {
 		return c.idempotent
