--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -32,7 +32,7 @@
 	// maxRecords bounds a table's memory, to about 1 MB.
 	maxRecords = 4096
 	// maxEntries bounds the entries that are sent at once.
-	maxEntries = 512
+	maxEntries = 128
 )
 
 // Verdict says whether a request may run.
