Quarantine: the table's version changes with the table only

Found by reading: each run that ended after another one had, on any route, hashed its content and changed the version for the next one, for good after the first crash.

--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -183,10 +183,10 @@
 	for _, s := range fingerprints {
 		if r := t.find(s, content.Route); r != nil && len(r.held) > 0 {
 			r.forgive()
-			break
+			t.version.Add(1)
+			return
 		}
 	}
-	t.version.Add(1)
 }
 
 // salted is a content's fingerprint with a salt.
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -138,6 +138,28 @@
 	})
 }
 
+// TestVersion guards against requests that are hashed again and again, each since another one has run to its end.
+func TestVersion(t *testing.T) {
+	Convey("The version changes with the table only", t, func() {
+		table := NewTable()
+		empty := table.Version()
+		table.Succeeded(&content)
+		So(table.Version(), ShouldEqual, empty)
+		report(table, 1, start, content)
+		held := table.Version()
+		So(held, ShouldNotEqual, empty)
+		other := content
+		other.Target = "/other"
+		table.Succeeded(&other)
+		So(table.Version(), ShouldEqual, held)
+		table.Succeeded(&content)
+		forgiven := table.Version()
+		So(forgiven, ShouldNotEqual, held)
+		table.Succeeded(&content)
+		So(table.Version(), ShouldEqual, forgiven)
+	})
+}
+
 // TestMerge guards against crashes that are held against content again, by a daemon that hasn't heard that it ran to its end, and against tables
 // that differ by the order of what they heard.
 func TestMerge(t *testing.T) {
