--- a/internal/app/daemon/crashes.go
+++ b/internal/app/daemon/crashes.go
@@ -29,16 +29,16 @@
 		switch {
 		case verdict.Refused:
 			return nil, admission.Decision{Reason: call.Quarantined, RetryAfter: verdict.RetryAfter}, false
-		case !verdict.Alone:
+		case !verdict.Exclusive:
 			return func() {}, refusal, true
 		}
-		ended, begun := e.exclusive.Begin(verdict.Fingerprint)
-		if begun {
-			return func() { e.exclusive.End(verdict.Fingerprint) }, refusal, true
+		unlocked, locked := e.locks.TryLock(verdict.Fingerprint)
+		if locked {
+			return func() { e.locks.Unlock(verdict.Fingerprint) }, refusal, true
 		}
 		remaining := r.Remaining(time.Now())
 		select {
-		case <-ended:
+		case <-unlocked:
 			continue
 		case <-ctx.Done():
 		case <-time.After(remaining - refusalTime(remaining)):
--- a/internal/app/daemon/owner.go
+++ b/internal/app/daemon/owner.go
@@ -27,8 +27,8 @@
 	// crashes finds crashes of the upstream, and quarantine counts those of all upstreams of the service by what was at work.
 	crashes    *crash.Detector[*call.Request]
 	quarantine *quarantine.Table
-	// exclusive lets content under which upstreams have crashed run one request at a time.
-	exclusive quarantine.Exclusive
+	// locks let content under which upstreams have crashed run one request at a time.
+	locks quarantine.Locks
 	// ending is that of the daemon; nil means that it never leaves.
 	ending *ending
 }
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -32,8 +32,8 @@
 	// crashes finds crashes of the instance, and quarantine counts those of all instances of the service by what was at work.
 	crashes    *crash.Detector[*runRequest]
 	quarantine *quarantine.Table
-	// exclusive lets content under which instances have crashed run one request at a time.
-	exclusive quarantine.Exclusive
+	// locks let content under which instances have crashed run one request at a time.
+	locks quarantine.Locks
 	// spreadCrash tells other daemons of a crash, and returns when they know.
 	spreadCrash func([]crash.Suspect)
 	// stated has what the instance says of itself.
@@ -192,7 +192,7 @@
 	if refusal, ok := e.screen(ctx, req, deadline); !ok {
 		return refusal
 	}
-	defer e.endExclusive(req)
+	defer e.unlock(req)
 	ticket := e.ticket(req, deadline)
 	e.setFinishBy(ticket, req, arrived)
 	saturation := gate.Fullness(arrived, waitUnit)
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -38,13 +38,13 @@
 	Redirectable bool `msgpack:"redirectable,omitempty"`
 	// FinishIn is the time in which the run must have ended, since the sender shuts down; 0 if it doesn't.
 	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
-	// Alone means that the sender sends requests with this content to this instance only, since instances have crashed under it.
-	Alone bool `msgpack:"alone,omitempty"`
+	// Exclusive means that the sender sends requests with this content to this instance only, since instances have crashed under it.
+	Exclusive bool `msgpack:"exclusive,omitempty"`
 	// finishBy is when the run must have ended, if the sender says so later; nil for a request that wasn't handed over.
 	finishBy *statedEnd
-	// inspection is what is known of the request's content, exclusive its fingerprint while no other request with it may run here.
+	// inspection is what is known of the request's content, locked its fingerprint while no other request with it may run here.
 	inspection inspection
-	exclusive  quarantine.Fingerprint
+	locked     quarantine.Fingerprint
 }
 
 // Age subtracts the time that has passed on the way from the times that are left.
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -306,7 +306,7 @@
 		RequestID: req.id, Instance: inst.Incarnation(), Route: req.route.Name, Root: req.root, CallerService: r.settings.Service, Organisation: req.organisation,
 		Method: req.method, Target: req.target, HTTPHost: req.httpHost, Header: headerFields(req.header), Body: req.body,
 		Remaining: req.deadline.Sub(now), Priority: req.priority, Idempotent: req.route.Repeat == routing.Idempotent,
-		Subcall: req.subcall, Retry: req.retry, Alone: req.suspect != 0, RateLimit: r.told.limit(inst.Incarnation()), FinishIn: r.finishIn(now),
+		Subcall: req.subcall, Retry: req.retry, Exclusive: req.suspect != 0, RateLimit: r.told.limit(inst.Incarnation()), FinishIn: r.finishIn(now),
 	}
 }
 
--- a/internal/app/router/quarantine_test.go
+++ b/internal/app/router/quarantine_test.go
@@ -106,7 +106,7 @@
 		Convey(fmt.Sprintf("After %d crashes, sent to the only instance for it: %v", c.crashes, c.alone), t, func() {
 			r, req := newRouterBeside(4), fatal()
 			crashes(r, c.crashes)
-			req.Alone = c.alone
+			req.Exclusive = c.alone
 			res, ok := r.executor.screen(t.Context(), req, time.Now().Add(time.Minute))
 			So(ok, ShouldEqual, c.reason == call.None)
 			So(res.Reason, ShouldEqual, c.reason)
@@ -134,7 +134,7 @@
 			Convey("Of two requests that run alone, the second waits for the first "+c.name, t, func() {
 				crashes(r, 2)
 				first, second := fatal(), fatal()
-				first.Alone, second.Alone = true, true
+				first.Exclusive, second.Exclusive = true, true
 				deadline := time.Now().Add(time.Minute)
 				_, ok := r.executor.screen(t.Context(), first, deadline)
 				So(ok, ShouldBeTrue)
@@ -146,7 +146,7 @@
 				synctest.Wait()
 				So(done, ShouldBeEmpty)
 				c.end(r)
-				r.executor.endExclusive(first)
+				r.executor.unlock(first)
 				So((<-done).Reason, ShouldEqual, c.reason)
 			})
 		})
@@ -155,7 +155,7 @@
 	Convey("A request is screened again when it has got a slot", t, func() {
 		r, req := newRouterBeside(4), fatal()
 		crashes(r, 2)
-		req.Alone = true
+		req.Exclusive = true
 		_, ok := r.executor.screen(t.Context(), req, time.Now().Add(time.Minute))
 		So(ok, ShouldBeTrue)
 		So(r.executor.closedToContent(req, time.Now()), ShouldEqual, call.None)
--- a/internal/app/router/suspects.go
+++ b/internal/app/router/suspects.go
@@ -42,8 +42,8 @@
 	return req.inspection.verdict
 }
 
-// screen reports whether the request's content may run here now, and otherwise returns the refusal. Content under which all but one of the crashes
-// that are allowed have happened waits while it runs for another request.
+// screen reports whether the request's content may run here now, and otherwise returns the refusal. If the content runs on one instance at a time, it
+// waits here for another request with it, or goes to the instance that its sender chooses.
 func (e *executor) screen(ctx context.Context, req *runRequest, deadline time.Time) (refusal runResult, ok bool) {
 	for {
 		verdict := e.inspect(req, time.Now())
@@ -51,19 +51,19 @@
 		case verdict.Refused:
 			e.warmUp.metrics.Counter(telemetry.RequestsQuarantined).Inc(1)
 			return refusedResult(call.Refuse(call.Quarantined, verdict.RetryAfter), e.load()), false
-		case verdict.Alone && !req.Alone:
+		case verdict.Exclusive && !req.Exclusive:
 			res := refusedResult(call.Refuse(call.Suspected, suspectedRetryAfter), e.load())
 			res.Suspect = verdict.Fingerprint
 			return res, false
-		case !verdict.Alone:
+		case !verdict.Exclusive:
 			return runResult{}, true
 		}
-		ended, begun := e.exclusive.Begin(verdict.Fingerprint)
-		if begun {
-			req.exclusive = verdict.Fingerprint
+		unlocked, locked := e.locks.TryLock(verdict.Fingerprint)
+		if locked {
+			req.locked = verdict.Fingerprint
 			return runResult{}, true
 		}
-		if !await(ctx, ended, deadline) {
+		if !await(ctx, unlocked, deadline) {
 			return refusedResult(call.Refuse(call.Suspected, suspectedRetryAfter), e.load()), false
 		}
 	}
@@ -82,11 +82,11 @@
 	return false
 }
 
-// endExclusive lets the next request with the content run, if this one kept it from running.
-func (e *executor) endExclusive(req *runRequest) {
-	if req.exclusive != 0 {
-		e.exclusive.End(req.exclusive)
-		req.exclusive = 0
+// unlock lets the next request with the content run, if this one kept it from running.
+func (e *executor) unlock(req *runRequest) {
+	if req.locked != 0 {
+		e.locks.Unlock(req.locked)
+		req.locked = 0
 	}
 }
 
@@ -96,7 +96,7 @@
 	case verdict.Refused:
 		e.warmUp.metrics.Counter(telemetry.RequestsQuarantined).Inc(1)
 		return call.Quarantined
-	case verdict.Alone && req.exclusive == 0:
+	case verdict.Exclusive && req.locked == 0:
 		return call.Suspected
 	default:
 		return call.None
--- a/internal/decide/quarantine/entry.go
+++ b/internal/decide/quarantine/entry.go
@@ -51,9 +51,9 @@
 	// holdTime is the time after which one crash fewer counts, from the last one on. A content is then tried once more; if that crashes an
 	// instance too, it is refused for twice as long.
 	holdTime = 10 * time.Minute
-	// aloneTime is how long content runs on one instance at a time after its first crash. Many requests may have the same content, and they are held
+	// exclusiveTime is how long content runs on one instance at a time after its first crash. Many requests may have the same content, and they are held
 	// up no longer than those that were at work need to be repeated.
-	aloneTime = time.Second
+	exclusiveTime = time.Second
 	// maxHeld bounds the crashes that are held against one content, and so the time for which it is refused.
 	maxHeld = 8
 	// maxForgiven bounds the crashes that are remembered as forgiven.
@@ -94,10 +94,10 @@
 	return max(len(r.held)-max(int(now.Sub(r.lastAt)/holdTime), 0), 0)
 }
 
-// alone reports whether the content runs on one instance at a time.
-func (r *record) alone(now time.Time) bool {
+// exclusive reports whether the content runs on one instance at a time.
+func (r *record) exclusive(now time.Time) bool {
 	crashes := r.crashes(now)
-	return crashes == maxCrashes-1 || crashes > 0 && crashes < maxCrashes && now.Sub(r.lastAt) < aloneTime
+	return crashes == maxCrashes-1 || crashes > 0 && crashes < maxCrashes && now.Sub(r.lastAt) < exclusiveTime
 }
 
 // refusedFor returns how long the content is still refused.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -42,9 +42,9 @@
 	// Refused means that it must not run, for the next RetryAfter.
 	Refused    bool
 	RetryAfter time.Duration
-	// Alone means that the content runs on one instance at a time: the next crash would be the last one that is allowed, or the last one was so
+	// Exclusive means that the content runs on one instance at a time: the next crash would be the last one that is allowed, or the last one was so
 	// recent that all who lost a request by it may be repeating it now. Fingerprint is the same for all requests that must not run beside each other.
-	Alone       bool
+	Exclusive   bool
 	Fingerprint Fingerprint
 }
 
@@ -168,7 +168,7 @@
 			all.add(id, r.lastAt)
 		}
 	}
-	verdict.Crashes, verdict.Alone = all.crashes(now), all.alone(now)
+	verdict.Crashes, verdict.Exclusive = all.crashes(now), all.exclusive(now)
 	if verdict.Refused = verdict.Crashes >= maxCrashes; verdict.Refused {
 		verdict.RetryAfter = all.refusedFor(now)
 	}
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -57,21 +57,21 @@
 		crashes, successes int
 		after              time.Duration
 		counted            int
-		alone, refused     bool
+		exclusive, refused bool
 		retryAfter         time.Duration
 		// next is the Retry-After if the content crashes another instance then, 0 if it doesn't.
 		next time.Duration
 	}{
 		{name: "without a crash it runs"},
-		{name: "right after one crash it runs alone", crashes: 1, counted: 1, alone: true},
-		{name: "a while after one crash it runs", crashes: 1, after: aloneTime, counted: 1},
-		{name: "after two it runs alone", crashes: 2, counted: 2, alone: true},
+		{name: "right after one crash it runs alone", crashes: 1, counted: 1, exclusive: true},
+		{name: "a while after one crash it runs", crashes: 1, after: exclusiveTime, counted: 1},
+		{name: "after two it runs alone", crashes: 2, counted: 2, exclusive: true},
 		{name: "after three it is refused", crashes: 3, counted: 3, refused: true, retryAfter: holdTime},
-		{name: "a success forgives one crash", crashes: 2, successes: 1, after: aloneTime, counted: 1},
-		{name: "a run that was under way and succeeds forgives the third", crashes: 3, successes: 1, counted: 2, alone: true},
+		{name: "a success forgives one crash", crashes: 2, successes: 1, after: exclusiveTime, counted: 1},
+		{name: "a run that was under way and succeeds forgives the third", crashes: 3, successes: 1, counted: 2, exclusive: true},
 		{name: "more successes than crashes leave nothing", crashes: 2, successes: 5},
 		{name: "nearly all of the time", crashes: 3, after: holdTime - time.Second, counted: 3, refused: true, retryAfter: time.Second},
-		{name: "after the time it is tried once", crashes: 3, after: holdTime, counted: 2, alone: true, next: 2 * holdTime},
+		{name: "after the time it is tried once", crashes: 3, after: holdTime, counted: 2, exclusive: true, next: 2 * holdTime},
 		{name: "after thrice the time it is forgotten", crashes: 3, after: 3 * holdTime},
 	} {
 		Convey("Content: "+c.name, t, func() {
@@ -85,7 +85,7 @@
 			now := start.Add(c.after)
 			verdict := table.Check(&content, now)
 			So(verdict.Crashes, ShouldEqual, c.counted)
-			So(verdict.Alone, ShouldEqual, c.alone)
+			So(verdict.Exclusive, ShouldEqual, c.exclusive)
 			So(verdict.Refused, ShouldEqual, c.refused)
 			So(verdict.RetryAfter, ShouldEqual, c.retryAfter)
 			if c.next > 0 {
@@ -250,19 +250,19 @@
 	})
 }
 
-// TestExclusive guards against two requests with the same content that crash two instances at the same time.
-func TestExclusive(t *testing.T) {
+// TestLocks guards against two requests with the same content that crash two instances at the same time.
+func TestLocks(t *testing.T) {
 	Convey("One request with a fingerprint runs at a time", t, func() {
-		var x Exclusive
-		_, ok := x.Begin(1)
+		var l Locks
+		_, ok := l.TryLock(1)
 		So(ok, ShouldBeTrue)
-		_, ok = x.Begin(2)
+		_, ok = l.TryLock(2)
 		So(ok, ShouldBeTrue)
-		ended, ok := x.Begin(1)
+		unlocked, ok := l.TryLock(1)
 		So(ok, ShouldBeFalse)
-		x.End(1)
-		<-ended
-		_, ok = x.Begin(1)
+		l.Unlock(1)
+		<-unlocked
+		_, ok = l.TryLock(1)
 		So(ok, ShouldBeTrue)
 	})
 }
--- a/internal/load/mesh/fatal.go
+++ b/internal/load/mesh/fatal.go
@@ -19,7 +19,7 @@
 // crashState is what a host's daemon knows of crashes, and which requests wait since another one with their content runs alone.
 type crashState struct {
 	quarantine *quarantine.Table
-	exclusive  quarantine.Exclusive
+	locks      quarantine.Locks
 	waiting    map[quarantine.Fingerprint][]*execution
 }
 
@@ -61,27 +61,27 @@
 	case verdict.Refused:
 		e.end(answer{outcome: notRun, result: choice.Withdrawn, retryAfter: verdict.RetryAfter, final: true})
 		return false
-	case !verdict.Alone || e.exclusive != 0:
+	case !verdict.Exclusive || e.locked != 0:
 		return true
 	case req.suspect == 0:
 		e.end(answer{outcome: notRun, result: choice.Withdrawn, suspect: verdict.Fingerprint})
 		return false
 	}
-	if _, ok := h.exclusive.Begin(verdict.Fingerprint); !ok {
+	if _, ok := h.locks.TryLock(verdict.Fingerprint); !ok {
 		h.waiting[verdict.Fingerprint] = append(h.waiting[verdict.Fingerprint], e)
 		return false
 	}
-	e.exclusive = verdict.Fingerprint
+	e.locked = verdict.Fingerprint
 	return true
 }
 
-// endExclusive lets the requests go on that wait for the end of this one.
-func (e *execution) endExclusive() {
-	if e.exclusive == 0 {
+// unlock lets the requests go on that wait for the end of this one.
+func (e *execution) unlock() {
+	if e.locked == 0 {
 		return
 	}
-	h, f := e.host, e.exclusive
-	h.exclusive.End(f)
+	h, f := e.host, e.locked
+	h.locks.Unlock(f)
 	waiting := h.waiting[f]
 	delete(h.waiting, f)
 	for _, other := range waiting {
--- a/internal/load/mesh/visit.go
+++ b/internal/load/mesh/visit.go
@@ -45,8 +45,8 @@
 	lineageRun *lineage.Run
 	// sequence numbers the executions in the order of their starts.
 	sequence int
-	// exclusive is the content's fingerprint while no other request with it may run on the instance.
-	exclusive quarantine.Fingerprint
+	// locked is the content's fingerprint while no other request with it may run on the instance.
+	locked quarantine.Fingerprint
 }
 
 // Decide receives the gate's decision on an execution that waited in its queue.
@@ -248,7 +248,7 @@
 func (e *execution) release(result choice.Result) {
 	now := e.host.fleet.now()
 	delete(e.host.active, e)
-	e.endExclusive()
+	e.unlock()
 	for _, req := range e.subcalls {
 		req.cancel()
 	}
