Crashes are reported to hosts whose instance is unlisted for a while, and asked for when one is published again

Hosts that were listed until a minute ago are told now, without a wait, and a daemon asks as soon as an instance is published beside it.

--- a/internal/app/crash/spreader.go
+++ b/internal/app/crash/spreader.go
@@ -16,9 +16,16 @@
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
-// Receivers returns the daemons beside other instances that may be sent content of the routes, and with no routes those of the own service. Daemons that
-// are leaving or silent may be left out: they ask when they are back.
-type Receivers func(routes []string) []netip.AddrPort
+// Receivers are daemons that a crash is reported to.
+type Receivers struct {
+	// Listed are those beside other instances. Daemons that are leaving or silent may be left out: they ask when they are back.
+	Listed []netip.AddrPort
+	// Unlisted are those beside which an instance was until lately, and may be again. Nobody waits for them, since they may be gone.
+	Unlisted []netip.AddrPort
+}
+
+// ReceiversOf returns the daemons to which content of the routes may come, and with no routes those of the own service.
+type ReceiversOf func(routes []string) Receivers
 
 // Spreader keeps the tables of the daemons alike to which the same content may come.
 type Spreader struct {
@@ -26,9 +33,9 @@
 	peers     *peer.Node
 	log       *logrus.Logger
 	metrics   *telemetry.Metrics
-	receivers Receivers
-	// resumed requests a question right now.
-	resumed chan struct{}
+	receivers ReceiversOf
+	// asks requests a question right now.
+	asks chan struct{}
 }
 
 const (
@@ -49,8 +56,8 @@
 )
 
 // NewSpreader returns a spreader that handles the messages of others; it must be called before the node starts.
-func NewSpreader(table *quarantine.Table, peers *peer.Node, receivers Receivers, log *logrus.Logger, metrics *telemetry.Metrics) *Spreader {
-	s := &Spreader{table: table, peers: peers, receivers: receivers, log: log, metrics: metrics, resumed: make(chan struct{}, 1)}
+func NewSpreader(table *quarantine.Table, peers *peer.Node, receivers ReceiversOf, log *logrus.Logger, metrics *telemetry.Metrics) *Spreader {
+	s := &Spreader{table: table, peers: peers, receivers: receivers, log: log, metrics: metrics, asks: make(chan struct{}, 1)}
 	peer.Handle(peers, peer.KindCrash, s.handleReport)
 	peer.Handle(peers, peer.KindQuarantine, s.handleQuestion)
 	return s
@@ -71,14 +78,17 @@
 		routes = append(routes, route)
 	}
 	receivers := s.receivers(routes)
-	if len(receivers) == 0 {
+	if len(receivers.Unlisted) > 0 {
+		go s.passOn(report{Crash: crash, Receivers: receivers.Unlisted, Wait: reportTimeout})
+	}
+	if len(receivers.Listed) == 0 {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		reached := s.passOn(report{Crash: crash, Receivers: receivers, Wait: reportTimeout})
-		s.log.WithFields(logrus.Fields{"reached": reached, "of": len(receivers), "tookMs": time.Since(started).Milliseconds()}).Info("crash reported")
+		reached := s.passOn(report{Crash: crash, Receivers: receivers.Listed, Wait: reportTimeout})
+		s.log.WithFields(logrus.Fields{"reached": reached, "of": len(receivers.Listed), "tookMs": time.Since(started).Milliseconds()}).Info("crash reported")
 	}()
 	select {
 	case <-done:
@@ -156,7 +166,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.resumed:
+		case <-s.asks:
 		case <-time.After(askInterval/2 + rand.N(askInterval)):
 		}
 		s.ask(ctx)
@@ -171,10 +181,10 @@
 	}
 }
 
-// Resumed tells that the daemon was paused, so that it may have missed reports.
-func (s *Spreader) Resumed() {
+// Ask requests a question right now, since the daemon may have missed reports.
+func (s *Spreader) Ask() {
 	select {
-	case s.resumed <- struct{}{}:
+	case s.asks <- struct{}{}:
 	default:
 	}
 }
@@ -191,7 +201,7 @@
 // ask asks a daemon of this service for the crashes that it knows of, and returns false if it doesn't reply. Without other daemons of the service there
 // is nobody to ask.
 func (s *Spreader) ask(ctx context.Context) bool {
-	receivers := s.receivers(nil)
+	receivers := s.receivers(nil).Listed
 	if len(receivers) == 0 {
 		return true
 	}
--- a/internal/app/daemon/crashes.go
+++ b/internal/app/daemon/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -79,11 +78,11 @@
 }
 
 // crashReceivers returns the daemons on the other hosts of the service, which are those that may run the same operations.
-func (d *Daemon) crashReceivers([]string) []netip.AddrPort {
-	var receivers []netip.AddrPort
+func (d *Daemon) crashReceivers([]string) crash.Receivers {
+	receivers := crash.Receivers{}
 	for _, h := range d.usable(d.settings.Service) {
 		if h.Host != d.settings.Host {
-			receivers = append(receivers, h.Peer)
+			receivers.Listed = append(receivers.Listed, h.Peer)
 		}
 	}
 	return receivers
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -282,8 +282,10 @@
 // publish makes the catalog's current state visible to the goroutines that serve requests.
 func (c *control) publish() {
 	r := c.router
-	view := c.catalog.View(r.view.Load())
+	before := r.view.Load()
+	view := c.catalog.View(before)
 	r.view.Store(view)
+	r.unlisted.update(before, view, time.Now())
 	r.samplers.Store(samplersOf(view, r.settings.Zone))
 	r.balancer.SetInstances(view.Instances())
 	r.told.retain(view.Instances())
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -34,6 +34,8 @@
 	quarantine *quarantine.Table
 	// locks let content under which instances have crashed run one request at a time.
 	locks quarantine.Locks
+	// onPublished is called when another incarnation of the instance is published: while none was, this daemon may have missed crashes of others.
+	onPublished func()
 	// spreadCrash tells other daemons of a crash, and returns when they know.
 	spreadCrash func([]crash.Suspect)
 	// stated has what the instance says of itself.
@@ -98,7 +100,7 @@
 		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
 	warm.observe = e.observeCheck
-	e.quarantine = quarantine.NewTable()
+	e.quarantine, e.onPublished = quarantine.NewTable(), func() {}
 	e.crashes = crash.NewDetector(e.instance.Refuses, e.suspect, e.instanceCrashed)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.gate = e.newGate(defaultSlots)
--- a/internal/app/router/local_state.go
+++ b/internal/app/router/local_state.go
@@ -29,6 +29,7 @@
 	}
 	drainedBefore, drainingBefore := e.closing()
 	gate := e.currentGate()
+	before := e.published()
 	restored, replaced := e.update(local)
 	if gate != e.currentGate() {
 		e.refuseWaitingAt(gate, replacedReason(replaced))
@@ -38,6 +39,9 @@
 	} else if draining && !drainingBefore {
 		e.refuseWaiting(call.NoUpstream)
 	}
+	if local.known && local.instance.Incarnation() != before {
+		e.onPublished()
+	}
 	if restored {
 		// The operator may have restarted the instances of the zone, or emptied their caches.
 		e.warmUp.suspect("zone restored")
@@ -50,6 +54,16 @@
 	}
 }
 
+// published returns the incarnation that is published on this host, or zero if none is.
+func (e *executor) published() routing.Incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.known {
+		return routing.Incarnation{}
+	}
+	return e.current.Incarnation()
+}
+
 // update replaces the state, and reports whether the zone was drained before and whether the instance was another incarnation. A new incarnation
 // starts with an empty gate.
 func (e *executor) update(local localState) (restored, replaced bool) {
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -50,8 +50,9 @@
 	shedder      *shed.Shedder
 	usualShares  *shares.Fractions
 	executor     *executor
-	// crashes keeps the daemons of the service alike in what they know of crashes.
-	crashes *crash.Spreader
+	// crashes keeps the daemons of the service alike in what they know of crashes, also those on hosts that are unlisted for a while.
+	crashes  *crash.Spreader
+	unlisted unlistedHosts
 	// told has what other daemons say of their instances.
 	told     *toldStatements
 	control  *control
@@ -95,7 +96,7 @@
 	peer.Handle(r.peers, peer.KindFinishBound, r.handleFinishBound)
 	peer.Handle(r.peers, peer.KindAnnouncement, r.control.handleAnnouncement)
 	r.crashes = crash.NewSpreader(r.executor.quarantine, r.peers, r.crashReceivers, log, r.metrics)
-	r.executor.spreadCrash = r.crashes.Spread
+	r.executor.spreadCrash, r.executor.onPublished = r.crashes.Spread, r.crashes.Ask
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
 		httpd.WithHeldBytes(settings.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
