--- a/internal/app/crash/spreader.go
+++ b/internal/app/crash/spreader.go
@@ -27,14 +27,14 @@
 // ReceiversOf returns the daemons to which content of the routes may come, and with no routes those of the own service.
 type ReceiversOf func(routes []string) Receivers
 
-// Spreader keeps the tables of the daemons alike to which the same content may come.
+// Spreader reports crashes to the daemons that may be sent the same content, and asks them for those that it has missed.
 type Spreader struct {
 	table     *quarantine.Table
 	peers     *peer.Node
 	log       *logrus.Logger
 	metrics   *telemetry.Metrics
 	receivers ReceiversOf
-	// asks requests a question right now.
+	// asks has a request to ask another daemon before the interval is over.
 	asks chan struct{}
 }
 
--- a/internal/app/daemon/crashes.go
+++ b/internal/app/daemon/crashes.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// followCrashes keeps up with the crashes that other daemons of the service know of.
+// followCrashes asks other daemons of the service for their crashes until the daemon stops.
 func (d *Daemon) followCrashes() {
 	d.crashes.Run(d.control.ctx, func() bool { return len(d.view.Load().HostsOf(d.settings.Service)) > 0 })
 }
--- a/internal/app/router/quarantine.go
+++ b/internal/app/router/quarantine.go
@@ -102,7 +102,7 @@
 	c.lastTick = now
 }
 
-// followCrashes keeps up with the crashes that other daemons of the service know of.
+// followCrashes asks other daemons of the service for their crashes until the daemon stops.
 func (c *control) followCrashes() {
 	c.router.crashes.Run(c.ctx, func() bool { return c.router.view.Load().Complete() })
 }
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -50,7 +50,7 @@
 	shedder      *shed.Shedder
 	usualShares  *shares.Fractions
 	executor     *executor
-	// crashes keeps the daemons of the service alike in what they know of crashes, also those on hosts that are unlisted for a while.
+	// crashes exchanges crashes with the other daemons of the service. unlisted has hosts that were listed until lately, which are told too.
 	crashes  *crash.Spreader
 	unlisted unlistedHosts
 	// told has what other daemons say of their instances.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -175,7 +175,7 @@
 	return verdict
 }
 
-// Succeeded records that an instance has run the content to its end, which speaks for it: one crash fewer is held against it.
+// Succeeded records that an instance has run the content to its end, so that one crash fewer is held against it.
 func (t *Table) Succeeded(content *Content) {
 	fingerprints := t.fingerprints(content)
 	t.mu.Lock()
