--- /dev/null
+++ b/review/standin/freeze.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// frozenFor is how long one machine stands still, frozenDownloads how many of its clients wait for a large response then. The instances give
+	// the responses one after the other.
+	frozenFor       = 4 * time.Second
+	frozenDownloads = 30
+	frozenRounds    = 3
+	firstWork       = 400 * time.Millisecond
+	workStep        = 100 * time.Millisecond
+)
+
+// playFreeze freezes one of ten machines while its clients wait for large responses.
+func playFreeze(f *fleet, trouble bool) (int, error) {
+	f.configure(7, map[string]any{
+		"down": route("/down/", "download", "fwdepot", "6000ms"),
+		"pay":  route("/pay/", "non_idempotent", "lockerd", "4000ms"),
+	}, services("fwdepot", "lockerd"), tenants())
+	if err := f.begin(); err != nil {
+		return 0, err
+	}
+	others := startBystanders(f, f.machines[:2], 6, "/pay/unlock?work=300ms")
+	front := f.machines[2]
+	for range frozenRounds {
+		time.Sleep(6 * time.Second)
+		var all sync.WaitGroup
+		for n := range frozenDownloads {
+			all.Go(func() { f.waitFor(front, firstWork+time.Duration(n)*workStep) })
+		}
+		time.Sleep(250 * time.Millisecond)
+		if trouble {
+			front.signal(syscall.SIGSTOP)
+			time.Sleep(frozenFor)
+			front.signal(syscall.SIGCONT)
+		}
+		all.Wait()
+	}
+	time.Sleep(2 * time.Second)
+	others.end()
+	return others.verdict(), nil
+}
+
+func (f *fleet) waitFor(m *machine, work time.Duration) {
+	c, err := dial(m)
+	if err != nil {
+		f.rec.addf("client at %s: no connection: %v", m.name, err)
+		return
+	}
+	defer func() { _ = c.Close() }()
+	a := &attempt{
+		id: newID(), method: http.MethodGet, target: fmt.Sprintf("/down/bundle?work=%s&bytes=%d", work, downloadBytes), host: "shop.example", key: key,
+		deadline: 6 * time.Second,
+	}
+	res := c.send(a)
+	f.rec.addf("client at %s: download %s: status %d, %d bytes, error %v, after %d ms", m.name, a.id, res.status, len(res.body), res.err, res.took.Milliseconds())
+}
