--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -27,6 +27,7 @@
 	readyPort    = 8546
 	appPort      = 8547
 	peerPort     = 7000
+	controlPort  = 8550
 	metricsPort  = 9464
 	storePort    = 8545
 )
@@ -230,7 +231,7 @@
 
 func (f *fleet) isFree(machines int) bool {
 	for n := range machines {
-		for _, port := range []int{inboundPort, outboundPort, readyPort, appPort, peerPort, metricsPort} {
+		for _, port := range []int{inboundPort, outboundPort, readyPort, appPort, peerPort, controlPort, metricsPort} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", f.subnet, 10+n, port))
 			if err != nil {
 				return false
@@ -377,10 +378,10 @@
 // settings returns what the platform writes into the settings file.
 func (m *machine) settings() map[string]any {
 	return map[string]any{
-		"node": m.name, "role": "daemon", "instance-class": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip, "zone": "z1", "region": "r1",
+		"node": m.name, "role": "daemon", "instance-class": "sidecar", "serves": []string{"sidecar", "control_plane"}, "ip": m.ip, "zone": "z1", "region": "r1",
 		"zones":          map[string]string{"z1": "r1"},
-		"listen":         map[string]string{"inbound": m.address(inboundPort), "outbound": m.address(outboundPort), "ready": m.address(readyPort)},
-		"internal-ports": []int{peerPort, peerPort + 15}, "seeds": []string{}, "bootstrap": true, "in-tolerance": false,
+		"listen":         map[string]string{"inbound": m.address(inboundPort), "outbound": m.address(outboundPort), "ready": m.address(readyPort), "control": m.address(controlPort)},
+		"internal-ports": []int{peerPort, peerPort + 15}, "seeds": m.fleet.seeds(), "bootstrap": true, "in-tolerance": false,
 		"limits":   map[string]any{"cpu-share": 0.64, "cores": 1, "memory-mb": m.fleet.memoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
 		"data-dir": nil, "discovery": "platform", "entry": "static", "heartbeat": "1500ms",
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "pressure", "tenants", "quota", "platform"},
@@ -399,6 +400,18 @@
 	}
 }
 
+// maxSeeds is how many machines the settings name as seeds.
+const maxSeeds = 3
+
+// seeds returns the control addresses of the first machines.
+func (f *fleet) seeds() []string {
+	var seeds []string
+	for _, m := range f.machines[:min(len(f.machines), maxSeeds)] {
+		seeds = append(seeds, m.address(controlPort))
+	}
+	return seeds
+}
+
 // isReady asks the daemon as the platform does.
 func (m *machine) isReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/standin/freeze.go
+++ b/review/standin/freeze.go
@@ -12,10 +12,11 @@
 	// frozenFor is how long one machine stands still, frozenDownloads how many of its clients wait for a large response then. The instances give
 	// the responses one after the other.
 	frozenFor       = 4 * time.Second
-	frozenDownloads = 30
+	frozenDownloads = 40
+	frozenBytes     = 20_000_000
 	frozenRounds    = 3
-	firstWork       = 400 * time.Millisecond
-	workStep        = 100 * time.Millisecond
+	firstWork       = 350 * time.Millisecond
+	workStep        = 50 * time.Millisecond
 )
 
 // playFreeze freezes one of ten machines while its clients wait for large responses.
@@ -56,7 +57,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	a := &attempt{
-		id: newID(), method: http.MethodGet, target: fmt.Sprintf("/down/bundle?work=%s&bytes=%d", work, downloadBytes), host: "shop.example", key: key,
+		id: newID(), method: http.MethodGet, target: fmt.Sprintf("/down/bundle?work=%s&bytes=%d", work, frozenBytes), host: "shop.example", key: key,
 		deadline: 6 * time.Second,
 	}
 	res := c.send(a)
--- a/review/standin/readers.go
+++ b/review/standin/readers.go
@@ -11,9 +11,9 @@
 
 const (
 	// downloadBytes is the size of one large response, downloads how many clients of a machine ask for one, one each downloadGap.
-	downloadBytes = 20_000_000
+	downloadBytes = 30_000_000
 	downloads     = 24
-	downloadGap   = 150 * time.Millisecond
+	downloadGap   = 200 * time.Millisecond
 	readRounds    = 3
 	// readWindow is the receive buffer of a slow reader, readPiece what it takes each readPause.
 	readWindow = 16 << 10
