--- a/review/standin/freeze.go
+++ b/review/standin/freeze.go
@@ -28,7 +28,7 @@
 	if err := f.begin(); err != nil {
 		return 0, err
 	}
-	others := startBystanders(f, f.machines[:2], 6, "/pay/unlock?work=300ms")
+	others := startBystanders(f, f.machines[:2], 12, "/pay/unlock?work=300ms")
 	front := f.machines[2]
 	for range frozenRounds {
 		time.Sleep(6 * time.Second)
