--- a/review/standin/freeze.go
+++ b/review/standin/freeze.go
@@ -12,11 +12,13 @@
 	// frozenFor is how long one machine stands still, frozenDownloads how many of its clients wait for a large response then. The instances give
 	// the responses one after the other.
 	frozenFor       = 4 * time.Second
-	frozenDownloads = 40
-	frozenBytes     = 20_000_000
+	frozenDownloads = 48
+	frozenBytes     = 14_000_000
 	frozenRounds    = 3
-	firstWork       = 350 * time.Millisecond
+	firstWork       = 700 * time.Millisecond
 	workStep        = 50 * time.Millisecond
+	// maxArrival bounds the wait until the instances work on all of them.
+	maxArrival = 600 * time.Millisecond
 )
 
 // playFreeze freezes one of ten machines while its clients wait for large responses.
@@ -33,10 +35,11 @@
 	for range frozenRounds {
 		time.Sleep(6 * time.Second)
 		var all sync.WaitGroup
+		before := f.downloadRuns()
 		for n := range frozenDownloads {
 			all.Go(func() { f.waitFor(front, firstWork+time.Duration(n)*workStep) })
 		}
-		time.Sleep(250 * time.Millisecond)
+		f.awaitRuns(before+frozenDownloads, maxArrival)
 		if trouble {
 			front.signal(syscall.SIGSTOP)
 			time.Sleep(frozenFor)
@@ -49,6 +52,24 @@
 	return others.verdict(), nil
 }
 
+// downloadRuns returns how many downloads the first two instances have begun.
+func (f *fleet) downloadRuns() int {
+	count := 0
+	for _, m := range f.machines[:2] {
+		m.inst.mu.Lock()
+		count += len(m.inst.runs)
+		m.inst.mu.Unlock()
+	}
+	return count
+}
+
+// awaitRuns waits until so many downloads have begun, or until the limit.
+func (f *fleet) awaitRuns(count int, limit time.Duration) {
+	for end := time.Now().Add(limit); f.downloadRuns() < count && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (f *fleet) waitFor(m *machine, work time.Duration) {
 	c, err := dial(m)
 	if err != nil {
