--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/pressure"
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/member"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 	"github.com/foxtailhook/foxtailhook/internal/wire/platform"
@@ -52,6 +53,9 @@
 	dedup          *deduplicator
 	callerServer   *httpd.Server
 	operatorServer *httpd.Server
+	// account counts the memory that messages take.
+	account *bounded.Account
+	memory  *telemetry.Memory
 }
 
 // New returns a daemon with the given settings, which must be valid; it opens no socket before Run.
@@ -65,14 +69,16 @@
 		placer:    placing.New(s.Zone, placing.WithRegion(s.Region), placing.WithKind(s.Placing)),
 		runNeeds:  budget.NewNeeds(),
 		throttles: pressure.New(),
+		account:   bounded.NewAccount(memoryLimits(&s)),
 	}
 	d.responses = newResponseMetrics(d.metrics.Scope)
+	d.memory = telemetry.NewMemory(d.account, d.metrics.Scope, log)
 	d.view.Store(lists.NewSet().View())
-	d.executor = newExecutor(s, upstream.New(s.Upstream, upstream.WithMaxResponse(int64(s.BodyBound)), upstream.WithNonIdempotentMaxIdle(s.OnceIdle)))
+	d.executor = newExecutor(s, upstream.New(s.Upstream, upstream.WithMaxResponse(int64(s.BodyBound)), upstream.WithAccount(d.account), upstream.WithNonIdempotentMaxIdle(s.OnceIdle)))
 	d.executor.ending, d.executor.crashed = d.ending, d.upstreamCrashed
 	d.rateLimiter = newRateLimiter(d)
 	d.control = newControl(d, platform.New(s.Platform, s.Peers.Addr()))
-	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+maxFrameHead), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...), peer.WithPlaces(d.placeOf))
+	d.peers = peer.New(s.Peers, peer.WithMaxFrame(s.BodyBound+maxFrameHead), peer.WithLogger(d.peerFault), peer.WithSecrets(s.Secrets...), peer.WithPlaces(d.placeOf), peer.WithAccount(d.account))
 	peer.Handle(d.peers, peer.KindCall, d.handleRunRequest)
 	d.crashes = crash.NewSpreader(d.executor.quarantine, d.peers, d.crashReceivers, log, d.metrics)
 	d.rateLimiter.registerHandlers(d.peers)
@@ -80,11 +86,17 @@
 	peer.Handle(d.peers, peer.KindFetch, d.handleFetch)
 	d.dedup = newDeduplicator(d)
 	d.callerServer = httpd.New(s.Callers, http.HandlerFunc(d.serveCaller), httpd.WithBodyBound(s.BodyBound), httpd.WithMaxConns(s.MaxConns),
-		httpd.WithHeldBytes(s.HeldBytes), httpd.WithHead(s.HeaderBound, s.HeaderTime), httpd.WithRefuser(faultResponse), httpd.WithClosing(d.leaving.Load))
+		httpd.WithAccount(d.account), httpd.WithHead(s.HeaderBound, s.HeaderTime), httpd.WithRefuser(faultResponse), httpd.WithClosing(d.leaving.Load))
 	d.operatorServer = httpd.New(s.Operators, d.operatorRoutes())
 	return d
 }
 
+// memoryLimits returns the limits of the memory that messages may take. One of the largest size fits for each purpose.
+func memoryLimits(s *settings.Settings) bounded.Limits {
+	held := int64(s.HeldBytes)
+	return bounded.Limits{Total: held, Each: max(held/2, int64(s.BodyBound)+maxFrameHead), Small: held / 4}
+}
+
 // maxFrameHead is the number of bytes that a message between daemons may add to the request's body.
 const maxFrameHead = 1 << 20
 
--- a/internal/app/daemon/dispatch.go
+++ b/internal/app/daemon/dispatch.go
@@ -179,6 +179,8 @@
 // forwardingFailure returns the response to a request whose forwarding to another daemon failed.
 func (d *Daemon) forwardingFailure(r *call.Request, err error) call.Answer {
 	switch {
+	case errors.Is(err, peer.ErrNoRoom):
+		return bodyMemoryRefusal(r)
 	case errors.Is(err, peer.ErrNotSent):
 		refusal := call.Refuse(call.NoUpstream, time.Second)
 		refusal.BudgetLeft = r.Budget
--- a/internal/app/daemon/faults.go
+++ b/internal/app/daemon/faults.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -18,7 +17,7 @@
 	case httpd.HeadTooLarge, httpd.BodyTooLarge:
 		refusal = call.Refuse(call.TooLarge, 0)
 	case httpd.Full:
-		refusal = call.Refuse(call.Overloaded, time.Second)
+		refusal = call.Refuse(call.NoRoom, time.Second)
 	case httpd.Closing:
 		refusal = call.Refuse(call.Draining, time.Second)
 		refusal.Status = http.StatusRequestTimeout
@@ -29,17 +28,6 @@
 	return refusal.Status, header, refusalBody(refusal, "")
 }
 
-// readBody reads the request's body into one slice of its exact size if the length is known.
-func readBody(r *http.Request) ([]byte, error) {
-	defer func() { _ = r.Body.Close() }()
-	if r.ContentLength <= 0 {
-		return io.ReadAll(r.Body)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
-}
-
 // reservedPrefix begins the names of foxtailhook's own headers, in lower case.
 const reservedPrefix = "foxtailhook-"
 
--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -29,7 +30,7 @@
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
 	defer d.inFlight.begin().end()
 	started := time.Now()
-	body, err := readBody(r)
+	body, err := httpd.ReadBody(r)
 	if err != nil {
 		d.reject(w, r, call.Refuse(call.BadRequest, 0), started)
 		return
@@ -40,6 +41,7 @@
 		return
 	}
 	answer := d.dedup.route(r.Context(), a)
+	defer answer.Release()
 	if answer.Outcome == call.NotRun {
 		d.rateLimiter.returnToken(&a)
 	}
@@ -107,8 +109,15 @@
 	}).Warn("response replaced")
 }
 
+// readGrace is how long after its deadline a caller may still read a response that others wait for the memory of.
+const readGrace = time.Second
+
 // writeAnswer writes an upstream's response. Without a body the server knows whether a length may be stated: that of a HEAD response isn't 0.
 func writeAnswer(w http.ResponseWriter, r *call.Request, a call.Answer) {
+	if !r.Deadline.IsZero() {
+		// Every server of this daemon supports write deadlines.
+		_ = http.NewResponseController(w).SetWriteDeadline(r.Deadline.Add(readGrace))
+	}
 	for name, values := range a.Header {
 		switch name {
 		case "Connection", "Transfer-Encoding", "Content-Length":
--- a/internal/app/daemon/gauges.go
+++ b/internal/app/daemon/gauges.go
@@ -26,6 +26,7 @@
 			last = d.reportGate(last)
 			d.metrics.Gauge(telemetry.ActiveThrottles).Update(float64(d.throttles.Len()))
 			d.reportFleet()
+			d.memory.Report()
 			bytes.Report(d.metrics.Scope, d.peers.Traffic())
 		}
 	}
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -9,6 +9,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
 
 // runRequest forwards a request to the daemon on the chosen host. It carries the remaining time rather than the
@@ -31,8 +33,13 @@
 	Depth          int           `msgpack:"depth"`
 	// FinishWithin is the time in which the response must arrive, since the sender is leaving; 0 if it isn't.
 	FinishWithin time.Duration `msgpack:"finishWithin"`
+	// hold is the memory that is held for the body of a request that was handed over.
+	hold *bounded.Hold
 }
 
+// Bulk returns the body and the memory that is held for it.
+func (req *runRequest) Bulk() (*[]byte, **bounded.Hold) { return &req.Body, &req.hold }
+
 // runResult is the reply to a runRequest.
 type runResult struct {
 	Outcome    call.Outcome  `msgpack:"outcome"`
@@ -43,8 +50,18 @@
 	RetryAfter time.Duration `msgpack:"retryAfter"`
 	BudgetLeft int           `msgpack:"budgetLeft"`
 	Load       call.Load     `msgpack:"load"`
+	// hold is the memory that is held for the body.
+	hold *bounded.Hold
 }
 
+// Bulk returns the body and the memory that is held for it.
+func (res *runResult) Bulk() (*[]byte, **bounded.Hold) { return &res.Body, &res.hold }
+
+var (
+	_ peer.Bulky = (*runRequest)(nil)
+	_ peer.Bulky = (*runResult)(nil)
+)
+
 func newRunRequest(r *call.Request, finishBy, now time.Time) runRequest {
 	req := runRequest{
 		ID: r.ID, Organisation: r.Organisation, Operation: r.Operation, Service: r.Service,
@@ -103,9 +120,10 @@
 }
 
 func newRunResult(a call.Answer) runResult {
+	hold, _ := a.Held.(*bounded.Hold)
 	return runResult{
 		Outcome: a.Outcome, Reason: a.Reason, Status: a.Status, Header: a.Header, Body: a.Body,
-		RetryAfter: a.RetryAfter, BudgetLeft: a.BudgetLeft, Load: a.Load,
+		RetryAfter: a.RetryAfter, BudgetLeft: a.BudgetLeft, Load: a.Load, hold: hold,
 	}
 }
 
@@ -116,6 +134,9 @@
 		Outcome: res.Outcome, Reason: res.Reason, Status: res.Status, Header: res.Header, Body: res.Body,
 		RetryAfter: res.RetryAfter, BudgetLeft: res.BudgetLeft, Load: res.Load,
 	}
+	if res.hold != nil {
+		answer.Held = res.hold
+	}
 	if res.Outcome != call.Whole && res.Status >= http.StatusBadRequest {
 		answer.Status = reasonStatus(res.Outcome, res.Reason)
 	}
@@ -156,7 +177,16 @@
 	return answer
 }
 
-func (d *Daemon) handleRunRequest(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
+// holdRequest holds memory for the body of a request that was handed over, unless that was done when its size was announced.
+func (d *Daemon) holdRequest(req *runRequest) (release func(), ok bool) {
+	if req.hold != nil {
+		return func() {}, true
+	}
+	hold, ok := d.account.TryTake(bounded.PeerRequest, int64(len(req.Body)))
+	return hold.Release, ok
+}
+
+func (d *Daemon) handleRunRequest(ctx context.Context, from netip.AddrPort, req runRequest) runResult {
 	defer d.inFlight.begin().end()
 	now := time.Now()
 	r := req.request(now)
@@ -165,18 +195,19 @@
 		refusal.BudgetLeft = r.Budget
 		return newRunResult(refusal)
 	}
-	release, ok := d.callerServer.Hold(len(r.Body))
+	release, ok := d.holdRequest(&req)
 	if !ok {
 		return newRunResult(bodyMemoryRefusal(r))
 	}
 	defer release()
+	r.Receiver = from.Addr()
 	return newRunResult(d.executor.run(ctx, r, req.finishBy(now), nil))
 }
 
 // bodyMemoryRefusal refuses a request whose body exceeds the memory left for bodies. Bodies from other daemons are held
 // while their requests wait for slots, and without a bound they would exhaust the host's memory.
 func bodyMemoryRefusal(r *call.Request) call.Answer {
-	refusal := call.Refuse(call.Overloaded, time.Second)
+	refusal := call.Refuse(call.NoRoom, time.Second)
 	refusal.BudgetLeft = r.Budget
 	return refusal
 }
--- a/internal/app/daemon/once.go
+++ b/internal/app/daemon/once.go
@@ -152,11 +152,12 @@
 	return answer
 }
 
-func (d *deduplicator) handleOnce(ctx context.Context, _ netip.AddrPort, req runRequest) runResult {
+func (d *deduplicator) handleOnce(ctx context.Context, from netip.AddrPort, req runRequest) runResult {
 	defer d.daemon.inFlight.begin().end()
 	now := time.Now()
 	a := admittedRequest{request: *req.request(now), finishBy: req.finishBy(now), account: budget.New(req.Budget)}
-	release, ok := d.daemon.callerServer.Hold(len(req.Body))
+	a.request.Receiver = from.Addr()
+	release, ok := d.daemon.holdRequest(&req)
 	if !ok {
 		return newRunResult(bodyMemoryRefusal(&a.request))
 	}
@@ -209,7 +210,9 @@
 		d.ledger.Release(key, time.Now())
 	} else {
 		answer = d.daemon.dispatch(context.WithoutCancel(ctx), a)
-		d.ledger.Finish(key, answer, time.Now())
+		kept := answer
+		kept.Held = nil
+		d.ledger.Finish(key, kept, time.Now())
 	}
 	d.daemon.log.WithFields(logrus.Fields{
 		"decision": "hold", "requestId": a.request.ID, "organisation": a.request.Organisation, "operation": a.request.Operation,
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -110,6 +110,7 @@
 	}
 	c.peerBytesAt = now
 	c.peerBytes.Report(c.router.metrics.Scope, c.router.peers.Traffic())
+	c.router.memory.Report()
 }
 
 // do runs f on the control goroutine and waits for it; false means that the goroutine has ended.
--- a/internal/app/router/executor.go
+++ b/internal/app/router/executor.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/instance"
 )
 
@@ -94,9 +95,9 @@
 	redirectRetryAfter = maxRedirectAge
 )
 
-func newExecutor(settings Settings, heads Heads, warm *warmUp) *executor {
+func newExecutor(settings Settings, heads Heads, warm *warmUp, account *bounded.Account) *executor {
 	e := &executor{
-		heads: heads, instance: instance.New(settings.Instance, instance.WithMaxArriving(int64(settings.heldBytes()))), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
+		heads: heads, instance: instance.New(settings.Instance, instance.WithAccount(account)), runs: lineage.New(), warmUp: warm, drainTime: settings.DrainTime, disabled: settings.Without,
 		stated: &statements{heads: heads, log: warm.log, metrics: warm.metrics, pacer: warm.pacer}, holdTimes: map[string]allot.HoldTime{},
 	}
 	warm.observe = e.observeCheck
--- a/internal/app/router/front.go
+++ b/internal/app/router/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/shed"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 )
 
@@ -49,6 +49,8 @@
 	shed     shed.Decision
 	quota    quota.Decision
 	attempts attempts
+	// holds is the memory for the responses of the attempts.
+	holds []*bounded.Hold
 	// saturation and subcallRefused combine the results of the attempts: see runResult.
 	saturation     float64
 	subcallRefused bool
@@ -63,6 +65,7 @@
 	req := &request{arrivedAt: httpd.Arrived(in.Context()), method: in.Method, target: in.RequestURI, httpHost: in.Host}
 	req.active = r.active.begin(req.arrivedAt)
 	defer r.active.end(req.active)
+	defer req.releaseResponses()
 	answer, ok := r.admit(req, in)
 	if ok {
 		ctx, cancel := context.WithDeadline(in.Context(), req.deadline)
@@ -79,7 +82,14 @@
 	req.contextEnd = context.Cause(in.Context())
 	res := r.respond(req, answer)
 	r.recordRequest(req, answer, res.status)
-	res.write(w)
+	res.write(w, req.deadline)
+}
+
+// releaseResponses releases the memory for the responses of the attempts, once one of them was written.
+func (req *request) releaseResponses() {
+	for _, hold := range req.holds {
+		hold.Release()
+	}
 }
 
 // defaultTimeout applies to a request for which neither the caller nor the operator sets a timeout.
@@ -98,7 +108,7 @@
 	if refusal, ok := r.recognise(req, in, head); !ok {
 		return refusal, false
 	}
-	if req.body, err = readBody(in); err != nil {
+	if req.body, err = httpd.ReadBody(in); err != nil {
 		return call.Refuse(call.BadRequest, 0), false
 	}
 	req.header = removeConnectionHeaders(in.Header)
@@ -263,20 +273,6 @@
 	return shed.Rank{Organisation: route.Rank, Route: route.Rank}
 }
 
-// readBody reads a request's body into one allocation of its exact size, if that is known.
-func readBody(in *http.Request) ([]byte, error) {
-	if in.Body == nil {
-		return nil, nil
-	}
-	defer func() { _ = in.Body.Close() }()
-	if in.ContentLength <= 0 {
-		return io.ReadAll(in.Body)
-	}
-	body := make([]byte, in.ContentLength)
-	_, err := io.ReadFull(in.Body, body)
-	return body, err
-}
-
 // refuseFault returns the response to a request that was refused before it was fully received.
 func (r *Router) refuseFault(fault httpd.Fault) (int, http.Header, []byte) {
 	refusal := call.Refuse(call.BadRequest, 0)
@@ -287,7 +283,7 @@
 	case httpd.BodyTooLarge:
 		refusal = call.Refuse(call.TooLarge, 0)
 	case httpd.Full:
-		refusal = call.Refuse(call.Overloaded, time.Second)
+		refusal = call.Refuse(call.NoRoom, noRoomRetryAfter)
 	case httpd.Closing:
 		refusal = call.Refuse(call.Draining, 0)
 		refusal.Status = http.StatusRequestTimeout
--- a/internal/app/router/gone_test.go
+++ b/internal/app/router/gone_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // TestRequestOfACallerThatLeft guards against a request that is sent to the instance though its caller has left before, as after a stall of the daemon.
@@ -28,7 +29,7 @@
 	}))
 	defer server.Close()
 	settings := Settings{Instance: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
-	e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")))
+	e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")), bounded.NewAccount(settings.memoryLimits()))
 	defer e.instance.Close()
 	e.configured = true
 	lastID := 0
--- a/internal/app/router/message.go
+++ b/internal/app/router/message.go
@@ -2,12 +2,20 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/quarantine"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
+	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
+)
+
+var (
+	_ peer.Bulky = (*runRequest)(nil)
+	_ peer.Bulky = (*runResult)(nil)
 )
 
 // runRequest hands a request to the daemon on the chosen instance's host.
@@ -40,6 +48,10 @@
 	FinishIn time.Duration `msgpack:"finishIn,omitempty"`
 	// Exclusive means that the sender sends requests with this content to this instance only, since instances have crashed under it.
 	Exclusive bool `msgpack:"exclusive,omitempty"`
+	// hold is the memory that is held for the body of a request that was handed over.
+	hold *bounded.Hold
+	// receiver is the host that the response goes to, invalid for this one.
+	receiver netip.Addr
 	// finishBy is when the run must have ended, if the sender says so later; nil for a request that wasn't handed over.
 	finishBy *statedEnd
 	// inspection is what is known of the request's content, locked its fingerprint while no other request with it may run here.
@@ -47,6 +59,9 @@
 	locked     quarantine.Fingerprint
 }
 
+// Bulk returns the body and the memory that is held for it.
+func (req *runRequest) Bulk() (*[]byte, **bounded.Hold) { return &req.Body, &req.hold }
+
 // Age subtracts the time that has passed on the way from the times that are left.
 func (req *runRequest) Age(elapsed time.Duration) {
 	req.Remaining -= elapsed
@@ -84,8 +99,13 @@
 	Crashed bool `msgpack:"crashed,omitempty"`
 	// Suspect is the fingerprint of content that runs on one instance at a time, which the sender chooses by it; 0 if it may run anywhere.
 	Suspect quarantine.Fingerprint `msgpack:"suspect,omitempty"`
+	// hold is the memory that is held for the body.
+	hold *bounded.Hold
 }
 
+// Bulk returns the body and the memory that is held for it.
+func (res *runResult) Bulk() (*[]byte, **bounded.Hold) { return &res.Body, &res.hold }
+
 // redirects reports whether the result sends the request to another instance: the instance is slow, and nothing of the request has reached it.
 func (res *runResult) redirects() bool {
 	return res.Outcome == call.NotRun && res.Reason == call.InstanceSlow && !res.Arrived
--- a/internal/app/router/outlast_test.go
+++ b/internal/app/router/outlast_test.go
@@ -18,6 +18,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // TestTimeoutOfAnInstance guards against repeating a read whose instance responded 504 by itself: only a daemon that shuts down gives it less time
@@ -40,7 +41,7 @@
 	} {
 		Convey("A 504 is the result of a shutdown only if the daemon's end comes first: "+c.name, t, func() {
 			settings := Settings{Instance: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
-			e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")))
+			e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")), bounded.NewAccount(settings.memoryLimits()))
 			defer e.instance.Close()
 			e.configured = true
 			if c.cutoff > 0 {
--- a/internal/app/router/place.go
+++ b/internal/app/router/place.go
@@ -251,6 +251,7 @@
 	} else {
 		r.recordStatements(inst.Incarnation(), &res, now)
 	}
+	req.holds = append(req.holds, res.hold)
 	answer := r.resultAnswer(ctx, req, inst, &res)
 	result := sendResult(res, err)
 	r.balancer.Record(inst, choice.Attempt{Route: req.route.Name, Result: result, Took: now.Sub(started), Waited: res.Waited, Load: res.Load}, now)
@@ -316,6 +317,8 @@
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
 		answer = call.Refuse(call.Cancelled, 0)
+	case errors.Is(err, peer.ErrNoRoom):
+		answer = call.Refuse(call.NoRoom, noRoomRetryAfter)
 	case errors.Is(err, peer.ErrNotSent):
 		answer = call.Refuse(call.NoUpstream, noInstanceRetryAfter)
 	case errors.Is(err, context.Canceled):
@@ -331,6 +334,9 @@
 // sendResult converts the result of an attempt to what it says about the instance, for the balancer.
 func sendResult(res runResult, err error) choice.Result {
 	switch {
+	case res.Reason == call.NoRoom:
+		// It says nothing about the instance, which small requests may go on to use.
+		return choice.Withdrawn
 	case err != nil && res.Outcome == call.NotRun && res.Reason != call.Cancelled:
 		return choice.Unreachable
 	case res.Outcome == call.Whole && res.Status >= statusFailed && (res.SubcallFailed || res.EndedEarly):
--- a/internal/app/router/redirect_test.go
+++ b/internal/app/router/redirect_test.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // slownessHeads are signedHeads that read the header Slowness.
@@ -46,7 +47,7 @@
 func newSlownessExecutor(settings Settings) *executor {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	e := newExecutor(settings, slownessHeads{}, newWarmUp(settings, slownessHeads{}, log, telemetry.NewMetrics("h", "z")))
+	e := newExecutor(settings, slownessHeads{}, newWarmUp(settings, slownessHeads{}, log, telemetry.NewMetrics("h", "z")), bounded.NewAccount(settings.memoryLimits()))
 	e.configured = true
 	return e
 }
--- a/internal/app/router/respond.go
+++ b/internal/app/router/respond.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 )
@@ -45,8 +46,16 @@
 	}
 }
 
-// write writes the response. Without a body the server knows whether a length may be stated: that of a HEAD response isn't 0.
-func (res *response) write(w http.ResponseWriter) {
+// readGrace is how long after its deadline a caller may still read a response that others wait for the memory of.
+const readGrace = time.Second
+
+// write writes the response, and returns when nothing of a large body is left in memory. Without a body the server knows whether a length may be
+// stated: that of a HEAD response isn't 0.
+func (res *response) write(w http.ResponseWriter, deadline time.Time) {
+	if !deadline.IsZero() {
+		// Every server of this daemon supports write deadlines.
+		_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(readGrace))
+	}
 	header := w.Header()
 	for name, values := range res.header {
 		header[name] = values
--- a/internal/app/router/respond_test.go
+++ b/internal/app/router/respond_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -23,7 +24,7 @@
 		Convey("A response "+c.name+" states its length only if there is a body", t, func() {
 			w := httptest.NewRecorder()
 			res := response{status: http.StatusOK, header: http.Header{"Signature": {"signed"}}, body: []byte(c.body)}
-			res.write(w)
+			res.write(w, time.Time{})
 			So(w.Header().Get("Content-Length"), ShouldEqual, c.want)
 			So(w.Header().Get("Signature"), ShouldEqual, "signed")
 			So(w.Body.String(), ShouldEqual, c.body)
--- a/internal/app/router/router.go
+++ b/internal/app/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/decide/shutdown"
 	"github.com/foxtailhook/foxtailhook/internal/decide/split"
 	"github.com/foxtailhook/foxtailhook/internal/fleet/catalog"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/peer"
 )
@@ -62,6 +63,9 @@
 	health   *httpd.Server
 	operator *httpd.Server
 	active   *activeRequests
+	// account counts the memory that messages take.
+	account *bounded.Account
+	memory  *telemetry.Memory
 	// senderBounds has the ends of daemons that hand requests to this one and are shutting down.
 	senderBounds senderBounds
 	usage        usage
@@ -80,13 +84,15 @@
 		retryBudget: repeats.New(settings.Repeats),
 		told:        newToldStatements(),
 		active:      newActiveRequests(),
+		account:     bounded.NewAccount(settings.memoryLimits()),
 		shedder:     shed.New(shed.Without(settings.Without)),
 		usualShares: shares.NewFractions(),
 	}
 	r.responses = newResponseMetrics(r.metrics.Scope)
+	r.memory = telemetry.NewMemory(r.account, r.metrics.Scope, log)
 	r.view.Store(catalog.New().View(nil))
 	r.samplers.Store(&map[string]*choice.Sampler{})
-	r.executor = newExecutor(settings, heads, newWarmUp(settings, heads, log, r.metrics))
+	r.executor = newExecutor(settings, heads, newWarmUp(settings, heads, log, r.metrics), r.account)
 	r.peers = peer.New(settings.Peers, r.peerOptions()...)
 	r.control = newControl(r, source)
 	r.reporter = newReporter(r)
@@ -98,7 +104,7 @@
 	r.crashes = crash.NewSpreader(r.executor.quarantine, r.peers, r.crashReceivers, log, r.metrics)
 	r.executor.spreadCrash, r.executor.onPublished = r.crashes.Spread, r.crashes.Ask
 	r.callers = httpd.New(settings.Callers, http.HandlerFunc(r.serve), httpd.WithBodyBound(maxBodyBytes), httpd.WithMaxConns(r.maxConns()),
-		httpd.WithHeldBytes(settings.heldBytes()), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
+		httpd.WithAccount(r.account), httpd.WithRefuser(r.refuseFault), httpd.WithClosing(r.leaving))
 	r.health = httpd.New(settings.Health, http.HandlerFunc(r.serveHealth), httpd.WithMaxConns(maxHealthConns))
 	if settings.Metrics.IsValid() {
 		r.operator = httpd.New(settings.Metrics, r.operatorRoutes(), httpd.WithMaxConns(maxHealthConns))
@@ -109,7 +115,7 @@
 func (r *Router) peerOptions() []peer.Option {
 	options := []peer.Option{
 		peer.WithMaxFrame(maxBodyBytes + maxHeaderBytes), peer.WithLogger(r.peerFault), peer.WithDialTimeout(peerDialTimeout),
-		peer.WithProbes(peer.Probes{After: probeAfter, Limit: peerTimeout}), peer.WithPlaces(r.placeOf),
+		peer.WithProbes(peer.Probes{After: probeAfter, Limit: peerTimeout}), peer.WithPlaces(r.placeOf), peer.WithAccount(r.account),
 	}
 	if r.settings.Without.Has(mechanism.PositionalMessages) {
 		options = append(options, peer.WithoutPositions())
@@ -132,12 +138,9 @@
 	maxHealthConns = 64
 	// callersDescriptorDivisor divides the file descriptors: callers' connections may use half, the rest is for the instance and peers.
 	callersDescriptorDivisor = 2
-	// heldMemoryDivisor divides the memory: the bodies of requests may use a quarter while they arrive or wait, and those of responses while they
-	// arrive.
-	heldMemoryDivisor = 4
-	// defaultConns and defaultHeldBytes apply if the settings have no limits.
-	defaultConns     = 4096
-	defaultHeldBytes = 64 << 20
+	// defaultConns and defaultMemoryBytes apply if the settings have no limits.
+	defaultConns       = 4096
+	defaultMemoryBytes = 512 << 20
 )
 
 func (r *Router) maxConns() int {
--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -39,7 +39,7 @@
 	began := time.Now()
 	resp, err := e.instance.Do(ctx, &instance.Request{
 		Method: req.Method, Target: req.Target, Host: req.HTTPHost, Header: header, Body: req.Body, Deadline: deadline, Idempotent: req.Idempotent,
-		ID:      req.RequestID,
+		ID: req.RequestID, To: req.receiver,
 		IDOf:    func(h http.Header) string { return e.heads.Answer(http.StatusOK, h).RequestID },
 		Observe: func(status int, h http.Header) { e.observe(req.Instance, req.RequestID, status, h) },
 	})
@@ -50,6 +50,7 @@
 		}
 		return res
 	}
+	resp.Hold.Release()
 	return e.responseResult(req, resp)
 }
 
--- a/internal/app/router/send_test.go
+++ b/internal/app/router/send_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // TestIdleConnectionHoldsNoBody guards against idle connections to the instance that hold the memory of the last request's body.
@@ -41,7 +42,7 @@
 		}
 	}()
 	settings := Settings{Instance: address, Health: address}
-	e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")))
+	e := newExecutor(settings, signedHeads{}, newWarmUp(settings, signedHeads{}, logrus.New(), telemetry.NewMetrics("h", "z")), bounded.NewAccount(settings.memoryLimits()))
 	defer e.instance.Close()
 	send := func() weak.Pointer[[1 << 20]byte] {
 		body := new([1 << 20]byte)
--- a/internal/app/router/settings.go
+++ b/internal/app/router/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/decide/mechanism"
 	"github.com/foxtailhook/foxtailhook/internal/decide/repeats"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // Settings configures a router at its start.
@@ -89,10 +90,10 @@
 	return nil
 }
 
-// heldBytes returns the memory that the bodies of requests, and as much that those of responses, may use.
-func (s *Settings) heldBytes() int {
+// memoryLimits returns the limits of the memory that messages may take.
+func (s *Settings) memoryLimits() bounded.Limits {
 	if s.MemoryBytes == 0 {
-		return defaultHeldBytes
+		return bounded.LimitsOf(defaultMemoryBytes)
 	}
-	return int(s.MemoryBytes / heldMemoryDivisor)
+	return bounded.LimitsOf(s.MemoryBytes)
 }
--- a/internal/app/router/taken.go
+++ b/internal/app/router/taken.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
+// noRoomRetryAfter is the Retry-After of a request for whose body there is no memory: large messages that pass have gone by then.
+const noRoomRetryAfter = time.Second
+
 // handleRun runs a request that another daemon hands over, unless this daemon is closed to peers.
 //
 // Other daemons learn of the shutdown within a heartbeat interval. A request that still arrives is refused in the same round trip and goes to
@@ -27,15 +31,17 @@
 		// The other daemon doesn't know the configuration in force yet.
 		return refusedResult(call.Refuse(call.NoAllowedRegion, excludedRetryAfter), r.executor.load())
 	}
-	release, ok := r.callers.Hold(len(req.Body))
-	if !ok {
-		return refusedResult(call.Refuse(call.Overloaded, time.Second), r.executor.load())
+	if req.hold == nil {
+		hold, ok := r.account.TryTake(bounded.PeerRequest, int64(len(req.Body)))
+		if !ok {
+			return refusedResult(call.Refuse(call.NoRoom, noRoomRetryAfter), r.executor.load())
+		}
+		defer hold.Release()
 	}
-	defer release()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	active.onEnd(cancel)
-	req.finishBy = &active.finishBy
+	req.finishBy, req.receiver = &active.finishBy, from.Addr()
 	res := r.executor.run(ctx, &req)
 	r.recordStatements(req.Instance, &res, time.Now())
 	r.logFailedRun(&req, &res)
--- a/internal/app/router/warmup_test.go
+++ b/internal/app/router/warmup_test.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/domain/routing"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // coldHeads reads the remaining warm-up time in milliseconds from the header Cold.
@@ -31,7 +32,7 @@
 func newTestExecutor(settings Settings) *executor {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return newExecutor(settings, coldHeads{}, newWarmUp(settings, coldHeads{}, log, telemetry.NewMetrics("h", "z")))
+	return newExecutor(settings, coldHeads{}, newWarmUp(settings, coldHeads{}, log, telemetry.NewMetrics("h", "z")), bounded.NewAccount(settings.memoryLimits()))
 }
 
 // coldService is the service of an instance that tolerates 14 requests a second in the first three seconds.
--- a/internal/app/telemetry/metric.go
+++ b/internal/app/telemetry/metric.go
@@ -50,10 +50,13 @@
 	RequestsQuarantined               // requests_quarantined
 	ContentsQuarantined               // contents_quarantined
 	ContentsSuspected                 // contents_suspected
+	MemoryHeld                        // memory_held
+	MemoryWaits                       // memory_waits
+	MemoryRefusals                    // memory_refusals
 )
 
 // MetricCount is the number of metrics.
-const MetricCount = int(ContentsSuspected) + 1
+const MetricCount = int(MemoryRefusals) + 1
 
 // Description describes a metric for operators.
 type Description struct {
@@ -107,6 +110,9 @@
 	RequestsQuarantined: {Meaning: "requests for the instance beside the daemon that were refused since three instances or more had crashed under their content", Unit: "count", Advice: "above 0: somebody sends content that crashes instances; `content quarantined` in the log has its keyed hash"},
 	ContentsQuarantined: {Meaning: "contents that are refused since instances crashed under them", Unit: "contents", Advice: "differs between the hosts of a service for more than 10 s: they don't hear each other"},
 	ContentsSuspected:   {Meaning: "contents under which one or two instances have crashed", Unit: "contents", Advice: "many after each crash; it falls as they run to their end elsewhere"},
+	MemoryHeld:          {Meaning: "memory that messages take", Unit: "bytes", Tags: "purpose", Advice: "near the bound of docs/CAPACITY.md for long: large bodies wait"},
+	MemoryWaits:         {Meaning: "messages that waited for memory", Unit: "count", Tags: "purpose", Advice: "grows with large bodies at once; `memory short` in the log has the purpose"},
+	MemoryRefusals:      {Meaning: "messages that there was no memory for in time", Unit: "count", Tags: "purpose", Advice: "`noRoom` refusals of callers; small messages among them: callers don't read their responses"},
 	ZonesDrained:        {Meaning: "availability zones whose instances get no requests since the operator has drained them", Unit: "zones", Advice: "differs between hosts for more than 3 s, or all zones: `zoneDrained` refusals"},
 	OrganisationSurges:  {Meaning: "organisations that send far more than usual while a service is short, so that their surplus is rejected first", Unit: "organisations", Advice: "above 0: `organisation surges` in the collector's log names them"},
 	SurgesNotUsed:       {Meaning: "entries of lists of surging organisations that can't be used", Unit: "count", Advice: "grows: a fault of the collector; `surges not used` in the log has its host"},
--- a/internal/ctl/explain/advice.go
+++ b/internal/ctl/explain/advice.go
@@ -170,6 +170,11 @@
 		Caller:   "Come back after Retry-After.",
 		Operator: "`instance crashed` in the logs names the requests that were at work. One that runs to its end clears the content.",
 	},
+	call.NoRoom: {
+		Meaning:  "A daemon on the request's way had no memory for its body in time, since other large bodies took it.",
+		Caller:   "Come back after Retry-After; send large bodies one after the other.",
+		Operator: "`memory short` in the logs has the purpose, `memory_held` the bytes. docs/CAPACITY.md says what a daemon holds.",
+	},
 	call.TimedOut: {
 		Meaning:  "The time that the caller or the operator allows ran out while the request was at work, so it may have run.",
 		Caller:   "Repeat only an idempotent request, or one with an idempotency key.",
--- a/internal/domain/call/answer.go
+++ b/internal/domain/call/answer.go
@@ -6,16 +6,28 @@
 
 // Answer is the response to one request, with its outcome and the load of the host that sent it.
 type Answer struct {
-	Outcome    Outcome
-	Reason     Reason
-	Status     int
-	Header     Header
-	Body       []byte
+	Outcome Outcome
+	Reason  Reason
+	Status  int
+	Header  Header
+	Body    []byte
+	// Held is the memory that is held for the body, nil if none is.
+	Held       Memory
 	RetryAfter time.Duration
 	BudgetLeft int
 	Load       Load
 }
 
+// Memory is memory that is held until Release.
+type Memory interface{ Release() }
+
+// Release gives back the memory that is held for the body, which must not be used any more.
+func (a *Answer) Release() {
+	if a.Held != nil {
+		a.Held.Release()
+	}
+}
+
 // Load is the load of a host, sent with each response.
 type Load struct {
 	InFlight int `json:"inFlight" msgpack:"inFlight"`
--- a/internal/domain/call/outcome.go
+++ b/internal/domain/call/outcome.go
@@ -78,6 +78,8 @@
 	Quarantined // quarantined
 	// Suspected means that instances have crashed under this content, so that it runs on one instance at a time, and that one has no time for it.
 	Suspected // suspected
+	// NoRoom means that a host on the request's way has no memory for its body in time.
+	NoRoom // noRoom
 )
 
 // Priority orders requests under overload; a higher priority is shed later.
@@ -112,7 +114,7 @@
 func (r Reason) Temporary() bool {
 	switch r {
 	case OverRate, Overloaded, NoUpstream, Draining, NotReady, UpstreamShed, DeadlineTooNear, Undecided, ZoneDrained, WarmingUp, NoAllowedRegion,
-		UpstreamLimited, InstanceSlow, WouldOutlast, Quarantined, Suspected:
+		UpstreamLimited, InstanceSlow, WouldOutlast, Quarantined, Suspected, NoRoom:
 		return true
 	default:
 		return false
@@ -174,4 +176,5 @@
 	WouldOutlast:     statusUnavailable,
 	Quarantined:      statusUnavailable,
 	Suspected:        statusUnavailable,
+	NoRoom:           statusUnavailable,
 }
--- a/internal/domain/call/request.go
+++ b/internal/domain/call/request.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	IdempotencyKey string
 	Budget         int
 	Depth          int
+	// Receiver is the host that the response goes to, invalid for this one.
+	Receiver netip.Addr
 }
 
 // Remaining returns the remaining time before the deadline, at least 0.
--- a/internal/wire/bounded/bounded_test.go
+++ b/internal/wire/bounded/bounded_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
@@ -16,49 +18,71 @@
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
-// TestReadAll guards against a message without end, or several at once, that take the process beyond its memory, and against a message that was cut
+// TestReadBody guards against a message without end, or several at once, that take the process beyond its memory, and against a message that was cut
 // off and is taken for a whole one.
-func TestReadAll(t *testing.T) {
+func TestReadBody(t *testing.T) {
 	cut := errors.Wrap(io.EOF, "cut off")
 	for _, c := range []struct {
 		name     string
 		from     io.Reader
 		maxBytes int64
-		held     int
+		held     int64
 		length   int
 		err      error
 	}{
 		{"empty", strings.NewReader(""), 10, 0, 0, nil},
-		{"of the largest size", strings.NewReader(strings.Repeat("x", 3*minPiece)), 3 * minPiece, 0, 3 * minPiece, nil},
-		{"in small parts", iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 2*minPiece))), 1 << 20, 0, 2 * minPiece, nil},
+		{"of the largest size", strings.NewReader(strings.Repeat("x", 3*minBuffer)), 3 * minBuffer, 0, 3 * minBuffer, nil},
+		{"in small parts", iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 2*minBuffer))), 1 << 20, 0, 2 * minBuffer, nil},
 		{"that ends with its last bytes", iotest.DataErrReader(strings.NewReader("abc")), 10, 0, 3, nil},
-		{"a byte too large", strings.NewReader(strings.Repeat("x", 3*minPiece+1)), 3 * minPiece, 0, 0, ErrTooLarge},
+		{"a byte too large", strings.NewReader(strings.Repeat("x", 3*minBuffer+1)), 3 * minBuffer, 0, 0, ErrTooLarge},
 		{"without end", endless{}, 1 << 20, 0, 0, ErrTooLarge},
-		{"beside others", endless{}, 8 << 20, 3 << 20, 0, ErrFull},
+		{"beside others", endless{}, 8 << 20, 4 << 20, 0, context.DeadlineExceeded},
 		{"that is cut off", io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(io.ErrUnexpectedEOF)), 10, 0, 0, io.ErrUnexpectedEOF},
 		{"that ends with an error which wraps the end", io.MultiReader(strings.NewReader("abc"), iotest.ErrReader(cut)), 10, 0, 0, cut},
 	} {
 		Convey("A message "+c.name, t, func() {
-			b := NewBudget(4 << 20)
-			give, ok := b.Take(c.held)
+			a := NewAccount(Limits{Total: 6 << 20, Each: 4 << 20, Small: 1 << 20})
+			held, ok := a.TryTake(InstanceResponse, c.held)
 			So(ok, ShouldBeTrue)
-			raw, err := b.ReadAll(c.from, c.maxBytes)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			raw, hold, err := a.ReadBody(ctx, c.from, Source{Purpose: InstanceResponse, Length: -1, MaxLength: c.maxBytes})
 			So(err, ShouldEqual, c.err)
 			So(raw, ShouldHaveLength, c.length)
-			So(b.held, ShouldEqual, c.held)
-			give()
-			_, ok = b.Take(4<<20 + 1)
-			So(ok, ShouldBeFalse)
-			So(b.held, ShouldEqual, 0)
-			So(b.free, ShouldBeEmpty)
+			So(hold.Bytes(), ShouldBeGreaterThanOrEqualTo, c.length)
+			So(hold.Bytes(), ShouldBeLessThanOrEqualTo, max(2*c.length, minBuffer))
+			So(a.Held(), ShouldEqual, c.held+hold.Bytes())
+			held.Release()
+			hold.Release()
+			So(a.Held(), ShouldEqual, 0)
 		})
 	}
+	Convey("A body of known length is read once there is memory for it", t, func() {
+		a := NewAccount(Limits{Total: 6 << 20, Each: 4 << 20, Small: 1 << 20})
+		held, _ := a.TryTake(InstanceResponse, 2<<20)
+		sent := strings.NewReader(strings.Repeat("x", 3<<20))
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			if sent.Len() == 3<<20 {
+				held.Release()
+			}
+		}()
+		raw, hold, err := a.ReadBody(t.Context(), sent, Source{Purpose: InstanceResponse, Length: 3 << 20, MaxLength: 8 << 20})
+		So(err, ShouldBeNil)
+		So(raw, ShouldHaveLength, 3<<20)
+		So(hold.Bytes(), ShouldEqual, 3<<20)
+		_, _, err = a.ReadBody(t.Context(), sent, Source{Purpose: InstanceResponse, Length: 8<<20 + 1, MaxLength: 8 << 20})
+		So(err, ShouldEqual, ErrTooLarge)
+		_, hold, err = a.ReadBody(t.Context(), strings.NewReader("short"), Source{Purpose: CallerResponse, Length: 6, MaxLength: 8})
+		So(err, ShouldEqual, io.ErrUnexpectedEOF)
+		So(hold, ShouldBeNil)
+	})
 	Convey("The bytes are those that were sent", t, func() {
-		sent := make([]byte, 5*maxPiece+7)
+		sent := make([]byte, 5*growingBytes+7)
 		for i := range sent {
 			sent[i] = byte(i * 31)
 		}
-		raw, err := NewBudget(64<<20).ReadAll(bytes.NewReader(sent), 64<<20)
+		raw, _, err := NewAccount(LimitsOf(288<<20)).ReadBody(t.Context(), bytes.NewReader(sent), Source{Purpose: InstanceResponse, Length: -1, MaxLength: 64 << 20})
 		So(err, ShouldBeNil)
 		So(bytes.Equal(raw, sent), ShouldBeTrue)
 	})
--- a/internal/wire/httpd/fault.go
+++ b/internal/wire/httpd/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 )
 
 //go:generate stringer -type=Fault -linecomment
@@ -37,24 +36,3 @@
 	}
 	return statuses[f], http.Header{}, []byte(f.String() + "\n")
 }
-
-// byteBudget limits the total size of all bodies that are arriving or being handled.
-//
-// Many callers may send files of 64 MB at the same time. Without a limit the
-// daemon's memory grows with their number until the host kills it, and all its
-// requests are lost; so bytes are admitted like slots.
-type byteBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// acquire reserves n bytes; false means that they are not available.
-func (b *byteBudget) acquire(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -12,6 +12,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // guard enforces the bounds between a connection and its parser. nbhttp delivers
@@ -23,6 +25,8 @@
 	server *Server
 	parser *nbhttp.Parser
 	conn   *nbio.Conn
+	// counted is the connection for responses.
+	counted net.Conn
 
 	// parseMu guards the fields down to closeRequested.
 	parseMu sync.Mutex
@@ -36,11 +40,15 @@
 	discarding      bool
 	headReceived    int
 	headSize        int
-	bodyReserved    int64
-	timer           *time.Timer
-	// completeBytes is the size of the body of the complete request that is being delivered, next is its exchange, and
+	// bodyHold is the memory for the request that arrives, and receiver receives its body in place of the parser, if not nil. rest has the bytes
+	// behind a body that was received so, which are not parsed yet.
+	bodyHold *bounded.Hold
+	receiver *bodyReceiver
+	rest     []byte
+	timer    *time.Timer
+	// completeHold is the memory for the complete request that is being delivered, next is its exchange, and
 	// closeRequested says whether its caller asked to close the connection after it.
-	completeBytes  int64
+	completeHold   *bounded.Hold
 	next           *exchange
 	closeRequested bool
 
@@ -61,7 +69,9 @@
 func newGuard(s *Server, c *nbio.Conn, p *nbhttp.Parser) *guard {
 	g := &guard{Processor: p.Processor, server: s, parser: p, conn: c}
 	g.pipeline.spawn, g.pipeline.idleSince = s.workers.Go, time.Now()
-	p.Processor, p.Execute, p.Conn = g, g.enqueue, &countingConn{Conn: p.Conn, pipeline: &g.pipeline}
+	g.pipeline.sent, g.pipeline.gone, g.pipeline.unsentOfAll = make(chan struct{}, 1), make(chan struct{}), &s.unsent
+	g.counted = &countingConn{Conn: p.Conn, pipeline: &g.pipeline}
+	p.Processor, p.Execute, p.Conn = g, g.enqueue, g.counted
 	return g
 }
 
@@ -69,15 +79,18 @@
 func (g *guard) parse(data []byte) {
 	g.parseMu.Lock()
 	defer g.parseMu.Unlock()
-	if g.discarding || g.closed {
-		return
+	for len(data) > 0 && !g.discarding && !g.closed {
+		data = g.parseNext(data)
 	}
+}
+
+// parseNext handles the next bytes, and returns those behind a body that ended among them.
+func (g *guard) parseNext(data []byte) (rest []byte) {
 	g.startHead()
 	if !g.inBody {
 		g.headReceived += len(data)
-	} else if g.chunked && !g.reserveBody(int64(len(data))) {
-		return
 	}
+	g.rest = nil
 	err := g.parser.Parse(data)
 	switch {
 	case g.discarding, errors.Is(err, net.ErrClosed):
@@ -88,6 +101,7 @@
 	case g.started && !g.inBody && g.headReceived > g.server.bounds.Load().HeadBytes:
 		g.refuse(HeadTooLarge)
 	}
+	return g.rest
 }
 
 // startHead starts the timeout of a head at its first byte. Without it, callers that send a byte
@@ -148,14 +162,32 @@
 		g.refuse(HeadTooLarge)
 	case length > g.server.bounds.Load().BodyBytes:
 		g.refuse(BodyTooLarge)
-	case length > 0 && !g.server.bodyBytes.acquire(int64(length)):
+	case !g.hold(max(length, 0)):
 		g.refuse(Full)
 	default:
-		g.bodyReserved = int64(max(length, 0))
 		g.awaitBody(length)
+		if g.chunked || length >= minReceivedBody {
+			g.receiveBody(p, length)
+		}
 	}
 }
 
+// hold takes the memory for the request that arrives: for its body, and for the head of one that may wait behind others of its connection.
+func (g *guard) hold(bytes int) bool {
+	if g.pending() > 0 {
+		bytes += g.headSize
+	}
+	hold, ok := g.server.account.TryTake(bounded.CallerRequest, int64(bytes))
+	g.bodyHold = hold
+	return ok
+}
+
+// releaseBody releases the memory of a request that won't be delivered.
+func (g *guard) releaseBody() {
+	g.bodyHold.Release()
+	g.bodyHold, g.receiver = nil, nil
+}
+
 // awaitBody sets the timeout of a body, and sends "100 Continue" if the caller expects it.
 func (g *guard) awaitBody(length int) {
 	if g.pending() > 0 || (length <= 0 && !g.chunked) {
@@ -171,20 +203,6 @@
 	}
 }
 
-// reserveBody admits n more bytes of a chunked body.
-func (g *guard) reserveBody(n int64) bool {
-	switch {
-	case g.bodyReserved+n > int64(g.server.bounds.Load().BodyBytes):
-		g.refuse(BodyTooLarge)
-	case !g.server.bodyBytes.acquire(n):
-		g.refuse(Full)
-	default:
-		g.bodyReserved += n
-		return true
-	}
-	return false
-}
-
 // OnBody discards the body of a refused request.
 func (g *guard) OnBody(p *nbhttp.Parser, data []byte) error {
 	if g.discarding {
@@ -198,8 +216,8 @@
 	if g.discarding {
 		return
 	}
-	g.completeBytes = g.bodyReserved
-	g.bodyReserved, g.headReceived, g.headSize, g.lengthHeaders = 0, 0, 0, 0
+	g.completeHold, g.bodyHold = g.bodyHold, nil
+	g.headReceived, g.headSize, g.lengthHeaders = 0, 0, 0
 	g.started, g.inBody, g.chunked, g.expectsContinue = false, false, false, false
 	g.stopTimer()
 	g.Processor.OnComplete(p)
@@ -213,25 +231,29 @@
 func (g *guard) announce(r *http.Request) {
 	g.next, g.closeRequested = newExchange(g), r.Close
 	*r = *r.WithContext(g.next.ctx)
+	if g.receiver != nil {
+		raw := g.receiver.raw
+		r.Body, r.ContentLength = &Body{bytes.NewReader(raw), raw}, int64(len(raw))
+	}
 }
 
 // enqueue adds a complete request to the pipeline; the parser calls it with the work that handles the request.
 func (g *guard) enqueue(work func()) bool {
-	bytes, exch := g.completeBytes, g.next
+	hold, exch := g.completeHold, g.next
 	// A running request has its own deadline; the connection's read deadline must not end it.
 	_ = g.conn.SetReadDeadline(time.Time{})
 	if g.pipeline.len() >= maxPending {
 		exch.cancel(ErrAnswered)
-		g.server.bodyBytes.release(bytes)
+		hold.Release()
 		g.refuse(Full)
 		return false
 	}
 	exch.work = func() {
 		work()
-		g.server.bodyBytes.release(bytes)
+		hold.Release()
 	}
 	if !g.pipeline.enqueue(exch) {
-		g.server.bodyBytes.release(bytes)
+		hold.Release()
 		return false
 	}
 	return true
@@ -245,8 +267,7 @@
 		return
 	}
 	g.discarding = true
-	g.server.bodyBytes.release(g.bodyReserved)
-	g.bodyReserved = 0
+	g.releaseBody()
 	g.stopTimer()
 }
 
@@ -275,8 +296,7 @@
 		return
 	}
 	g.discarding = true
-	g.server.bodyBytes.release(g.bodyReserved)
-	g.bodyReserved = 0
+	g.releaseBody()
 	raw := g.server.refusal(f)
 	g.stopTimer()
 	exch := newExchange(nil)
@@ -292,8 +312,7 @@
 	g.parseMu.Lock()
 	g.closed = true
 	g.stopTimer()
-	g.server.bodyBytes.release(g.bodyReserved)
-	g.bodyReserved = 0
+	g.releaseBody()
 	g.parseMu.Unlock()
 	g.pipeline.close()
 }
--- a/internal/wire/httpd/pipeline.go
+++ b/internal/wire/httpd/pipeline.go
@@ -17,6 +17,12 @@
 	maxPending = 256
 	// maxUnsentBytes limits the bytes of responses that the caller hasn't read: above it, none of its requests is started.
 	maxUnsentBytes = 1 << 20
+	// maxUnsentOfAll is the same for all connections of a server together.
+	maxUnsentOfAll = 16 << 20
+	// maxQueuedBytes limits the bytes of one response in the send queue; the rest stays where it is until these are sent.
+	maxQueuedBytes = 128 << 10
+	// maxWrite is the size in bytes of the parts in which a response is written.
+	maxWrite = 64 << 10
 )
 
 var (
@@ -33,8 +39,12 @@
 type pipeline struct {
 	// spawn runs a function on another goroutine.
 	spawn func(func())
-	// unsentBytes counts the bytes of responses in the send queue.
+	// unsentBytes counts the bytes of responses in the send queue, unsentOfAll those of all connections of the server.
 	unsentBytes atomic.Int64
+	unsentOfAll *atomic.Int64
+	// sent wakes the response that waits until less is unsent, gone is closed when the caller has disconnected.
+	sent chan struct{}
+	gone chan struct{}
 
 	mu      sync.Mutex
 	pending []*exchange
@@ -133,7 +143,7 @@
 func (p *pipeline) takeStartable() []*exchange {
 	var started []*exchange
 	for _, e := range p.pending {
-		if p.running >= maxRunning || p.unsentBytes.Load() > maxUnsentBytes {
+		if p.running >= maxRunning || p.unsentBytes.Load() > p.maxUnsent() {
 			break
 		}
 		if e.started || e.writeRefusal != nil {
@@ -146,6 +156,15 @@
 	return started
 }
 
+// maxUnsent returns up to how many unsent bytes requests of the connection are started: while all connections together have too many, only those
+// whose callers have read everything go on.
+func (p *pipeline) maxUnsent() int64 {
+	if p.unsentOfAll.Load() > maxUnsentOfAll {
+		return 0
+	}
+	return maxUnsentBytes
+}
+
 // finish removes an exchange whose response is written; it is the oldest unless the connection is closed.
 func (p *pipeline) finish(e *exchange) {
 	e.cancel(ErrAnswered)
@@ -192,15 +211,22 @@
 			e.grantTurn()
 		}
 	}
+	close(p.gone)
 	// Waiting requests are started too, since only the end of their handlers releases the bytes reserved for them.
-	p.unsentBytes.Store(0)
+	p.unsentOfAll.Add(-p.unsentBytes.Swap(0))
 	p.advance()
 }
 
 // recordSent records that bytes of responses have left the send queue, and starts requests that waited for that.
 func (p *pipeline) recordSent(bytes int) {
 	remaining := p.unsentBytes.Add(-int64(bytes))
-	if remaining <= maxUnsentBytes && remaining+int64(bytes) > maxUnsentBytes {
+	p.unsentOfAll.Add(-int64(bytes))
+	select {
+	case p.sent <- struct{}{}:
+	default:
+	}
+	isDrained := remaining <= maxUnsentBytes && remaining+int64(bytes) > maxUnsentBytes
+	if isDrained || remaining <= 0 {
 		p.spawn(func() {
 			p.mu.Lock()
 			p.advance()
@@ -208,6 +234,22 @@
 	}
 }
 
+// awaitSent waits until few bytes are left in the send queue. False means that the caller has disconnected, or hasn't read them in time.
+func (p *pipeline) awaitSent(deadline time.Time) bool {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	for p.unsentBytes.Load() > maxQueuedBytes {
+		select {
+		case <-p.sent:
+		case <-p.gone:
+			return false
+		case <-timer.C:
+			return false
+		}
+	}
+	return true
+}
+
 // countingConn counts the bytes that are written to a connection and not sent yet.
 type countingConn struct {
 	net.Conn
@@ -217,5 +259,6 @@
 // Write counts the bytes and writes them to the connection.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.pipeline.unsentBytes.Add(int64(len(p)))
+	c.pipeline.unsentOfAll.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
--- a/internal/wire/httpd/server.go
+++ b/internal/wire/httpd/server.go
@@ -14,6 +14,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
@@ -25,12 +26,14 @@
 	configured Bounds
 	bounds     atomic.Pointer[Bounds]
 	maxConns   int
-	bodyBytes  byteBudget
-	refuser    Refuser
-	closing    func() bool
-	guards     sync.Map
-	listener   *listener
-	workers    loops.Workers
+	// account counts the memory of requests, unsent the bytes of all responses that wait in the connections' queues.
+	account  *bounded.Account
+	unsent   atomic.Int64
+	refuser  Refuser
+	closing  func() bool
+	guards   sync.Map
+	listener *listener
+	workers  loops.Workers
 }
 
 // Option sets one property of a server.
@@ -52,8 +55,14 @@
 // WithMaxConns limits the number of open connections.
 func WithMaxConns(count int) Option { return func(s *Server) { s.maxConns = count } }
 
-// WithHeldBytes limits the total size of all bodies that are arriving or being handled, in bytes.
-func WithHeldBytes(bytes int) Option { return func(s *Server) { s.bodyBytes.limit = int64(bytes) } }
+// WithAccount sets the account of the memory that requests take.
+func WithAccount(a *bounded.Account) Option { return func(s *Server) { s.account = a } }
+
+// WithHeldBytes gives the server an account of its own that limits the requests that are arriving or being handled, in bytes: small ones together, and
+// large ones together.
+func WithHeldBytes(bytes int) Option {
+	return WithAccount(bounded.NewAccount(bounded.Limits{Total: int64(bytes), Each: int64(bytes), Small: int64(bytes)}))
+}
 
 // WithHead limits the size of a request's head, in bytes, and the time that it takes to arrive.
 func WithHead(bytes int, limit time.Duration) Option {
@@ -78,7 +87,7 @@
 		refuser:    plainRefusal,
 		closing:    func() bool { return false },
 	}
-	s.bodyBytes.limit = defaultHeldBytes
+	WithHeldBytes(defaultHeldBytes)(s)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -205,14 +214,6 @@
 	return backlogErr
 }
 
-// Hold reserves bytes for a body that was received in another way, under the limit of WithHeldBytes, until release is called. False means that they are not available.
-func (s *Server) Hold(bytes int) (release func(), ok bool) {
-	if !s.bodyBytes.acquire(int64(bytes)) {
-		return nil, false
-	}
-	return func() { s.bodyBytes.release(int64(bytes)) }, true
-}
-
 const (
 	stopPollInterval = 20 * time.Millisecond
 	// MaxBacklogTime limits the time to accept the connections in the backlog.
--- a/internal/wire/httpd/stop_test.go
+++ b/internal/wire/httpd/stop_test.go
@@ -121,7 +121,7 @@
 		defer func() { _ = conn.Close() }()
 		_, err := conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf"))
 		So(err, ShouldBeNil)
-		for s.bodyBytes.used.Load() == 0 {
+		for s.account.Held() == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		ended := stop()
@@ -181,7 +181,7 @@
 	running := make(chan int, 1)
 	s, stop := startStoppable(t, func(w http.ResponseWriter, _ *http.Request) {
 		g := w.(*responseWriter).guard
-		g.parser.Conn = &hookedConn{Conn: g.parser.Conn, afterWrite: func() { running <- g.pending() }}
+		g.counted = &hookedConn{Conn: g.counted, afterWrite: func() { running <- g.pending() }}
 	})
 	Convey("A request is pending until its response is written", t, func() {
 		res, err := http.Get("http://" + s.address.String())
--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -86,6 +86,8 @@
 	// out is what has not been sent yet, sent how much has.
 	out  bytes.Buffer
 	sent int
+	// deadline is until when the caller may read the response.
+	deadline time.Time
 }
 
 // errInvalidStatus means that a handler decided on a status that a response can't have.
@@ -94,7 +96,7 @@
 func newResponseWriter(e *exchange, r *http.Request) *responseWriter {
 	w := &responseWriter{
 		guard: e.guard, exchange: e, method: r.Method, proto: "HTTP/1.0", closeRequested: r.Close,
-		header: http.Header{}, stated: noLength,
+		header: http.Header{}, stated: noLength, deadline: time.Now().Add(keepAliveTime),
 	}
 	if r.ProtoAtLeast(1, 1) {
 		w.proto = "HTTP/1.1"
@@ -102,6 +104,13 @@
 	return w
 }
 
+// SetWriteDeadline sets until when the caller may read a large response, as http.ResponseController does: what is left of it then takes memory that
+// others wait for, so the connection is closed.
+func (w *responseWriter) SetWriteDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
 // Header returns the headers that WriteHeader writes.
 func (w *responseWriter) Header() http.Header { return w.header }
 
@@ -219,11 +228,21 @@
 // send writes to the connection, and closes it if that fails, since the rest of the response has no place on it any more.
 func (w *responseWriter) send(p []byte) error {
 	w.sent += len(p)
-	_, err := w.guard.parser.Conn.Write(p)
-	if err != nil {
-		_ = w.guard.conn.Close()
+	for len(p) > 0 {
+		part := p[:min(maxWrite, len(p))]
+		p = p[len(part):]
+		if err := w.sendPart(part); err != nil {
+			_ = w.guard.conn.Close()
+			return errors.Wrap(err, "http: write response")
+		}
 	}
-	return errors.Wrap(err, "http: write response")
+	return nil
+}
+
+// sendPart queues a part.
+func (w *responseWriter) sendPart(p []byte) error {
+	_, err := w.guard.counted.Write(p)
+	return err
 }
 
 // finish completes the response. That of a handler that wrote nothing is a failure, and one that is shorter than its handler
@@ -241,7 +260,7 @@
 	if err := w.writeRest(); err != nil {
 		return
 	}
-	_ = w.guard.parser.Conn.SetReadDeadline(time.Now().Add(keepAliveTime))
+	_ = w.guard.counted.SetReadDeadline(time.Now().Add(keepAliveTime))
 	if w.closesConn {
 		time.AfterFunc(lingerTime+time.Duration(w.sent/minBodyRate)*time.Second, func() { _ = w.guard.conn.Close() })
 	}
--- a/internal/wire/instance/belongs_test.go
+++ b/internal/wire/instance/belongs_test.go
@@ -215,7 +215,7 @@
 			r := request("1")
 			req, err := r.httpRequest()
 			So(err, ShouldBeNil)
-			res, err := New(netip.AddrPort{}).readResponse(cn, r, req)
+			res, err := New(netip.AddrPort{}).readResponse(t.Context(), cn, r, req)
 			switch {
 			case status < http.StatusContinue, status == http.StatusSwitchingProtocols:
 				So(err, ShouldNotBeNil)
@@ -246,7 +246,7 @@
 			r.Method = c.method
 			req, err := r.httpRequest()
 			So(err, ShouldBeNil)
-			res, err := New(netip.AddrPort{}).readResponse(cn, r, req)
+			res, err := New(netip.AddrPort{}).readResponse(t.Context(), cn, r, req)
 			So(err, ShouldBeNil)
 			So(res.Status, ShouldEqual, c.status)
 			So(res.Body, ShouldBeEmpty)
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -43,6 +43,8 @@
 	IDOf func(http.Header) string
 	// Observe, if not nil, receives status and header of the response that belongs to the request, before its body is read.
 	Observe func(status int, header http.Header)
+	// To is the host that the response goes to, invalid for this one.
+	To netip.Addr
 }
 
 // Response is a complete response of the instance.
@@ -50,16 +52,18 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Hold is the memory that is held for the body, to be released when the body isn't used any more.
+	Hold *bounded.Hold
 }
 
 // Client sends requests to one instance over pooled connections.
 type Client struct {
 	address     netip.AddrPort
 	maxResponse int64
-	// arriving bounds the response bodies that arrive at once.
-	arriving *bounded.Budget
-	pool     pool
-	opened   atomic.Uint64
+	// account counts the memory of responses.
+	account *bounded.Account
+	pool    pool
+	opened  atomic.Uint64
 }
 
 // Option configures a client.
@@ -68,10 +72,8 @@
 // WithMaxResponse bounds the size of a response body in bytes.
 func WithMaxResponse(bytes int64) Option { return func(c *Client) { c.maxResponse = bytes } }
 
-// WithMaxArriving bounds the bytes of all response bodies that arrive at once.
-func WithMaxArriving(bytes int64) Option {
-	return func(c *Client) { c.arriving = bounded.NewBudget(bytes) }
-}
+// WithAccount sets the account of the memory that responses take.
+func WithAccount(a *bounded.Account) Option { return func(c *Client) { c.account = a } }
 
 // WithNonIdempotentMaxIdle sets how long a connection may be idle before a request that is not idempotent opens a new one instead.
 func WithNonIdempotentMaxIdle(d time.Duration) Option {
@@ -83,8 +85,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// defaultMaxResponse bounds a response body in bytes, since all of it is buffered before any of it is forwarded.
 	defaultMaxResponse = 64 << 20
-	// defaultMaxArriving bounds all response bodies that arrive at once, in bytes.
-	defaultMaxArriving = 72 << 20
+	// receiveBuffer is the size in bytes of the kernel's buffer for a response that isn't read while there is no memory for it. The kernel's own choice
+	// grows to megabytes for each connection, which count for the memory of the process.
+	receiveBuffer = 64 << 10
 	// maxHead bounds the head of a response in bytes, with the interim responses before it. Callers read no larger ones.
 	maxHead = 256 << 10
 	// maxStrayResponses is how many responses to earlier requests are skipped before the request fails.
@@ -94,9 +97,12 @@
 	concurrentWriteSize = 16 << 10
 )
 
+// defaultLimits bound the memory of the responses of a client without an account.
+var defaultLimits = bounded.Limits{Total: 72 << 20, Each: 72 << 20, Small: 16 << 20}
+
 // New returns a client for the instance at the address.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	c := &Client{address: address, maxResponse: defaultMaxResponse, arriving: bounded.NewBudget(defaultMaxArriving), pool: newPool()}
+	c := &Client{address: address, maxResponse: defaultMaxResponse, account: bounded.NewAccount(defaultLimits), pool: newPool()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -147,6 +153,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnsent, "connect: %v", err)
 	}
+	if conn, ok := tcpConn.(*net.TCPConn); ok {
+		_ = conn.SetReadBuffer(receiveBuffer)
+	}
 	return newConn(tcpConn), nil
 }
 
@@ -181,7 +190,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	written := cn.send(req, len(r.Body) > concurrentWriteSize)
-	res, err := c.readResponse(cn, r, req)
+	res, err := c.readResponse(ctx, cn, r, req)
 	if err != nil {
 		if unsent := cn.unsentError(written); unsent != nil {
 			return Response{}, unsent
@@ -196,7 +205,7 @@
 }
 
 // readResponse reads the response that belongs to the request, skipping responses to other requests.
-func (c *Client) readResponse(cn *conn, r *Request, req *http.Request) (Response, error) {
+func (c *Client) readResponse(ctx context.Context, cn *conn, r *Request, req *http.Request) (Response, error) {
 	for range maxStrayResponses + 1 {
 		header, err := cn.reader.readHeader(req)
 		if err != nil {
@@ -210,13 +219,14 @@
 		if matches && r.Observe != nil {
 			r.Observe(header.StatusCode, header.Header)
 		}
-		res, err := c.readBody(cn, header)
+		res, err := c.readBody(ctx, cn, r, header)
 		if err != nil {
 			return Response{}, err
 		}
 		if matches {
 			return res, nil
 		}
+		res.Hold.Release()
 		if !cn.reusable {
 			return Response{}, errors.New("the connection closes after a response to another request")
 		}
@@ -224,40 +234,32 @@
 	return Response{}, errors.New("received only responses to other requests")
 }
 
-// readAll reads the body, into one allocation if its size is known and small.
-func (c *Client) readAll(res *http.Response) ([]byte, error) {
-	switch {
-	case res.Request != nil && res.Request.Method == http.MethodHead:
-		return nil, nil
-	case res.ContentLength > c.maxResponse:
-		return nil, bounded.ErrTooLarge
-	case res.ContentLength < 0 || res.ContentLength > maxPreallocatedBody:
-		return c.arriving.ReadAll(res.Body, c.maxResponse)
+// readAll reads the body as there is memory for it, until the request's deadline.
+func (c *Client) readAll(ctx context.Context, r *Request, res *http.Response) ([]byte, *bounded.Hold, error) {
+	if res.Request != nil && res.Request.Method == http.MethodHead {
+		return nil, nil, nil
 	}
-	give, ok := c.arriving.Take(int(res.ContentLength))
-	if !ok {
-		return nil, bounded.ErrFull
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
 	}
-	defer give()
-	raw := make([]byte, res.ContentLength)
-	_, err := io.ReadFull(res.Body, raw)
-	return raw, err
+	return c.account.ReadBody(ctx, res.Body, bounded.Source{
+		Purpose: bounded.InstanceResponse, To: r.To, Length: res.ContentLength, MaxLength: c.maxResponse,
+	})
 }
 
-// maxPreallocatedBody bounds the memory in bytes that a response's stated length allocates before the body arrives.
-const maxPreallocatedBody = 1 << 20
-
 // readBody reads the whole body. One without a length ends with the connection: it is complete only if the instance
 // closed the connection normally; a reset is an error. A body that isn't read to its end isn't closed, since that would read on: the connection is.
-func (c *Client) readBody(cn *conn, res *http.Response) (Response, error) {
+func (c *Client) readBody(ctx context.Context, cn *conn, r *Request, res *http.Response) (Response, error) {
 	cn.reusable = !res.Close
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return Response{}, errors.New("status 101 (switching protocols) is not supported")
 	}
-	raw, err := c.readAll(res)
+	raw, hold, err := c.readAll(ctx, r, res)
 	if err != nil {
 		return Response{}, err
 	}
 	cn.recordIdleTimeout(res.Header, time.Now())
-	return Response{Status: res.StatusCode, Header: res.Header, Body: raw}, nil
+	return Response{Status: res.StatusCode, Header: res.Header, Body: raw, Hold: hold}, nil
 }
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -35,13 +35,14 @@
 	if n.announced != nil {
 		n.announced[kind] = layouts{Request: layoutOf[Req](), Response: layoutOf[Resp]()}
 	}
-	n.handlers[kind] = func(ctx context.Context, from netip.AddrPort, payload []byte, remote layouts) ([]byte, error) {
-		var req Req
-		if err := msgpack.Unmarshal(payload, &req); err != nil {
-			return nil, errors.Wrapf(err, "peer: unreadable %s", kind)
+	n.handlers[kind] = func(ctx context.Context, l *link, f frame) (frame, error) {
+		req, err := decodeMessage[Req](l, &f)
+		if err != nil {
+			return frame{}, errors.Wrapf(err, "peer: unreadable %s", kind)
 		}
+		defer f.hold.Release()
 		age(&req, transferTime(ctx))
-		response, err := encode(respond(ctx, from, req), encodingFor[Resp](remote.Response))
+		response, err := encodeMessage(l, respond(ctx, l.remote, req), encodingFor[Resp](l.remoteLayouts(kind).Response))
 		return response, errors.Wrapf(err, "peer: encode response to %s", kind)
 	}
 }
@@ -60,7 +61,10 @@
 func exchange[Req, Resp any](ctx context.Context, n *Node, to netip.AddrPort, kind Kind, req Req, unlessSilent bool) (Resp, error) {
 	var resp Resp
 	began := time.Now()
-	l, request, response, err := n.registerCall(ctx, to, kind, func(l *link) ([]byte, error) {
+	l, request, response, err := n.registerCall(ctx, to, kind, func(l *link) (frame, error) {
+		if isLarge(&req) {
+			l.awaitAnnouncement(ctx)
+		}
 		sent := req
 		age(&sent, time.Since(began))
 		return encodeFor(l, kind, sent)
@@ -71,16 +75,20 @@
 	id := request.id
 	position, err := l.send(request)
 	if err != nil {
-		l.removeCall(id)
-		return resp, errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
+		l.removeCall(id, response)
+		return resp, notSent(to, err)
 	}
 	silent := l.silent
 	if !unlessSilent {
 		silent = nil
 	}
+	if !l.awaitGrant(ctx, position, silent) {
+		l.removeCall(id, response)
+		return resp, errors.Wrapf(ErrNoRoom, "%d bytes to %s", position.outgoing.size, to)
+	}
 	select {
 	case <-silent:
-		l.removeCall(id)
+		l.removeCall(id, response)
 		l.abandon(request, position)
 		return resp, errors.Wrapf(ErrLost, "%s does not respond to probes", to)
 	case received, ok := <-response:
@@ -90,9 +98,10 @@
 		if !ok {
 			return resp, errors.Wrapf(ErrLost, "connection to %s closed before the response arrived", to)
 		}
-		return resp, errors.Wrapf(msgpack.Unmarshal(received.payload, &resp), "peer: unreadable response to %s", kind)
+		resp, err = decodeMessage[Resp](l, &received)
+		return resp, errors.Wrapf(err, "peer: unreadable response to %s", kind)
 	case <-ctx.Done():
-		l.removeCall(id)
+		l.removeCall(id, response)
 		l.abandon(request, position)
 		if l.isUnresponsive(time.Now()) {
 			n.drainLink(l)
@@ -107,21 +116,22 @@
 //
 // The request is encoded first: from its registration on, the link counts as unresponsive if nothing is received for a while, and a large
 // request takes long to encode on a busy host.
-func (n *Node) registerCall(ctx context.Context, to netip.AddrPort, kind Kind, encodeFor func(*link) ([]byte, error)) (*link, frame, chan frame, error) {
+func (n *Node) registerCall(ctx context.Context, to netip.AddrPort, kind Kind, encodeFor func(*link) (frame, error)) (*link, frame, chan frame, error) {
 	for lostLinks := 0; lostLinks < 2; {
 		l, err := n.dial(ctx, to, kind)
 		if err != nil {
 			return nil, frame{}, nil, err
 		}
-		payload, err := encodeFor(l)
+		request, err := encodeFor(l)
 		if err != nil {
 			return nil, frame{}, nil, err
 		}
-		if headerSize+len(payload) > n.maxFrame {
-			return nil, frame{}, nil, errors.Wrapf(ErrNotSent, "%s of %d bytes exceeds the maximum frame size", kind, len(payload))
+		if headerSize+request.size() > n.maxFrame {
+			return nil, frame{}, nil, errors.Wrapf(ErrNotSent, "%s of %d bytes exceeds the maximum frame size", kind, request.size())
 		}
 		if id, response, ok := l.addCall(); ok {
-			return l, frame{form: formRequest, kind: kind, id: id, payload: payload}, response, nil
+			request.form, request.id = formRequest, id
+			return l, request, response, nil
 		}
 		if !l.wasRetired() {
 			lostLinks++
@@ -136,11 +146,52 @@
 	if err != nil {
 		return err
 	}
-	payload, err := encodeFor(l, kind, msg)
+	oneWay, err := encodeFor(l, kind, msg)
 	if err != nil {
 		return err
 	}
-	oneWay := frame{form: formOneWay, kind: kind, payload: payload}
+	oneWay.form = formOneWay
 	_, err = l.send(oneWay)
 	return errors.Wrapf(err, "peer: write to %s", to)
 }
+
+// isLarge reports whether a message has a body that is sent in pieces.
+func isLarge[M any](msg *M) bool {
+	bulky, ok := any(msg).(Bulky)
+	if !ok {
+		return false
+	}
+	body, _ := bulky.Bulk()
+	return len(*body) > pieceSize
+}
+
+// awaitGrant waits until an offered request is granted, or until its response or the end of the call no longer depends on that. False means that it
+// was not granted in the time that it may wait, and is withdrawn.
+func (l *link) awaitGrant(ctx context.Context, position sendPosition, silent <-chan struct{}) bool {
+	o := position.outgoing
+	if o == nil || !o.offered {
+		return true
+	}
+	timer := time.NewTimer(roomWait(ctx))
+	defer timer.Stop()
+	select {
+	case <-o.granted:
+		return true
+	case <-o.refused:
+		return false
+	case <-l.closed:
+		return true
+	case <-timer.C:
+	case <-silent:
+	case <-ctx.Done():
+	}
+	return !l.withdrawOffer(o)
+}
+
+// notSent returns the error of a request that could not be sent.
+func notSent(to netip.AddrPort, err error) error {
+	if errors.Is(err, ErrNotSent) {
+		return err
+	}
+	return errors.Wrapf(ErrNotSent, "write to %s: %v", to, err)
+}
--- a/internal/wire/peer/frame.go
+++ b/internal/wire/peer/frame.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // A frame is: length of what follows (4 bytes), form (1), kind (1), id (8), payload.
@@ -23,7 +25,10 @@
 	formOpen
 	formPiece
 	formDrop
-	formLast = formDrop
+	formOffer
+	formGrant
+	formRefuse
+	formLast = formRefuse
 )
 
 type frame struct {
@@ -31,10 +36,17 @@
 	kind    Kind
 	id      uint64
 	payload []byte
+	// body follows the payload in a frame in pieces: the message's body, which is neither encoded nor copied.
+	body []byte
+	// hold is the memory that is held for the message: to be released when a frame to be sent is in the kernel, or a received one is used up.
+	hold *bounded.Hold
 	// openedAt is when a received frame was announced, if it came in pieces.
 	openedAt time.Time
 }
 
+// size returns the bytes of payload and body.
+func (f *frame) size() int { return len(f.payload) + len(f.body) }
+
 var (
 	errFrameSize = errors.New("peer: frame length out of bounds")
 	errFrameForm = errors.New("peer: unexpected frame form or stream")
@@ -63,6 +75,8 @@
 	inPayload bool
 	maxFrame  int
 	assembler assembler
+	// offered is called with the offer of a frame.
+	offered func(offer)
 }
 
 // feed reads the next bytes of the stream and passes each complete frame to emit.
@@ -94,8 +108,18 @@
 	switch f.form {
 	case formOpen:
 		return r.assembler.open(f, r.maxFrame)
+	case formOffer:
+		o, err := r.assembler.addOffer(f, r.maxFrame)
+		if err != nil {
+			return err
+		}
+		r.offered(o)
 	case formPiece:
-		if complete, ok := r.assembler.advance(f.id, len(f.payload)); ok {
+		complete, ok, err := r.assembler.advance(f.id, len(f.payload))
+		if err != nil {
+			return err
+		}
+		if ok {
 			emit(complete)
 		}
 	case formDrop:
--- a/internal/wire/peer/frame_test.go
+++ b/internal/wire/peer/frame_test.go
@@ -28,7 +28,7 @@
 	}{
 		{"too long", "\xff\xff\xff\xff", errFrameSize},
 		{"too short", "\x00\x00\x00\x01", errFrameSize},
-		{"unknown form", "\x00\x00\x00\x0a\x09\x01\x00\x00\x00\x00\x00\x00\x00\x00", errFrameForm},
+		{"unknown form", "\x00\x00\x00\x0a\x0b\x01\x00\x00\x00\x00\x00\x00\x00\x00", errFrameForm},
 	}
 	Convey("Invalid frames are an error", t, func() {
 		for _, b := range bad {
@@ -38,20 +38,28 @@
 	})
 }
 
+// grantingReader returns a reader that grants each offer at once.
+func grantingReader(maxFrame int) *frameReader {
+	r := &frameReader{maxFrame: maxFrame}
+	r.offered = func(o offer) { r.assembler.grant(o.stream, o.size, nil) }
+	return r
+}
+
 func FuzzReader(f *testing.F) {
 	one := frame{form: formRequest, kind: KindCall, id: 7, payload: []byte("hello")}
 	f.Add(one.encode(), 3)
 	f.Add(append(one.encode(), one.encode()...), 5)
-	f.Add([]byte("\x00\x00\x00\x0a\x09\x01\x00\x00\x00\x00\x00\x00\x00\x00"), 1)
+	f.Add([]byte("\x00\x00\x00\x0a\x0b\x01\x00\x00\x00\x00\x00\x00\x00\x00"), 1)
 	f.Add([]byte("\xff\xff\xff\xff"), 1)
 	f.Add(inPieces(one, 1, 2), 4)
 	f.Add(append(inPieces(one, 1, 2)[:40], inPieces(one, 2, 5)...), 3)
 	drop := frame{form: formDrop, id: 1}
+	f.Add(append(one.appendOffer(nil, 1), (&frame{form: formPiece, id: 1, payload: one.payload}).encode()...), 6)
 	f.Add(append(inPieces(one, 1, 2)[:45], drop.encode()...), 7)
 	f.Fuzz(func(t *testing.T, stream []byte, step int) {
 		const maxFrame = 1 << 16
 		step = min(max(step, 1), max(len(stream), 1))
-		whole, split := frameReader{maxFrame: maxFrame}, frameReader{maxFrame: maxFrame}
+		whole, split := grantingReader(maxFrame), grantingReader(maxFrame)
 		var want, got []frame
 		wantErr := whole.feed(stream, func(f frame) { want = append(want, f) })
 		var gotErr error
@@ -62,7 +70,7 @@
 			t.Fatalf("split every %d bytes: %d frames, error %v; unsplit: %d frames, error %v", step, len(got), gotErr, len(want), wantErr)
 		}
 		for i := range want {
-			if want[i].id != got[i].id || string(want[i].payload) != string(got[i].payload) || len(got[i].payload) > maxFrame {
+			if want[i].id != got[i].id || string(want[i].payload) != string(got[i].payload) || string(want[i].body) != string(got[i].body) || got[i].size() > maxFrame {
 				t.Fatalf("frame %d differs between the split and the unsplit stream or exceeds the maximum size", i)
 			}
 		}
--- a/internal/wire/peer/kind.go
+++ b/internal/wire/peer/kind.go
@@ -42,7 +42,9 @@
 	KindCrash // crash
 	// KindQuarantine asks for the crashes that a daemon knows of.
 	KindQuarantine // quarantine
+	// KindOffer stands in the announcement of a node that answers offers of large messages.
+	KindOffer // offer
 )
 
 // Kinds is the last kind plus one; no message has kind 0.
-const Kinds = int(KindQuarantine) + 1
+const Kinds = int(KindOffer) + 1
--- a/internal/wire/peer/layout.go
+++ b/internal/wire/peer/layout.go
@@ -4,6 +4,7 @@
 	"encoding"
 	"fmt"
 	"maps"
+	"net/netip"
 	"reflect"
 	"slices"
 	"strings"
@@ -12,6 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // A message can be encoded in two ways: by name, as maps from field names to values, or by position, as lists of values. By position takes
@@ -34,10 +37,14 @@
 
 // announce sends the layouts of this node's messages. Without them, the other side sends by name, so a failure needs no handling.
 func (l *link) announce() {
-	if len(l.node.announced) == 0 {
+	announced := l.node.announced
+	if announced == nil && !l.node.withoutOffers {
+		announced = announcement{KindOffer: {Request: offerVersion}}
+	}
+	if len(announced) == 0 {
 		return
 	}
-	payload, err := encode(l.node.announced, byName)
+	payload, err := encode(announced, byName)
 	if err != nil {
 		return
 	}
@@ -48,8 +55,13 @@
 // receiveAnnouncement records the layouts of the other side. An announcement that can't be decoded, as a later release may send it, is
 // ignored. Links to nodes of the same release share the layouts of their node, since a daemon may have thousands of links.
 func (l *link) receiveAnnouncement(payload []byte) {
+	defer l.markAnnounced()
 	var received announcement
-	if l.node.announced == nil || msgpack.Unmarshal(payload, &received) != nil {
+	if msgpack.Unmarshal(payload, &received) != nil {
+		return
+	}
+	l.offers.Store(received[KindOffer].Request != 0)
+	if l.node.announced == nil {
 		return
 	}
 	if maps.Equal(received, l.node.announced) {
@@ -152,10 +164,55 @@
 }
 
 // encodeFor encodes a request for the other side of a link.
-func encodeFor[T any](l *link, kind Kind, value T) ([]byte, error) {
-	payload, err := encode(value, encodingFor[T](l.remoteLayouts(kind).Request))
+func encodeFor[T any](l *link, kind Kind, value T) (frame, error) {
+	f, err := encodeMessage(l, value, encodingFor[T](l.remoteLayouts(kind).Request))
+	f.kind = kind
 	if err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
+		return frame{}, errors.Wrapf(ErrNotSent, "encode %s: %v", kind, err)
+	}
+	return f, nil
+}
+
+// encodeMessage returns the frame of a message, with a large body beside the payload if the other side answers offers.
+func encodeMessage[T any](l *link, value T, form encodingForm) (frame, error) {
+	var f frame
+	if bulky, ok := any(&value).(Bulky); ok {
+		body, hold := bulky.Bulk()
+		f.hold = *hold
+		switch {
+		case len(*body) <= pieceSize:
+		case l.answersOffers():
+			f.body, *body = *body, nil
+		case f.hold == nil:
+			// The encoded copy of a request's body, which its sender holds until it is answered.
+			f.hold = l.node.account.Take(bounded.FleetMessage, netip.Addr{}, int64(len(*body)))
+		}
+	}
+	var err error
+	if f.payload, err = encode(value, form); err != nil {
+		f.hold.Release()
+	}
+	return f, err
+}
+
+// decodeMessage returns the message of a frame. One that isn't bulky holds no memory any more. Small responses are counted; whether there is memory
+// for a small request is for its handler to find out.
+func decodeMessage[T any](l *link, f *frame) (T, error) {
+	var value T
+	err := msgpack.Unmarshal(f.payload, &value)
+	bulky, ok := any(&value).(Bulky)
+	if !ok || err != nil {
+		f.hold.Release()
+		return value, err
+	}
+	body, hold := bulky.Bulk()
+	if len(f.body) > 0 {
+		*body = f.body
+	}
+	if f.hold == nil && f.form == formResponse && len(*body) > 0 {
+		f.hold = l.node.account.Take(bounded.CallerResponse, netip.Addr{}, int64(len(*body)))
 	}
-	return payload, nil
+	*hold = f.hold
+	f.payload, f.body = nil, nil
+	return value, nil
 }
--- a/internal/wire/peer/layout_test.go
+++ b/internal/wire/peer/layout_test.go
@@ -189,9 +189,9 @@
 	Handle(s, KindCall, func(_ context.Context, _ netip.AddrPort, m T) T { return m })
 	handle := s.handlers[KindCall]
 	last := make(chan bool, 1)
-	s.handlers[KindCall] = func(ctx context.Context, from netip.AddrPort, payload []byte, remote layouts) ([]byte, error) {
-		last <- isByPosition(payload)
-		return handle(ctx, from, payload, remote)
+	s.handlers[KindCall] = func(ctx context.Context, l *link, f frame) (frame, error) {
+		last <- isByPosition(f.payload)
+		return handle(ctx, l, f)
 	}
 	client = New(loopback.Address(), withLongTimeouts)
 	Handle(client, KindCall, func(_ context.Context, _ netip.AddrPort, m report) report { return m })
--- a/internal/wire/peer/link.go
+++ b/internal/wire/peer/link.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // link is one connection to a peer with the calls in flight on it, in both directions.
@@ -31,6 +33,10 @@
 
 	// announced has the layouts that the other side has announced; nil until then.
 	announced atomic.Pointer[announcement]
+	// offers means that the other side answers offers. announcementArrived is closed when its announcement has arrived or is no longer waited for.
+	offers              atomic.Bool
+	announcementArrived chan struct{}
+	announcementOnce    sync.Once
 	// place is the other side's place once it is known.
 	place atomic.Uint32
 
@@ -39,6 +45,7 @@
 	writtenBytes atomic.Uint64
 
 	outbox        outbox
+	written       writtenHolds
 	awaitingDrain atomic.Bool
 	drained       chan struct{}
 	closed        chan struct{}
@@ -55,7 +62,7 @@
 
 func newLink(n *Node, c *nbio.Conn) *link {
 	remote, _ := netip.ParseAddrPort(c.RemoteAddr().String())
-	return &link{
+	l := &link{
 		node:            n,
 		conn:            c,
 		remote:          remote,
@@ -66,8 +73,11 @@
 		drained:         make(chan struct{}, 1),
 		closed:          make(chan struct{}),
 
-		silent: make(chan struct{}),
+		silent:              make(chan struct{}),
+		announcementArrived: make(chan struct{}),
 	}
+	l.reader.offered, l.reader.assembler.account = l.receiveOffer, n.account
+	return l
 }
 
 // sendPosition locates the end of a frame in the connection's byte stream: at endOffset,
@@ -80,31 +90,52 @@
 // frameBuffers holds buffers for the encoding of frames; a connection copies what it can't send at once.
 var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
-// send sends a frame, or starts to send a large one in pieces; an error means that it was not sent whole.
+// send sends a frame, or starts to send a large one in pieces; an error means that it was not sent whole. What is held for the frame is released
+// when it is sent or given up.
 func (l *link) send(f frame) (sendPosition, error) {
-	if len(f.payload) <= pieceSize {
-		buffer := frameBuffers.Get().(*[]byte)
-		defer frameBuffers.Put(buffer)
-		*buffer = f.append((*buffer)[:0])
-		endOffset, err := l.write(*buffer, nil)
-		return sendPosition{endOffset: endOffset}, err
+	large := f.size() > pieceSize
+	switch {
+	case headerSize+f.size() > l.node.maxFrame:
+		f.hold.Release()
+		return sendPosition{}, errors.Wrapf(errFrameSize, "payload of %d bytes", f.size())
+	case l.answersOffers() && (large || l.backlog() > maxDirectBacklog && isForwarding(f.kind)):
+		return l.sendOffer(f)
+	case !large:
+		return l.sendWhole(f)
 	}
-	if headerSize+len(f.payload) > l.node.maxFrame {
-		return sendPosition{}, errors.Wrapf(errFrameSize, "payload of %d bytes", len(f.payload))
+	if f.hold == nil && f.body == nil && !isForwarding(f.kind) {
+		f.hold = l.node.account.Take(bounded.FleetMessage, netip.Addr{}, int64(f.size()))
 	}
-	o := &outgoing{frame: f}
+	o := newOutgoing(f, false)
 	if l.outbox.add(o) {
 		go l.pump()
 	}
 	return sendPosition{outgoing: o}, nil
 }
 
+// sendWhole sends a small frame.
+func (l *link) sendWhole(f frame) (sendPosition, error) {
+	buffer := frameBuffers.Get().(*[]byte)
+	defer frameBuffers.Put(buffer)
+	*buffer = f.append((*buffer)[:0])
+	endOffset, err := l.write(*buffer, nil)
+	if err != nil {
+		f.hold.Release()
+		return sendPosition{}, err
+	}
+	l.releaseWhenWritten(endOffset, f.hold)
+	return sendPosition{endOffset: endOffset}, nil
+}
+
 // abandon cancels a request at the other side, or stops sending it if a part has not been sent yet.
 func (l *link) abandon(f frame, position sendPosition) {
 	if position.outgoing == nil || position.outgoing.endOffset.Load() > 0 {
 		l.sendCancel(f)
 		return
 	}
+	if l.withdrawOffer(position.outgoing) {
+		return
+	}
 	l.outbox.drop(position.outgoing)
 	// The last piece may have been queued since the first check, in which case the pump may not have seen the drop.
 	if position.outgoing.endOffset.Load() > 0 {
@@ -185,24 +216,35 @@
 }
 
 // removeCall removes a call that its caller has given up, so that a late response is discarded.
-func (l *link) removeCall(id uint64) {
+func (l *link) removeCall(id uint64, response <-chan frame) {
 	l.mu.Lock()
+	_, pending := l.pendingCalls[id]
 	delete(l.pendingCalls, id)
 	drained := l.breakIfDrained()
 	l.mu.Unlock()
 	if drained {
 		_ = l.conn.Close()
 	}
+	if !pending {
+		received := <-response
+		received.hold.Release()
+	}
 }
 
 // handleFrame handles one frame from the other side.
 func (l *link) handleFrame(f frame) {
-	l.node.bytesByKind[kindIndex(f.kind)][l.placeOfRemote()].received.Add(uint64(lengthSize + headerSize + len(f.payload)))
+	l.node.bytesByKind[kindIndex(f.kind)][l.placeOfRemote()].received.Add(uint64(lengthSize + headerSize + f.size()))
 	switch f.form {
 	case formResponse:
 		l.deliver(f)
 	case formCancel:
 		l.cancelHandler(f.id)
+	case formGrant:
+		if l.outbox.grant(f.id) {
+			go l.pump()
+		}
+	case formRefuse:
+		l.outbox.refuse(f.id)
 	case formRequest, formOneWay:
 		if f.kind == KindLayouts {
 			l.receiveAnnouncement(f.payload)
@@ -220,6 +262,8 @@
 	l.mu.Unlock()
 	if ok {
 		response <- f
+	} else {
+		f.hold.Release()
 	}
 	if drained {
 		_ = l.conn.Close()
@@ -232,12 +276,16 @@
 	l.mu.Unlock()
 	if ok {
 		stop()
+		return
 	}
+	// The handler has ended, but its response may still wait for room at a caller that doesn't want it any more.
+	l.withdrawOffer(l.outbox.offeredResponse(id))
 }
 
 func (l *link) startHandler(f frame) {
 	h, ok := l.node.handlers[f.kind]
 	if !ok {
+		f.hold.Release()
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -246,6 +294,7 @@
 	if l.broken {
 		l.mu.Unlock()
 		stop()
+		f.hold.Release()
 		return
 	}
 	if f.form == formRequest {
@@ -259,7 +308,7 @@
 }
 
 func (l *link) runHandler(ctx context.Context, h handler, f frame) {
-	out, err := h(withOpened(ctx, f), l.remote, f.payload, l.remoteLayouts(f.kind))
+	response, err := h(withOpened(ctx, f), l, f)
 	if f.form == formRequest {
 		l.mu.Lock()
 		delete(l.runningHandlers, f.id)
@@ -271,16 +320,21 @@
 		return
 	}
 	if f.form == formRequest {
-		response := frame{form: formResponse, kind: f.kind, id: f.id, payload: out}
+		response.form, response.kind, response.id = formResponse, f.kind, f.id
 		if _, err := l.send(response); err != nil {
 			_ = l.conn.CloseWithError(err)
 		}
+		return
 	}
+	response.hold.Release()
 }
 
 // endCalls ends all calls on a closed connection: pending calls get no response any more, and handlers that run for the other side are cancelled.
 func (l *link) endCalls() {
 	l.closeOnce.Do(func() { close(l.closed) })
+	l.outbox.close()
+	l.reader.assembler.close()
+	l.written.close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.broken = true
--- a/internal/wire/peer/node.go
+++ b/internal/wire/peer/node.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/pkg/errors"
 
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
@@ -49,6 +50,9 @@
 	announced announcement
 	placeOf   func(netip.Addr) Place
 	workers   loops.Workers
+	// account counts the memory of messages.
+	account       *bounded.Account
+	withoutOffers bool
 
 	bytesSent     atomic.Uint64
 	bytesReceived atomic.Uint64
@@ -68,10 +72,11 @@
 }
 
 func linkKeyOf(to netip.AddrPort, k Kind) linkKey {
-	return linkKey{to: to, forwarding: k == KindCall || k == KindRunOnce || k == KindRun}
+	return linkKey{to: to, forwarding: isForwarding(k)}
 }
 
-type handler func(ctx context.Context, from netip.AddrPort, payload []byte, remote layouts) ([]byte, error)
+// handler responds to a frame that was received on a link.
+type handler func(ctx context.Context, l *link, f frame) (frame, error)
 
 // Option configures a node.
 type Option func(*Node)
@@ -122,7 +127,7 @@
 		secrets:          []string{noSecret},
 		maxConns:         defaultMaxConns,
 		handlers:         map[Kind]handler{},
-		announced:        announcement{},
+		announced:        announcement{KindOffer: {Request: offerVersion}},
 		placeOf:          func(netip.Addr) Place { return UnknownPlace },
 		links:            map[linkKey]*link{},
 		dials:            map[linkKey]*dialing{},
@@ -131,6 +136,12 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	if n.account == nil {
+		n.account = bounded.NewAccount(bounded.LimitsOf(defaultMemory))
+	}
+	if n.withoutOffers {
+		delete(n.announced, KindOffer)
+	}
 	return n
 }
 
--- a/internal/wire/peer/outbox_test.go
+++ b/internal/wire/peer/outbox_test.go
@@ -25,7 +25,7 @@
 			var box outbox
 			frames := make([]weak.Pointer[outgoing], c.frames)
 			for i := range frames {
-				o := &outgoing{frame: frame{payload: make([]byte, pieceSize+1)}}
+				o := newOutgoing(frame{payload: make([]byte, pieceSize+1)}, false)
 				frames[i] = weak.Make(o)
 				box.add(o)
 				if c.dropped {
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -172,6 +172,13 @@
 	_, _ = io.CopyN(io.Discard, conn, reads)
 }
 
+// announcedSize returns how many bytes the announcement of a node without handlers takes on the connection, which precedes the first request.
+func announcedSize() int64 {
+	payload, err := encode(announcement{KindOffer: {Request: offerVersion}}, byName)
+	So(err, ShouldBeNil)
+	return int64(lengthSize + headerSize + len(payload))
+}
+
 // wireSize returns how many bytes a request takes on the connection.
 func wireSize(m message) int64 {
 	payload, err := encode(m, byName)
@@ -212,7 +219,7 @@
 				if reads == whole {
 					reads = wireSize(request)
 				}
-				peer := breakingPeer(t, reads)
+				peer := breakingPeer(t, announcedSize()+reads)
 				_, err := Call[message, message](t.Context(), client, peer, KindCall, request)
 				So(err, ShouldWrap, c.want)
 			})
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -34,8 +34,8 @@
 	idempotent           *http.Transport
 	nonIdempotentMaxIdle time.Duration
 	maxResponse          int64
-	// arriving bounds the response bodies that arrive at once.
-	arriving *bounded.Budget
+	// account counts the memory of responses.
+	account *bounded.Account
 }
 
 const (
@@ -45,17 +45,22 @@
 	// defaultNonIdempotentMaxIdle is below the idle timeouts that are common for upstreams (2 s and more).
 	defaultNonIdempotentMaxIdle = time.Second
 	defaultMaxResponse          = 64 << 20
-	// maxArriving bounds all response bodies that arrive at once, and maxHead the head of one, in bytes.
-	maxArriving = 72 << 20
-	maxHead     = 256 << 10
+	// maxHead bounds the head of a response in bytes.
+	maxHead = 256 << 10
 )
 
+// defaultLimits bound the memory of the responses of a client without an account.
+var defaultLimits = bounded.Limits{Total: 72 << 20, Each: 72 << 20, Small: 16 << 20}
+
 // Option configures a client.
 type Option func(*Client)
 
 // WithMaxResponse bounds the size of a response body in bytes.
 func WithMaxResponse(bytes int64) Option { return func(c *Client) { c.maxResponse = bytes } }
 
+// WithAccount sets the account of the memory that responses take.
+func WithAccount(a *bounded.Account) Option { return func(c *Client) { c.account = a } }
+
 // WithNonIdempotentMaxIdle sets how long a connection may be idle before a request that is
 // not idempotent opens a new one instead; it should be below the upstream's own idle timeout.
 func WithNonIdempotentMaxIdle(d time.Duration) Option {
@@ -69,7 +74,7 @@
 // it, the outcome of that request is unknown, and unlike an idempotent one it
 // can't be retried. A new connection for each would cost about 1 ms per request.
 func New(address netip.AddrPort, opts ...Option) *Client {
-	c := &Client{address: address, maxResponse: defaultMaxResponse, nonIdempotentMaxIdle: defaultNonIdempotentMaxIdle, arriving: bounded.NewBudget(maxArriving)}
+	c := &Client{address: address, maxResponse: defaultMaxResponse, nonIdempotentMaxIdle: defaultNonIdempotentMaxIdle, account: bounded.NewAccount(defaultLimits)}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -124,7 +129,7 @@
 		tracker.closeConn()
 		return call.UnknownOutcome(call.AnswerLost)
 	}
-	return c.readResponse(res)
+	return c.readResponse(ctx, r, res)
 }
 
 // isFinalResponse reports whether the response is final and doesn't bear the id of another request.
@@ -176,11 +181,23 @@
 // unreachableRetryAfter is the retry delay that a caller is given when the upstream could not be reached.
 const unreachableRetryAfter = time.Second
 
-func (c *Client) readResponse(res *http.Response) call.Answer {
-	body, err := c.arriving.ReadAll(res.Body, c.maxResponse)
+func (c *Client) readResponse(ctx context.Context, r *call.Request, res *http.Response) call.Answer {
+	length := res.ContentLength
+	if res.Request.Method == http.MethodHead {
+		length = 0
+	}
+	body, hold, err := c.account.ReadBody(ctx, res.Body, bounded.Source{
+		Purpose: bounded.InstanceResponse, To: r.Receiver, Length: length, MaxLength: c.maxResponse,
+	})
 	if err != nil {
 		return call.UnknownOutcome(call.AnswerLost)
 	}
+	hold.Release()
+	return answerOf(res, body)
+}
+
+// answerOf returns the answer that a response with its body is.
+func answerOf(res *http.Response, body []byte) call.Answer {
 	if res.ContentLength >= 0 && int64(len(body)) != res.ContentLength && res.Request.Method != http.MethodHead {
 		return call.UnknownOutcome(call.AnswerLost)
 	}
