Responses hold memory until the kernel has them

Cause: a response gave its memory back as soon as it was read from the instance, and then waited in the queue of a link whose other side read nothing. Its slot was free, so the instance went on with the next.

Change: the memory of a response is held until its last byte is in the kernel, or its link or its caller is gone.

--- a/internal/app/router/send.go
+++ b/internal/app/router/send.go
@@ -50,8 +50,13 @@
 		}
 		return res
 	}
-	resp.Hold.Release()
-	return e.responseResult(req, resp)
+	res := e.responseResult(req, resp)
+	if res.Outcome != call.Whole {
+		resp.Hold.Release()
+		return res
+	}
+	res.hold = resp.Hold
+	return res
 }
 
 // abandoned reports whether the instance may still be at work on the request although nobody waits for the response.
--- a/internal/wire/peer/offer_test.go
+++ b/internal/wire/peer/offer_test.go
@@ -132,6 +132,55 @@
 	})
 }
 
+// TestResponsesWaitForTheirReceiver guards against a daemon that collects responses for a peer without memory, or one that has stopped reading, beyond its
+// own memory: what waits must stay counted until it is sent, and be released when the caller gives up.
+func TestResponsesWaitForTheirReceiver(t *testing.T) {
+	for _, size := range []int{bulkBytes, 40 << 10} {
+		var account *bounded.Account
+		server, account := startBulkServer(t, func(ctx context.Context, from netip.AddrPort, b bulk) bulk {
+			hold, err := account.Await(ctx, bounded.InstanceResponse, from.Addr(), int64(size))
+			if err != nil {
+				return bulk{Name: "no memory"}
+			}
+			return bulk{Name: "response", Body: body(1, size), hold: hold}
+		})
+		client, own := startBulkClient(t)
+		Convey("While the receiver has no memory, the sender holds its share, and counts it", t, func() {
+			if size > pieceSize {
+				taken := own.Take(bounded.CallerResponse, netip.Addr{}, bulkLimits.Each)
+				ctx, cancel := context.WithCancel(t.Context())
+				var calls sync.WaitGroup
+				for range 5 {
+					calls.Go(func() { _, _ = Call[bulk, bulk](ctx, client, server, KindRun, bulk{}) })
+				}
+				So(eventually(func() bool {
+					return account.Held() == bulkBytes && account.Usage(bounded.InstanceResponse).Waiting == 4
+				}), ShouldBeTrue)
+				cancel()
+				calls.Wait()
+				So(isReleased(account), ShouldBeTrue)
+				taken.Release()
+			}
+		})
+		Convey("While the connection doesn't take anything, neither does more memory", t, func() {
+			proxy := newPausingProxy(t, server, 0)
+			ctx, cancel := context.WithCancel(t.Context())
+			var calls sync.WaitGroup
+			for range 300 {
+				calls.Go(func() { _, _ = Call[bulk, bulk](ctx, client, proxy.address, KindRun, bulk{}) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			So(account.Held(), ShouldBeLessThanOrEqualTo, bulkLimits.Total+bulkLimits.Small)
+			cancel()
+			close(proxy.resumed)
+			calls.Wait()
+			client.DropLinks(proxy.address)
+			So(isReleased(account), ShouldBeTrue)
+			So(isReleased(own), ShouldBeTrue)
+		})
+	}
+}
+
 // TestOffersBesideEarlierReleases guards against a rolling restart in which daemons that know no offers and ones that do lose each other's bodies.
 func TestOffersBesideEarlierReleases(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -192,8 +192,13 @@
 	if err != nil {
 		return call.UnknownOutcome(call.AnswerLost)
 	}
-	hold.Release()
-	return answerOf(res, body)
+	answer := answerOf(res, body)
+	if answer.Outcome != call.Whole || hold == nil {
+		hold.Release()
+		return answer
+	}
+	answer.Held = hold
+	return answer
 }
 
 // answerOf returns the answer that a response with its body is.
