Large responses are written as their callers read them

Cause: a response was handed to its connection's send queue whole. The queue copies it, and nothing bounded what the queues of all connections had together.

--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -239,12 +239,18 @@
 	return nil
 }
 
-// sendPart queues a part.
+// sendPart queues a part when the connection has sent most of those before it: the queue copies what it holds.
 func (w *responseWriter) sendPart(p []byte) error {
+	if !w.guard.pipeline.awaitSent(w.deadline) {
+		return errNotRead
+	}
 	_, err := w.guard.counted.Write(p)
 	return err
 }
 
+// errNotRead means that the caller has disconnected, or has not read the response in time.
+var errNotRead = errors.New("response not read")
+
 // finish completes the response. That of a handler that wrote nothing is a failure, and one that is shorter than its handler
 // stated is cut off. If the connection is to be closed, it does so after a delay: closed at once, the response would be lost
 // from the send queue.
