A caller of a refused upload is told although it sends on

Callers saw: a caller whose upload was refused for want of memory, and which reads when it has sent everything, got a broken connection in place of the 503 when sending took longer than half a second, so it couldn't know that the request wasn't run.

Cause: the connection was closed 500 ms after a refusal, whatever still arrived.

Change: after a refused body it stays open until nothing has arrived for 500 ms, for 10 s at most. Besides: what a response counts as unsent ends with its connection also when it is written just then, a small response needs no timer, and a write deadline is set for large ones only.

--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
@@ -114,7 +115,7 @@
 
 // writeAnswer writes an upstream's response. Without a body the server knows whether a length may be stated: that of a HEAD response isn't 0.
 func writeAnswer(w http.ResponseWriter, r *call.Request, a call.Answer) {
-	if !r.Deadline.IsZero() {
+	if len(a.Body) > bounded.SmallBytes {
 		// Every server of this daemon supports write deadlines.
 		_ = http.NewResponseController(w).SetWriteDeadline(r.Deadline.Add(readGrace))
 	}
--- a/internal/app/router/respond.go
+++ b/internal/app/router/respond.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // response is what a caller is sent. Only respond makes one, so that no success is sent that isn't an instance's own.
@@ -52,7 +53,7 @@
 // write writes the response, and returns when nothing of a large body is left in memory. Without a body the server knows whether a length may be
 // stated: that of a HEAD response isn't 0.
 func (res *response) write(w http.ResponseWriter, deadline time.Time) {
-	if !deadline.IsZero() {
+	if len(res.body) > bounded.SmallBytes {
 		// Every server of this daemon supports write deadlines.
 		_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(readGrace))
 	}
--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -38,8 +38,11 @@
 	lengthHeaders   int
 	expectsContinue bool
 	discarding      bool
-	headReceived    int
-	headSize        int
+	// bodyRefused means that a body was refused which may still arrive, discarded that bytes of it were discarded since the last look.
+	bodyRefused  bool
+	discarded    bool
+	headReceived int
+	headSize     int
 	// bodyHold is the memory for the request that arrives, and receiver receives its body in place of the parser, if not nil. rest has the bytes
 	// behind a body that was received so, which are not parsed yet.
 	bodyHold *bounded.Hold
@@ -58,9 +61,10 @@
 const (
 	// minBodyRate is the minimum rate at which a body must arrive, in bytes per second.
 	minBodyRate = 64 << 10
-	// lingerTime is how long a connection stays open after a refusal. If it were closed at once, data that the
-	// caller is still sending would cause a reset, and the caller would lose the refusal.
-	lingerTime = 500 * time.Millisecond
+	// lingerTime is how long a connection stays open after a refusal and the last bytes that arrive. If it were closed at once, data that the
+	// caller is still sending would cause a reset, and the caller would lose the refusal. maxLingerTime bounds it for a caller that goes on sending.
+	lingerTime    = 500 * time.Millisecond
+	maxLingerTime = 10 * time.Second
 	// headerLineOverhead is the length of a header line without its name and value, in bytes.
 	headerLineOverhead = len(": \r\n")
 )
@@ -82,6 +86,7 @@
 	for len(data) > 0 && !g.discarding && !g.closed {
 		data = g.parseNext(data)
 	}
+	g.discarded = g.bodyRefused
 }
 
 // parseNext handles the next bytes, and returns those behind a body that ended among them.
@@ -295,18 +300,33 @@
 	if g.discarding {
 		return
 	}
-	g.discarding = true
+	g.discarding, g.bodyRefused = true, f == Full || f == BodyTooLarge
 	g.releaseBody()
 	raw := g.server.refusal(f)
 	g.stopTimer()
 	exch := newExchange(nil)
 	exch.writeRefusal = func() {
 		_, _ = g.conn.Write(raw)
-		time.AfterFunc(lingerTime, func() { _ = g.conn.Close() })
+		g.linger(time.Now())
 	}
 	g.pipeline.enqueue(exch)
 }
 
+// linger closes the connection when no more bytes arrive.
+func (g *guard) linger(since time.Time) {
+	time.AfterFunc(lingerTime, func() {
+		g.parseMu.Lock()
+		arriving := g.discarded && time.Since(since) < maxLingerTime
+		g.discarded = false
+		g.parseMu.Unlock()
+		if arriving {
+			g.linger(since)
+			return
+		}
+		_ = g.conn.Close()
+	})
+}
+
 // close cancels the connection's requests and releases the bytes reserved for an incomplete one.
 func (g *guard) close() {
 	g.parseMu.Lock()
--- a/internal/wire/httpd/pipeline.go
+++ b/internal/wire/httpd/pipeline.go
@@ -211,16 +211,15 @@
 			e.grantTurn()
 		}
 	}
+	p.unsentOfAll.Add(-p.unsentBytes.Swap(0))
 	close(p.gone)
 	// Waiting requests are started too, since only the end of their handlers releases the bytes reserved for them.
-	p.unsentOfAll.Add(-p.unsentBytes.Swap(0))
 	p.advance()
 }
 
 // recordSent records that bytes of responses have left the send queue, and starts requests that waited for that.
 func (p *pipeline) recordSent(bytes int) {
-	remaining := p.unsentBytes.Add(-int64(bytes))
-	p.unsentOfAll.Add(-int64(bytes))
+	remaining := p.addUnsent(-int64(bytes))
 	select {
 	case p.sent <- struct{}{}:
 	default:
@@ -234,8 +233,22 @@
 	}
 }
 
+// addUnsent counts bytes that were queued, or sent if below 0, and returns how many are unsent. Those of a closed connection don't count any more.
+func (p *pipeline) addUnsent(bytes int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return 0
+	}
+	p.unsentOfAll.Add(bytes)
+	return p.unsentBytes.Add(bytes)
+}
+
 // awaitSent waits until few bytes are left in the send queue. False means that the caller has disconnected, or hasn't read them in time.
 func (p *pipeline) awaitSent(deadline time.Time) bool {
+	if p.unsentBytes.Load() <= maxQueuedBytes {
+		return true
+	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	for p.unsentBytes.Load() > maxQueuedBytes {
@@ -258,7 +271,6 @@
 
 // Write counts the bytes and writes them to the connection.
 func (c *countingConn) Write(p []byte) (int, error) {
-	c.pipeline.unsentBytes.Add(int64(len(p)))
-	c.pipeline.unsentOfAll.Add(int64(len(p)))
+	c.pipeline.addUnsent(int64(len(p)))
 	return c.Conn.Write(p)
 }
