Embedded interface: -held-bytes bounds requests as before, and as much of responses

Change: requests of callers and of other daemons together have the bound of the setting, responses as much beside it; the embedded interface keeps overloaded. Besides: a request that is offered to a daemon which doesn't answer probes counts as not sent rather than as without room, so that the instance counts as out of reach.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -91,12 +91,15 @@
 	return d
 }
 
-// memoryLimits returns the limits of the memory that messages may take. One of the largest size fits for each purpose.
+// memoryLimits returns the limits of the memory that messages may take: the setting for requests, and as much for responses.
 func memoryLimits(s *settings.Settings) bounded.Limits {
 	held := int64(s.HeldBytes)
-	return bounded.Limits{Total: held, Each: max(held/2, int64(s.BodyBound)+maxFrameHead), Small: held / 4}
+	return bounded.Limits{Total: 2 * held, Each: max(held, int64(s.BodyBound)+maxFrameHead), Requests: held, Small: held / smallHeldDivisor}
 }
 
+// smallHeldDivisor divides the setting for messages that are too small to wait.
+const smallHeldDivisor = 4
+
 // maxFrameHead is the number of bytes that a message between daemons may add to the request's body.
 const maxFrameHead = 1 << 20
 
--- a/internal/app/daemon/faults.go
+++ b/internal/app/daemon/faults.go
@@ -17,7 +17,7 @@
 	case httpd.HeadTooLarge, httpd.BodyTooLarge:
 		refusal = call.Refuse(call.TooLarge, 0)
 	case httpd.Full:
-		refusal = call.Refuse(call.NoRoom, time.Second)
+		refusal = call.Refuse(call.Overloaded, time.Second)
 	case httpd.Closing:
 		refusal = call.Refuse(call.Draining, time.Second)
 		refusal.Status = http.StatusRequestTimeout
--- a/internal/app/daemon/handoff.go
+++ b/internal/app/daemon/handoff.go
@@ -207,7 +207,7 @@
 // bodyMemoryRefusal refuses a request whose body exceeds the memory left for bodies. Bodies from other daemons are held
 // while their requests wait for slots, and without a bound they would exhaust the host's memory.
 func bodyMemoryRefusal(r *call.Request) call.Answer {
-	refusal := call.Refuse(call.NoRoom, time.Second)
+	refusal := call.Refuse(call.Overloaded, time.Second)
 	refusal.BudgetLeft = r.Budget
 	return refusal
 }
--- a/internal/app/settings/guards.go
+++ b/internal/app/settings/guards.go
@@ -18,7 +18,7 @@
 	// RepeatKeys bounds the number of idempotency keys remembered, RepeatBytes the size of the responses kept with them.
 	RepeatKeys  int
 	RepeatBytes int
-	// HeldBytes bounds the bytes of large requests and responses that the daemon holds at once.
+	// HeldBytes bounds the total size of the request bodies that the daemon holds at once, and that of response bodies.
 	HeldBytes int
 	// HeaderBound bounds the size of a request's header in bytes, HeaderTime how long it may take to arrive.
 	HeaderBound int
@@ -34,7 +34,7 @@
 	b.duration(&g.RepeatWindow, "repeat-window", 10*time.Minute, "how long an idempotency key is remembered", time.Second, time.Hour)
 	b.count(&g.RepeatKeys, "repeat-keys", 20_000, "idempotency keys remembered", 16, 1_000_000)
 	b.count(&g.RepeatBytes, "repeat-bytes", 4<<20, "bytes of answers remembered with idempotency keys", 0, 1<<30)
-	b.count(&g.HeldBytes, "held-bytes", 256<<20, "bytes of requests and responses held at once", 1024, 1<<36)
+	b.count(&g.HeldBytes, "held-bytes", 256<<20, "bytes of request bodies held at once, and as many of response bodies", 1024, 1<<36)
 	b.count(&g.HeaderBound, "header-bound", 32<<10, "bytes of one request's head", 1024, 1<<20)
 	b.duration(&g.HeaderTime, "header-time", 5*time.Second, "longest time for a request's head to arrive", 10*time.Millisecond, time.Minute)
 }
--- a/internal/wire/bounded/account.go
+++ b/internal/wire/bounded/account.go
@@ -147,6 +147,14 @@
 	ofHolder
 )
 
+// exceedsRequests reports whether a request is too much for all requests together.
+func (a *Account) exceedsRequests(p Purpose, bytes int64) bool {
+	if a.limits.Requests == 0 || p != CallerRequest && p != PeerRequest {
+		return false
+	}
+	return a.usage[CallerRequest].large+a.usage[PeerRequest].large+bytes > a.limits.Requests
+}
+
 // shortage returns what there is too little of for a message.
 func (a *Account) shortage(p Purpose, to netip.Addr, bytes int64) shortage {
 	held := holding{}
@@ -162,7 +170,7 @@
 		return ofTotal
 	case isSmall(bytes):
 		return none
-	case a.usage[p].large+bytes > a.limitOf(p):
+	case a.usage[p].large+bytes > a.limitOf(p), a.exceedsRequests(p, bytes):
 		return ofPurpose
 	case p == Growing && held.growing > 0 && held.growing+bytes > a.limitOf(p)/smallHolderDivisor:
 		return ofHolder
--- a/internal/wire/bounded/account_test.go
+++ b/internal/wire/bounded/account_test.go
@@ -35,6 +35,15 @@
 		So(a.Held(), ShouldEqual, 40<<20)
 		So(a.Usage(CallerRequest).Refusals, ShouldEqual, 1)
 	})
+	Convey("Requests of callers and of other daemons have a bound together, if it is set", t, func() {
+		a := NewAccount(Limits{Total: 100 << 20, Each: 60 << 20, Requests: 60 << 20, Small: 8 << 20})
+		_, ok := a.TryTake(CallerRequest, 30<<20)
+		So(ok, ShouldBeTrue)
+		_, ok = a.TryTake(PeerRequest, 31<<20)
+		So(ok, ShouldBeFalse)
+		_, ok = a.TryTake(InstanceResponse, 60<<20)
+		So(ok, ShouldBeTrue)
+	})
 	Convey("Small messages have room while large ones take all of theirs, and the other way round", t, func() {
 		a := NewAccount(testLimits)
 		a.Take(CallerResponse, nobody, 200<<20)
--- a/internal/wire/bounded/purpose.go
+++ b/internal/wire/bounded/purpose.go
@@ -36,6 +36,8 @@
 	Total int64
 	// Each bounds the large messages of one purpose. Without it, requests that wait for their responses could take all the room which these need.
 	Each int64
+	// Requests bounds the large requests of callers and of other daemons together; 0 leaves them to the other limits.
+	Requests int64
 	// Small bounds all small messages together.
 	Small int64
 }
--- a/internal/wire/peer/call.go
+++ b/internal/wire/peer/call.go
@@ -82,9 +82,9 @@
 	if !unlessSilent {
 		silent = nil
 	}
-	if !l.awaitGrant(ctx, position, silent) {
+	if err := l.awaitGrant(ctx, position, silent); err != nil {
 		l.removeCall(id, response)
-		return resp, errors.Wrapf(ErrNoRoom, "%d bytes to %s", position.outgoing.size, to)
+		return resp, errors.Wrapf(err, "%d bytes to %s", position.outgoing.size, to)
 	}
 	select {
 	case <-silent:
@@ -165,27 +165,31 @@
 	return len(*body) > pieceSize
 }
 
-// awaitGrant waits until an offered request is granted, or until its response or the end of the call no longer depends on that. False means that it
-// was not granted in the time that it may wait, and is withdrawn.
-func (l *link) awaitGrant(ctx context.Context, position sendPosition, silent <-chan struct{}) bool {
+// awaitGrant waits until an offered request is granted or its link is closed. The error is an ErrNotSent: the request is withdrawn.
+func (l *link) awaitGrant(ctx context.Context, position sendPosition, silent <-chan struct{}) error {
 	o := position.outgoing
 	if o == nil || !o.offered {
-		return true
+		return nil
 	}
+	reason := ErrNoRoom
 	timer := time.NewTimer(roomWait(ctx))
 	defer timer.Stop()
 	select {
 	case <-o.granted:
-		return true
-	case <-o.refused:
-		return false
+		return nil
 	case <-l.closed:
-		return true
-	case <-timer.C:
+		return nil
+	case <-o.refused:
+		return ErrNoRoom
 	case <-silent:
+		reason = errors.WithMessage(ErrNotSent, "peer: no response to probes")
+	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return !l.withdrawOffer(o)
+	if l.withdrawOffer(o) {
+		return reason
+	}
+	return nil
 }
 
 // notSent returns the error of a request that could not be sent.
