Small messages don't wait for a collection

Cause: found by reading. While the garbage of large messages occupied memory, each small request would have run a collection before it was taken.

Change: only a large message does.

Measured: TestSmallMessagesDoNotCollect fails without the condition and passes.

--- a/internal/wire/bounded/account_test.go
+++ b/internal/wire/bounded/account_test.go
@@ -141,6 +141,25 @@
 	})
 }
 
+// TestSmallMessagesDoNotCollect guards against small requests that pay for large ones: each would wait for a collection while garbage of large messages
+// occupies the memory.
+func TestSmallMessagesDoNotCollect(t *testing.T) {
+	Convey("Garbage stays until a large message needs its memory", t, func() {
+		a := NewAccount(testLimits)
+		request, _ := a.TryTake(PeerRequest, 60<<20)
+		a.Take(InstanceResponse, nobody, 50<<20)
+		request.Release()
+		before := a.garbage
+		_, ok := a.TryTake(CallerRequest, 1000)
+		So(ok, ShouldBeTrue)
+		So(a.garbage, ShouldEqual, before)
+		So(before, ShouldBeGreaterThan, 0)
+		_, ok = a.TryTake(CallerRequest, 50<<20)
+		So(ok, ShouldBeTrue)
+		So(a.garbage, ShouldBeLessThan, before)
+	})
+}
+
 // TestAccountProperties plays random holds, waits, withdrawals and releases: the bounds hold at each moment, nothing stays counted, and once all is
 // released nobody waits.
 func TestAccountProperties(t *testing.T) {
--- a/internal/wire/bounded/hold.go
+++ b/internal/wire/bounded/hold.go
@@ -16,13 +16,13 @@
 
 const released = -1
 
-// TryResize changes how much is held; false means that there is no memory for more, and changes nothing. If garbage occupies the memory, it is
-// collected first, which takes some milliseconds.
+// TryResize changes how much is held; false means that there is no memory for more, and changes nothing. If garbage occupies the memory of a large
+// message, it is collected first, which takes some milliseconds.
 func (h *Hold) TryResize(bytes int64) bool {
 	a := h.account
 	a.mu.Lock()
 	ok := a.tryResize(h, bytes)
-	collects := ok && a.garbage > 0 && a.large+a.garbage > a.limits.Total
+	collects := ok && !isSmall(bytes) && a.garbage > 0 && a.large+a.garbage > a.limits.Total
 	a.mu.Unlock()
 	if collects {
 		a.collectNow()
