An offer is encoded from the sender's own copy of the frame

Cause: the outgoing frame belongs to the outbox as soon as it is recorded there.

Change: the offer is encoded from the frame that was passed in.

Measured: the race detector is silent in three runs of the package's tests of offers and ended handlers.

--- a/internal/wire/peer/offer.go
+++ b/internal/wire/peer/offer.go
@@ -92,7 +92,8 @@
 		f.hold.Release()
 		return sendPosition{}, ErrNoRoom
 	}
-	if _, err := l.write(o.frame.appendOffer(nil, o.stream), nil); err != nil {
+	// From here on o.frame is the outbox's, which clears it when the connection is closed.
+	if _, err := l.write(f.appendOffer(nil, o.stream), nil); err != nil {
 		l.outbox.withdraw(o)
 		return sendPosition{}, err
 	}
