Lists and heartbeats don't wait behind large bodies

Cause: found by reading. A large message that waited for memory blocked all large messages behind it, also a copy of the configuration that another daemon offered.

Change: what daemons tell each other beside requests is counted and granted at once.

Measured: the new case of TestAccountOrder fails without the change and passes.

--- a/internal/wire/bounded/account_test.go
+++ b/internal/wire/bounded/account_test.go
@@ -95,6 +95,13 @@
 			So(a.Usage(PeerRequest).Waits, ShouldEqual, 2)
 		})
 	})
+	Convey("What daemons tell each other waits for nobody", t, func() {
+		a := NewAccount(testLimits)
+		a.Take(PeerRequest, nobody, 50<<20)
+		waits := granted(a, InstanceResponse, nobody, 55<<20)
+		list := granted(a, FleetMessage, nobody, 5<<20)
+		So([]bool{*waits, *list}, ShouldResemble, []bool{false, true})
+	})
 	Convey("A request that need not wait leaves its room to one that waits", t, func() {
 		a := NewAccount(testLimits)
 		a.Take(PeerRequest, nobody, 50<<20)
--- a/internal/wire/bounded/waiter.go
+++ b/internal/wire/bounded/waiter.go
@@ -92,8 +92,12 @@
 	return ready
 }
 
+// includes reports whether a waiter has to wait for one before it. Nothing that daemons tell each other does.
 func (b *blocks) includes(w *Waiter) bool {
-	if isSmall(w.bytes) {
+	switch {
+	case w.hold.purpose == FleetMessage:
+		return false
+	case isSmall(w.bytes):
 		return b.small
 	}
 	return b.all || b.purposes[w.hold.purpose]
