--- a/review/standin-2/grace.go
+++ b/review/standin-2/grace.go
@@ -27,14 +27,12 @@
 		return false, errNotServed
 	}
 	if trouble {
-		for _, h := range f.hosts {
-			h.grace = 12 * time.Second
-			if err := h.writeSettings(); err != nil {
-				return false, err
-			}
-			f.record.line("platform writes the settings of %s with grace %v and sends SIGHUP", h.name, h.grace)
-			h.signal(syscall.SIGHUP)
+		front.grace = 12 * time.Second
+		if err := front.writeSettings(); err != nil {
+			return false, err
 		}
+		f.record.line("platform writes the settings of %s with grace %v and sends SIGHUP", front.name, front.grace)
+		front.signal(syscall.SIGHUP)
 	}
 	time.Sleep(4 * time.Second)
 	var o outcome
--- a/review/standin-2/heads.go
+++ b/review/standin-2/heads.go
@@ -19,6 +19,13 @@
 	headRate  = 20 << 10
 )
 
+// The trouble of the instances: when it begins, how long it lasts, and the fraction of their answers that have it.
+const (
+	troubleBegin    = 4 * time.Second
+	troubleLength   = 16 * time.Second
+	troubledAnswers = 0.4
+)
+
 // endlessHead writes a response whose head has no end: short header lines, until the caller closes the connection.
 func endlessHead(_ *http.Request, c net.Conn, _ *bufio.ReadWriter) bool {
 	if _, err := c.Write([]byte("HTTP/1.1 200 OK\r\n")); err != nil {
@@ -42,7 +49,8 @@
 // playHeads lets two of four instances of a service write heads without end in part of their answers. Judged is LOST for clients of the machines beside
 // them whose requests run elsewhere.
 func playHeads(f *fleet, trouble bool) (bool, error) {
-	const deadline, length, perHost = 6 * time.Second, 45 * time.Second, 60
+	var troubled atomic.Bool
+	const deadline, length, perHost = 6 * time.Second, 24 * time.Second, 50
 	for n := range 4 {
 		_, i, err := f.add("calendario", []string{"a", "b", "c", "c"}[n], 113)
 		if err != nil {
@@ -50,6 +58,7 @@
 		}
 		if n < 2 {
 			i.answer = endlessHead
+			i.inTrouble = func() bool { return troubled.Load() && rand.Float64() < troubledAnswers }
 		}
 	}
 	if err := f.addBystanderService("c"); err != nil {
@@ -62,13 +71,17 @@
 	c := newFreshClient(f.record, tenantKey)
 	watch, others := f.watchMemory(), f.startBystanders(f.hosts[:2])
 	var sending sync.WaitGroup
+	if trouble {
+		time.AfterFunc(troubleBegin, func() {
+			f.record.line("two instances are in trouble for %v", troubleLength)
+			troubled.Store(true)
+			time.AfterFunc(troubleLength, func() { troubled.Store(false) })
+		})
+	}
 	var served, sent atomic.Int64
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second / perHost) {
 		for _, h := range f.hosts[:4] {
 			target := "/lista/?work=60"
-			if trouble && rand.Float64() < 0.4 {
-				target += "&trouble=1"
-			}
 			sent.Add(1)
 			sending.Go(func() {
 				if o := c.send(h, http.MethodGet, "recall.example", target, "", deadline); o.status == http.StatusOK {
--- a/review/standin-2/instance.go
+++ b/review/standin-2/instance.go
@@ -31,7 +31,9 @@
 	free                 chan struct{}
 	waiting              atomic.Int64
 	sequence             atomic.Int64
-	// answer, if not nil, may write a response of its own on the connection; false leaves the response to the instance.
+	// inTrouble, if not nil, draws whether answer writes the next response in place of the instance.
+	inTrouble func() bool
+	// answer writes a response of its own on the connection.
 	answer func(r *http.Request, c net.Conn, w *bufio.ReadWriter) bool
 
 	mu   sync.Mutex
@@ -153,9 +155,10 @@
 
 // wrong lets the instance's trouble write the response.
 func (i *instance) wrong(r *http.Request, hijacker http.Hijacker) bool {
-	if r.URL.Query().Get("trouble") == "" {
+	if i.inTrouble == nil || !i.inTrouble() {
 		return false
 	}
+	i.record.line("instance %s writes wrong bytes to %s", i.id, r.Header.Get("Foxtailhook-Request-Id"))
 	c, rw, err := hijacker.Hijack()
 	if err != nil {
 		return false
