A response without a length needs its whole request written

Callers saw: a 200 with the first part of a body as the whole, where the instance had answered a long upload at once, without a length, and reset the connection while the upload was still being written. The daemon gave the part a length of its own.

Cause: such a body ends with its connection, and whether that was closed or reset was told by reading alone. The kernel reports a reset to one system call only. If that is the write of the upload, the next read finds the end of the stream as after a normal close, and the write's error was looked at after the response had been taken, to decide on the use of the connection only.

Change: the end of the connection ends a body only if the request was written whole and without an error; otherwise the response is lost, and repeated only where the request may run twice. A body whose length or chunks say that it is whole stands as before. The error of the connection is kept beside that of net/http, which hides it, so that such a loss counts as a disconnection in the search for crashes.

Why it works: a reset before the end of the write is reported to the write or to the read, and both now count; one after it can only be reported to the read. The same instance that reads the upload to its end and closes normally is served as before.

--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -189,16 +189,16 @@
 	_ = cn.SetDeadline(r.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	written := cn.send(req, len(r.Body) > concurrentWriteSize)
+	cn.send(req, len(r.Body) > concurrentWriteSize)
 	res, err := c.readResponse(ctx, cn, r, req)
 	if err != nil {
-		if unsent := cn.unsentError(written); unsent != nil {
+		if unsent := cn.unsentError(); unsent != nil {
 			return Response{}, unsent
 		}
 		return Response{}, &lostError{err}
 	}
 	cn.used.add(r.ID)
-	if !stop() || !cn.writtenWhole(written) {
+	if !stop() || !cn.sent.isWhole() {
 		cn.reusable = false
 	}
 	return res, nil
@@ -250,16 +250,26 @@
 }
 
 // readBody reads the whole body. One without a length ends with the connection: it is complete only if the instance
-// closed the connection normally; a reset is an error. A body that isn't read to its end isn't closed, since that would read on: the connection is.
+// closed the connection normally; a reset is an error, whether reading or writing reports it. A body that isn't read to its end isn't closed, since
+// that would read on: the connection is.
 func (c *Client) readBody(ctx context.Context, cn *conn, r *Request, res *http.Response) (Response, error) {
 	cn.reusable = !res.Close
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		return Response{}, errors.New("status 101 (switching protocols) is not supported")
 	}
 	raw, hold, err := c.readAll(ctx, r, res)
+	if err == nil && endsWithConnection(res) {
+		err = cn.sent.await()
+	}
 	if err != nil {
+		hold.Release()
 		return Response{}, err
 	}
 	cn.recordIdleTimeout(res.Header, time.Now())
 	return Response{Status: res.StatusCode, Header: res.Header, Body: raw, Hold: hold}, nil
 }
+
+// endsWithConnection reports whether only the end of the connection tells where the response's body ends.
+func endsWithConnection(res *http.Response) bool {
+	return res.Body != http.NoBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
--- a/internal/wire/instance/conn.go
+++ b/internal/wire/instance/conn.go
@@ -18,8 +18,11 @@
 	reader   headReader
 	writer   *bufio.Writer
 	reusable bool
-	// writeBegun reports whether any byte of the current request was written to the kernel.
+	// sent is the current request.
+	sent *sending
+	// writeBegun reports whether any byte of the current request was written to the kernel, and writeErr why no more were.
 	writeBegun bool
+	writeErr   error
 	idleSince  time.Time
 	// idleTimeout is how long the instance keeps the connection open while idle, 0 if it did not state it.
 	idleTimeout time.Duration
@@ -31,56 +34,75 @@
 	return &conn{Conn: c, reader: newHeadReader(c), writer: bufio.NewWriterSize(nil, writeBufferSize)}
 }
 
-// Write writes to the connection and records that it did.
+// Write writes to the connection and records that it did. The error is recorded too, since net/http returns one that doesn't lead back to it.
 func (cn *conn) Write(p []byte) (int, error) {
 	n, err := cn.Conn.Write(p)
 	if n > 0 {
 		cn.writeBegun = true
 	}
+	cn.writeErr = err
 	return n, err
 }
 
-// send writes the request, in a goroutine of its own if concurrently is set; the result is sent on the channel.
+// send writes the request, in a goroutine of its own if concurrently is set; cn.sent has the result.
 //
 // An instance may respond to an upload before it has read it, or without reading it at all. If the upload had to be
 // written first, the write would block on full buffers, and the response that has already arrived would be lost.
-func (cn *conn) send(req *http.Request, concurrently bool) <-chan error {
-	cn.writeBegun = false
-	done := make(chan error, 1)
+func (cn *conn) send(req *http.Request, concurrently bool) {
+	cn.writeBegun, cn.writeErr = false, nil
+	sent := &sending{done: make(chan struct{})}
+	cn.sent = sent
 	write := func() {
+		defer close(sent.done)
 		cn.writer.Reset(cn)
-		err := req.Write(cn.writer)
-		if err == nil {
-			err = cn.writer.Flush()
+		sent.err = req.Write(cn.writer)
+		if sent.err == nil {
+			sent.err = cn.writer.Flush()
+		}
+		if cn.writeErr != nil {
+			sent.err = cn.writeErr
 		}
-		done <- err
 	}
 	if concurrently {
 		go write()
 	} else {
 		write()
 	}
-	return done
 }
 
 // writeBufferSize in bytes holds a usual header and a small body, so that they are sent in one write.
 const writeBufferSize = 4 << 10
 
-// writtenWhole reports whether the request was written completely. A connection on which the response arrived earlier
+// sending is a request that is being written.
+type sending struct {
+	// done is closed when the write has ended, and err is its result.
+	done chan struct{}
+	err  error
+}
+
+// isWhole reports whether the request was written completely. A connection on which the response arrived earlier
 // can't be reused: the instance expects the rest of the body where the next request would begin.
-func (cn *conn) writtenWhole(written <-chan error) bool {
+func (s *sending) isWhole() bool {
 	select {
-	case err := <-written:
-		return err == nil
+	case <-s.done:
+		return s.err == nil
 	default:
 		return false
 	}
 }
 
+// await waits until the write has ended, by the request's deadline at the latest. Its error tells of a reset that reading didn't report: the kernel
+// reports one to a single system call, and to all others it looks as if the instance had closed the connection normally.
+func (s *sending) await() error {
+	<-s.done
+	return errors.Wrap(s.err, "the connection ended before the request was written")
+}
+
 // unsentError closes the connection and returns ErrUnsent if the write failed before any byte reached the kernel, else nil.
-func (cn *conn) unsentError(written <-chan error) error {
+func (cn *conn) unsentError() error {
 	_ = cn.Close()
-	if err := <-written; err != nil && !cn.writeBegun {
+	<-cn.sent.done
+	if err := cn.sent.err; err != nil && !cn.writeBegun {
 		return errors.Wrapf(ErrUnsent, "write: %v", err)
 	}
 	return nil
