The heads of responses are checked before they are read

Callers saw: a response in whose head the name of a field held a blank as an answer, without that line, or with a body that wasn't the instance's: "Content-Length : 1" before four bytes gave all four, "Transfer-Encoding : chunked" the chunks' framing.

Cause: for net/http a blank may be part of a name. The field is then another one, of no meaning, and the body is framed without it. A line that begins with a blank continues the one before it, so that it is lost in another value. net/http rejects the other bytes that no name may have.

Control bytes in names were rejected before, and are in the tables.

Change: internal/wire/responsehead scans heads, interim ones too, byte by byte as they arrive: a name is a token (RFC 9110, 5.1 and 5.6.2), and no line continues another one (RFC 9112, 5.2 lets a gateway discard such a message). The instance's client and its monitor scan a head before net/http reads it, in a buffer that grows with it; the connections of the three http.Transports scan what they receive from the moment at which they are given a request. Such a response is lost, with its connection. Responses that another daemon handed on, perhaps of an earlier release, are checked for such names too, since their bodies may be misframed: defect "malformed", or an undecided reply in the embedded daemon.

Why it works: nothing is framed by a head that two readers may read differently, wherever it came from. A parser of our own for whole responses was weighed: more code, and a second place that decides on framing.

--- a/internal/app/daemon/front.go
+++ b/internal/app/daemon/front.go
@@ -15,6 +15,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/httpd"
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 	"github.com/foxtailhook/foxtailhook/internal/wire/upstream"
 )
 
@@ -80,12 +81,12 @@
 	writeRefusal(w, r, written)
 }
 
-// isDecided reports whether the answer is an upstream's whole response, or a refusal or failure with a reason and a status
-// for it.
+// isDecided reports whether the answer is an upstream's whole response, with a head that one may have, or a refusal or failure with a reason and a
+// status for it.
 func isDecided(a call.Answer) bool {
 	switch a.Outcome {
 	case call.Whole:
-		return a.Reason == call.None && a.Status >= http.StatusOK && a.Status <= maxStatus
+		return a.Reason == call.None && a.Status >= http.StatusOK && a.Status <= maxStatus && responsehead.HasOnlyTokens(a.Header)
 	case call.NotRun, call.Unknown:
 		known := http.StatusText(a.Status) != "" || a.Status == a.Reason.Status()
 		return a.Reason != call.None && a.Status >= http.StatusBadRequest && known
--- a/internal/app/daemon/front_test.go
+++ b/internal/app/daemon/front_test.go
@@ -248,6 +248,8 @@
 	whole := func(status int) runResult {
 		return runResult{Outcome: call.Whole, Status: status, Body: []byte("body"), BudgetLeft: 7}
 	}
+	misnamed := whole(http.StatusOK)
+	misnamed.Header = http.Header{"Content-Length ": {"1"}}
 	withBudget := func(a call.Answer, left int) runResult {
 		a.BudgetLeft = left
 		return newRunResult(a)
@@ -268,6 +270,7 @@
 		{"status 0", []runResult{whole(0)}, "", false, lost},
 		{"status 99", []runResult{whole(99)}, "", false, lost},
 		{"status 1000", []runResult{whole(1000)}, "", false, lost},
+		{"a field whose name has a blank", []runResult{misnamed}, "", false, lost},
 		{"status 1000, with a key", []runResult{whole(1000)}, "k", false, lost},
 		{"not run, status 200", []runResult{{Outcome: call.NotRun, Reason: call.Overloaded, Status: http.StatusOK}}, "", false, lost},
 		{"unknown, status 0", []runResult{{Outcome: call.Unknown, Reason: call.AnswerLost}}, "", false, lost},
--- a/internal/app/router/defect.go
+++ b/internal/app/router/defect.go
@@ -7,6 +7,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/app/telemetry"
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 //go:generate stringer -type=defect -linecomment
@@ -27,6 +28,8 @@
 	foreign // foreign
 	// encoded means that the body is not the instance's own bytes.
 	encoded // encoded
+	// malformed means that a field of the response has a name that none may have: a daemon of an earlier release has misread the response.
+	malformed // malformed
 )
 
 // maxStatus is the highest HTTP status.
@@ -55,6 +58,8 @@
 		return foreign
 	case head.Encoded:
 		return encoded
+	case !responsehead.HasOnlyTokens(answer.Header):
+		return malformed
 	case success && !head.Authentic:
 		return unsigned
 	default:
--- a/internal/app/router/defect_string.go
+++ b/internal/app/router/defect_string.go
@@ -14,11 +14,12 @@
 	_ = x[unsigned-3]
 	_ = x[foreign-4]
 	_ = x[encoded-5]
+	_ = x[malformed-6]
 }
 
-const _defect_name = "noneundecidedbadStatusunsignedforeignencoded"
+const _defect_name = "noneundecidedbadStatusunsignedforeignencodedmalformed"
 
-var _defect_index = [...]uint8{0, 4, 13, 22, 30, 37, 44}
+var _defect_index = [...]uint8{0, 4, 13, 22, 30, 37, 44, 53}
 
 func (i defect) String() string {
 	idx := int(i) - 0
--- a/internal/app/router/signed_test.go
+++ b/internal/app/router/signed_test.go
@@ -80,6 +80,11 @@
 	}},
 	{name: "success of another request", ran: true, result: func(string) runResult { return signedResult(200, "of another request") }},
 	{name: "failure of another request", ran: true, result: func(string) runResult { return signedResult(404, "of another request") }},
+	{name: "field whose name has a blank", ran: true, result: func(id string) runResult {
+		res := signedResult(200, id)
+		res.Header["Content-Length "] = []string{"1"}
+		return res
+	}},
 	{name: "signed status 0", ran: true, result: wholeResult(0)},
 	{name: "signed status 99", ran: true, result: wholeResult(99)},
 	{name: "signed status 1000", ran: true, result: wholeResult(1000)},
--- /dev/null
+++ b/internal/proof/malformed/malformed.go
@@ -0,0 +1,24 @@
+package malformed
+
+// Part is a part of a response.
+type Part struct{ Name, Text string }
+
+// Fields are lines that the head of no response may have, each with its line end.
+var Fields = []Part{
+	{"a blank after a name", "X-Odd : 1\r\n"},
+	{"a blank in a name", "X Odd: 1\r\n"},
+	{"a blank before a name", " X-Odd: 1\r\n"},
+	{"a tab before a name", "\tX-Odd: 1\r\n"},
+	{"a tab after a name", "X-Odd\t: 1\r\n"},
+	{"NUL in a name", "X-\x00Odd: 1\r\n"},
+	{"a control byte in a name", "X-Odd\x01: 1\r\n"},
+	{"DEL in a name", "X-Odd\x7f: 1\r\n"},
+	{"CR in a name", "X-\rOdd: 1\r\n"},
+	{"a byte beyond ASCII in a name", "X-\xc3\xb6: 1\r\n"},
+	{"a name that is a blank", " : 1\r\n"},
+	{"an empty name", ": 1\r\n"},
+	{"a line without a colon", "X-Odd\r\n"},
+	{"a length with a blank after its name", "Content-Length : 1\r\n"},
+	{"a length with a blank before its name", " Content-Length: 1\r\n"},
+	{"an encoding with a blank after its name", "Transfer-Encoding : chunked\r\n"},
+}
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -139,6 +139,7 @@
 	}
 	// The deadline was the request's; a connection past it can't be looked at before its next use.
 	_ = cn.SetDeadline(time.Time{})
+	cn.reader.shrink()
 	c.pool.put(cn)
 	return res, nil
 }
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/lists"
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 // HeaderVersion is the HTTP header with a list's version in the service's responses.
@@ -41,7 +42,7 @@
 	if localIP.IsValid() && !localIP.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(localIP, 0))
 	}
-	return &Client{address: address, httpClient: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxHead}}}
+	return &Client{address: address, httpClient: &http.Client{Transport: &http.Transport{DialContext: responsehead.Dial(dialer.DialContext), MaxResponseHeaderBytes: maxHead}}}
 }
 
 // Reads returns the number of calls to Watch.
@@ -54,7 +55,7 @@
 	defer cancel()
 	c.reads.Add(1)
 	url := fmt.Sprintf("http://%s/v1/lists/%s?after=%d&waitMs=%d", c.address, kind, after, wait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(responsehead.WithTrace(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return lists.Value{}, errors.Wrap(err, "platform: build request")
 	}
--- /dev/null
+++ b/internal/wire/responsehead/scanner.go
@@ -0,0 +1,165 @@
+package responsehead
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrMalformed means that a head isn't one of an HTTP/1 response.
+var ErrMalformed = errors.New("responsehead: malformed")
+
+// Scanner checks the head of one response. Its bytes may come in any parts. The zero value is ready for use.
+//
+// It checks the names of fields, which must be tokens: for net/http a blank may be part of a name, so that it doesn't know a field such as the length of the
+// body as such. A line that continues the one before it is malformed too. What else net/http rejects is left to it.
+type Scanner struct {
+	at position
+	// status is the status, or what has been scanned of it.
+	status int
+}
+
+// position is where in a head the next byte stands.
+type position uint8
+
+const (
+	inVersion position = iota
+	beforeStatus
+	inStatus
+	inReason
+	atLineStart
+	inName
+	inValue
+	// inLineEnd is between CR and LF of a line, and inHeadEnd between those of the empty line.
+	inLineEnd
+	inHeadEnd
+	atEnd
+)
+
+// Scan checks the next bytes up to the end of the head. It returns how many belong to the head, and whether that has ended; the error is ErrMalformed.
+func (s *Scanner) Scan(p []byte) (n int, ended bool, err error) {
+	for n < len(p) && s.at != atEnd {
+		next, err := s.next(p[n])
+		if err != nil {
+			return n, false, err
+		}
+		s.at = next
+		n++
+	}
+	return n, s.at == atEnd, nil
+}
+
+// IsInterim reports whether the head, which has ended, is followed by that of another response to the same request.
+func (s *Scanner) IsInterim() bool {
+	return s.status >= http.StatusContinue && s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
+}
+
+// next returns the position after the byte.
+func (s *Scanner) next(b byte) (position, error) {
+	switch s.at {
+	case inVersion, beforeStatus, inStatus:
+		return s.afterStatusLine(b), nil
+	case inReason, inValue:
+		return afterText(s.at, b), nil
+	case atLineStart:
+		return afterLineStart(b)
+	case inName:
+		return afterName(b)
+	case inHeadEnd:
+		return afterCR(b, atEnd)
+	default:
+		return afterCR(b, atLineStart)
+	}
+}
+
+// afterStatusLine returns the position after a byte of the status line before the reason phrase. Blanks before the status are skipped, as net/http does.
+func (s *Scanner) afterStatusLine(b byte) position {
+	switch {
+	case b == '\r' || b == '\n':
+		return afterText(inReason, b)
+	case s.at == inVersion && b != ' ':
+		return inVersion
+	case s.at != inStatus && b == ' ':
+		return beforeStatus
+	case '0' <= b && b <= '9' && s.status <= maxStatus:
+		s.status = 10*s.status + int(b-'0')
+		return inStatus
+	default:
+		return inReason
+	}
+}
+
+// maxStatus is the greatest status; more digits make a status that net/http rejects.
+const maxStatus = 999
+
+func afterText(at position, b byte) position {
+	switch b {
+	case '\r':
+		return inLineEnd
+	case '\n':
+		return atLineStart
+	default:
+		return at
+	}
+}
+
+func afterLineStart(b byte) (position, error) {
+	switch {
+	case b == '\r':
+		return inHeadEnd, nil
+	case b == '\n':
+		return atEnd, nil
+	case isTokenByte(b):
+		return inName, nil
+	default:
+		return 0, errors.Wrapf(ErrMalformed, "line begins with byte %q", b)
+	}
+}
+
+func afterName(b byte) (position, error) {
+	switch {
+	case b == ':':
+		return inValue, nil
+	case isTokenByte(b):
+		return inName, nil
+	default:
+		return 0, errors.Wrapf(ErrMalformed, "byte %q in the name of a field", b)
+	}
+}
+
+// afterCR returns the position after the byte that follows a CR, which must be the LF.
+func afterCR(b byte, next position) (position, error) {
+	if b != '\n' {
+		return 0, errors.Wrapf(ErrMalformed, "byte %q after CR", b)
+	}
+	return next, nil
+}
+
+// tokenBytes has the bytes that a token may have (RFC 9110, 5.6.2).
+var tokenBytes = func() (allowed [256]bool) {
+	for _, b := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		allowed[b] = true
+	}
+	return allowed
+}()
+
+func isTokenByte(b byte) bool { return tokenBytes[b] }
+
+// HasOnlyTokens reports whether the names of all fields are ones that a field may have.
+func HasOnlyTokens(h http.Header) bool {
+	for name := range h {
+		if !isToken(name) {
+			return false
+		}
+	}
+	return true
+}
+
+func isToken(name string) bool {
+	for i := range len(name) {
+		if !isTokenByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
+	"github.com/foxtailhook/foxtailhook/internal/proof/malformed"
 )
 
 // serverCounts counts the requests and connections that a test server has received.
@@ -143,3 +145,31 @@
 		})
 	}
 }
+
+// TestMalformedHeads guards against a response that is passed on although its head isn't one that the protocol allows, and against one more send of a request
+// that may have run.
+func TestMalformedHeads(t *testing.T) {
+	for _, field := range malformed.Fields {
+		for _, c := range []struct{ name, response string }{
+			{"in the head", "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + field.Text + "Content-Length: 2\r\n\r\nok"},
+			{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n" + field.Text + "\r\n" + okResponse},
+		} {
+			Convey("A response is lost with "+field.Name+" "+c.name, t, func() {
+				for _, method := range []string{http.MethodGet, http.MethodPost} {
+					for _, earlier := range []int{0, 1} {
+						address, counts := startRaw(t, slices.Concat(slices.Repeat([]string{okResponse}, earlier), []string{c.response, okResponse})...)
+						client := New(address)
+						for range earlier {
+							So(client.Do(t.Context(), request(method), "t").Outcome, ShouldEqual, call.Whole)
+						}
+						answer := client.Do(t.Context(), request(method), "t")
+						So(answer.Outcome, ShouldEqual, call.Unknown)
+						So(answer.Reason, ShouldEqual, call.AnswerLost)
+						So(counts.requests.Load(), ShouldEqual, earlier+1)
+						So(client.Do(t.Context(), request(method), "t").Outcome, ShouldEqual, call.Whole)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/wire/upstream/proof.go
+++ b/internal/wire/upstream/proof.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 // errSealed is the error of a write on a connection whose request has already been reported as not run.
@@ -58,14 +60,21 @@
 	return true
 }
 
-// countingDial wraps a dial function so that its connections count writes.
+// expectResponse makes the next bytes that are read the head of a response, which is checked.
+func (c *countingConn) expectResponse() {
+	if checked, ok := c.Conn.(*responsehead.Conn); ok {
+		checked.Expect()
+	}
+}
+
+// countingDial wraps a dial function so that its connections count writes and check the heads of responses.
 func countingDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: c}, nil
+		return &countingConn{Conn: responsehead.NewConn(c)}, nil
 	}
 }
 
@@ -87,6 +96,7 @@
 	if !ok {
 		return
 	}
+	c.expectResponse()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conn = c
