A trailer with a malformed name makes its response a failure

Cause: as in heads, net/http takes a blank for a part of a name where a body in chunks ends with fields. The daemon passes no trailer on, and the body's chunks stand, so callers saw a success that ends with bytes that the protocol doesn't allow.

Change: the names of the trailer are checked when the body has been read.

Not covered: a line in a trailer that continues the one before it. net/http joins the two, and what it joins is not passed on.

--- a/internal/proof/malformed/malformed.go
+++ b/internal/proof/malformed/malformed.go
@@ -22,3 +22,15 @@
 	{"a length with a blank before its name", " Content-Length: 1\r\n"},
 	{"an encoding with a blank after its name", "Transfer-Encoding : chunked\r\n"},
 }
+
+// Trailers are fields that may not follow the last chunk of a body, each with its line end.
+var Trailers = []Part{
+	{"a blank after a name", "X-Odd : 1\r\n"},
+	{"a blank in a name", "X Odd: 1\r\n"},
+	{"a blank before the first name", " X-Odd: 1\r\n"},
+	{"NUL in a name", "X-\x00Odd: 1\r\n"},
+	{"a control byte in a name", "X-Odd\x01: 1\r\n"},
+	{"an empty name", ": 1\r\n"},
+	{"a line without a colon", "X-Odd\r\n"},
+	{"a control byte in a value", "X-Odd: \x01\r\n"},
+}
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 var (
@@ -262,6 +263,9 @@
 	if err == nil && endsWithConnection(res) {
 		err = cn.sent.await()
 	}
+	if err == nil {
+		err = responsehead.CheckTrailer(res)
+	}
 	if err != nil {
 		hold.Release()
 		return Response{}, err
--- a/internal/wire/instance/malformed_test.go
+++ b/internal/wire/instance/malformed_test.go
@@ -50,6 +50,22 @@
 	})
 }
 
+// TestMalformedTrailers guards against a response that is passed on although it ends with fields that the protocol doesn't allow.
+func TestMalformedTrailers(t *testing.T) {
+	const begin, end = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "\r\n"
+	Convey("A response with a sound trailer is passed on", t, func() {
+		res, err := answerWith(t, begin+"X-Sum: 1\r\n"+end)
+		So(err, ShouldBeNil)
+		So(string(res.Body), ShouldEqual, "body")
+	})
+	for _, trailer := range malformed.Trailers {
+		Convey("A response is lost with a trailer with "+trailer.Name, t, func() {
+			_, err := answerWith(t, begin+trailer.Text+"X-Sum: 1\r\n"+end)
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+		})
+	}
+}
+
 // TestLargeHeadsOnOneConnection guards against a connection that keeps the memory of a large head, or loses bytes behind it.
 func TestLargeHeadsOnOneConnection(t *testing.T) {
 	Convey("Large and small heads alternate on a connection", t, func() {
--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -81,6 +81,9 @@
 	}
 	// One byte more than the bound is read, so that the check of the value detects and reports a list that is too large.
 	raw, err := io.ReadAll(io.LimitReader(res.Body, lists.MaxBytes+1))
+	if err == nil {
+		err = responsehead.CheckTrailer(res)
+	}
 	if err != nil {
 		return lists.Value{}, errors.Wrapf(err, "platform: read %s", kind)
 	}
--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -53,3 +53,14 @@
 		})
 	}
 }
+
+// TestMalformedTrailers guards against a list that is taken over although its response ends with fields that the protocol doesn't allow.
+func TestMalformedTrailers(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\n" + HeaderVersion + ": 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for _, trailer := range malformed.Trailers {
+		Convey("A list is not taken over with "+trailer.Name, t, func() {
+			_, err := New(startService(t, begin+trailer.Text+"\r\n"), netip.Addr{}).Watch(t.Context(), lists.KindPlans, 1, 0)
+			So(err, ShouldNotBeNil)
+		})
+	}
+}
--- a/internal/wire/responsehead/scanner.go
+++ b/internal/wire/responsehead/scanner.go
@@ -145,6 +145,14 @@
 
 func isTokenByte(b byte) bool { return tokenBytes[b] }
 
+// CheckTrailer checks the names of the fields that followed the body of the response, which must have been read to its end. The error is ErrMalformed.
+func CheckTrailer(res *http.Response) error {
+	if !HasOnlyTokens(res.Trailer) {
+		return errors.Wrap(ErrMalformed, "trailer")
+	}
+	return nil
+}
+
 // HasOnlyTokens reports whether the names of all fields are ones that a field may have.
 func HasOnlyTokens(h http.Header) bool {
 	for name := range h {
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 // Names of HTTP headers between daemon and upstream.
@@ -189,7 +190,11 @@
 	body, hold, err := c.account.ReadBody(ctx, res.Body, bounded.Source{
 		Purpose: bounded.InstanceResponse, To: r.Receiver, Length: length, MaxLength: c.maxResponse,
 	})
+	if err == nil {
+		err = responsehead.CheckTrailer(res)
+	}
 	if err != nil {
+		hold.Release()
 		return call.UnknownOutcome(call.AnswerLost)
 	}
 	answer := answerOf(res, body)
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -173,3 +173,21 @@
 		}
 	}
 }
+
+// TestMalformedTrailers guards against a response that is passed on although it ends with fields that the protocol doesn't allow.
+func TestMalformedTrailers(t *testing.T) {
+	const begin, end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "\r\n"
+	Convey("A response with a sound trailer is passed on", t, func() {
+		address, _ := startRaw(t, begin+"X-Sum: 1\r\n"+end)
+		So(New(address).Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Whole)
+	})
+	for _, trailer := range malformed.Trailers {
+		Convey("A response is lost with a trailer with "+trailer.Name, t, func() {
+			address, counts := startRaw(t, begin+trailer.Text+end, okResponse)
+			answer := New(address).Do(t.Context(), request(http.MethodGet), "t")
+			So(answer.Outcome, ShouldEqual, call.Unknown)
+			So(answer.Reason, ShouldEqual, call.AnswerLost)
+			So(counts.requests.Load(), ShouldEqual, 1)
+		})
+	}
+}
