Chunks in an HTTP/1.0 response are no body

Callers would see: the sizes of the chunks as parts of the body, or a part of both, under the instance's signature.

Cause: HTTP/1.0 has no transfer encoding, and a recipient must treat the framing of such a message as faulty (RFC 9112, 6.1). net/http ignores the field there and reads to the stated length, or to the end of the connection.

Evidence: found by reading, while looking where else the framing may differ from what an instance meant.

Change: the scanner of heads rejects the field in HTTP/1.0, for all that read responses.

--- a/internal/wire/instance/malformed_test.go
+++ b/internal/wire/instance/malformed_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -50,6 +51,17 @@
 	})
 }
 
+// TestChunksInHTTP10 guards against a body that is passed on with the sizes of its chunks, or a part of it.
+func TestChunksInHTTP10(t *testing.T) {
+	const begin, chunks = "HTTP/1.0 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n", "\r\n4\r\nbody\r\n0\r\n\r\n"
+	for _, length := range []string{"", "Content-Length: 14\r\n", "Content-Length: 4\r\n"} {
+		Convey("A response is lost with a transfer encoding in HTTP/1.0 and "+strconv.Quote(length), t, func() {
+			_, err := answerWith(t, begin+length+chunks)
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+		})
+	}
+}
+
 // TestMalformedTrailers guards against a response that is passed on although it ends with fields that the protocol doesn't allow.
 func TestMalformedTrailers(t *testing.T) {
 	const begin, end = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "\r\n"
--- a/internal/wire/responsehead/scanner.go
+++ b/internal/wire/responsehead/scanner.go
@@ -12,13 +12,24 @@
 // Scanner checks the head of one response. Its bytes may come in any parts. The zero value is ready for use.
 //
 // It checks the names of fields, which must be tokens: for net/http a blank may be part of a name, so that it doesn't know a field such as the length of the
-// body as such. A line that continues the one before it is malformed too. What else net/http rejects is left to it.
+// body as such. A line that continues the one before it is malformed too, as is an HTTP/1.0 response with a transfer encoding. What else net/http rejects
+// is left to it.
 type Scanner struct {
 	at position
 	// status is the status, or what has been scanned of it.
 	status int
+	// minorVersion is the last byte of the version.
+	minorVersion byte
+	// matching is how many bytes of the current field's name are those of transferEncoding, or noMatch.
+	matching int
 }
 
+// transferEncoding is the name, in lower case, of the field that no HTTP/1.0 response may have. net/http ignores it there, and takes the chunks with their
+// sizes for the body.
+const transferEncoding = "transfer-encoding"
+
+const noMatch = -1
+
 // position is where in a head the next byte stands.
 type position uint8
 
@@ -62,9 +73,10 @@
 	case inReason, inValue:
 		return afterText(s.at, b), nil
 	case atLineStart:
-		return afterLineStart(b)
+		s.matching = 0
+		return s.afterLineStart(b)
 	case inName:
-		return afterName(b)
+		return s.afterName(b)
 	case inHeadEnd:
 		return afterCR(b, atEnd)
 	default:
@@ -78,6 +90,7 @@
 	case b == '\r' || b == '\n':
 		return afterText(inReason, b)
 	case s.at == inVersion && b != ' ':
+		s.minorVersion = b
 		return inVersion
 	case s.at != inStatus && b == ' ':
 		return beforeStatus
@@ -103,30 +116,46 @@
 	}
 }
 
-func afterLineStart(b byte) (position, error) {
+func (s *Scanner) afterLineStart(b byte) (position, error) {
 	switch {
 	case b == '\r':
 		return inHeadEnd, nil
 	case b == '\n':
 		return atEnd, nil
 	case isTokenByte(b):
+		s.match(b)
 		return inName, nil
 	default:
 		return 0, errors.Wrapf(ErrMalformed, "line begins with byte %q", b)
 	}
 }
 
-func afterName(b byte) (position, error) {
+func (s *Scanner) afterName(b byte) (position, error) {
 	switch {
+	case b == ':' && s.matching == len(transferEncoding) && s.minorVersion == '0':
+		return 0, errors.Wrap(ErrMalformed, "a transfer encoding in HTTP/1.0")
 	case b == ':':
 		return inValue, nil
 	case isTokenByte(b):
+		s.match(b)
 		return inName, nil
 	default:
 		return 0, errors.Wrapf(ErrMalformed, "byte %q in the name of a field", b)
 	}
 }
 
+// match compares the next byte of a field's name with transferEncoding.
+func (s *Scanner) match(b byte) {
+	if 'A' <= b && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	if s.matching == noMatch || s.matching == len(transferEncoding) || b != transferEncoding[s.matching] {
+		s.matching = noMatch
+		return
+	}
+	s.matching++
+}
+
 // afterCR returns the position after the byte that follows a CR, which must be the LF.
 func afterCR(b byte, next position) (position, error) {
 	if b != '\n' {
--- a/internal/wire/responsehead/scanner_test.go
+++ b/internal/wire/responsehead/scanner_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+// TestTransferEncodingOfHTTP10 guards against a body that is passed on with the sizes of its chunks: HTTP/1.0 knows no transfer encoding.
+func TestTransferEncodingOfHTTP10(t *testing.T) {
+	for _, c := range []struct {
+		line, field string
+		malformed   bool
+	}{
+		{"HTTP/1.0 200 OK", "Transfer-Encoding: chunked", true},
+		{"HTTP/1.0 200", "tRANSFER-eNCODING:", true},
+		{"HTTP/1.1 200 OK", "Transfer-Encoding: chunked", false},
+		{"HTTP/1.0 200 OK", "Transfer-Encodin: chunked", false},
+		{"HTTP/1.0 200 OK", "Transfer-Encodings: chunked", false},
+		{"HTTP/1.0 200 OK", "XTransfer-Encoding: chunked", false},
+		{"HTTP/1.0 200 OK", "Transfer+Encoding: Transfer-Encoding:", false},
+	} {
+		Convey("A head is malformed as the protocol says: "+c.line+", "+c.field, t, func() {
+			for _, size := range partSizes {
+				_, _, _, err := scan(c.line+"\r\nX-First: 1\r\n"+c.field+"\r\n\r\n", size)
+				So(errors.Is(err, ErrMalformed), ShouldEqual, c.malformed)
+			}
+		})
+	}
+}
+
 // TestWellFormedHeads guards against a head that is rejected although the protocol allows it, and against one whose end is found elsewhere than net/http
 // finds it.
 func TestWellFormedHeads(t *testing.T) {
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -174,6 +174,14 @@
 	}
 }
 
+// TestChunksInHTTP10 guards against a part of a body in chunks that is passed on with their sizes.
+func TestChunksInHTTP10(t *testing.T) {
+	Convey("A response is lost with a transfer encoding and a length in HTTP/1.0", t, func() {
+		address, _ := startRaw(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		So(New(address).Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Unknown)
+	})
+}
+
 // TestMalformedTrailers guards against a response that is passed on although it ends with fields that the protocol doesn't allow.
 func TestMalformedTrailers(t *testing.T) {
 	const begin, end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "\r\n"
