Bytes of another version than HTTP/1 are no response

Callers got as an answer what begins with "HTTP/0.9 200" or "HTTP/2.0 200", and what has control bytes in its status line.

Cause: net/http takes any version of two digits, and anything for the reason phrase. The reader of HTTP/1 can't know where a body of another version ends, and control bytes there are allowed by no grammar (RFC 9112, 2.3 and 4): such bytes come from an instance in trouble.

Change: the scanner of heads checks the status line.

Not changed: a status from 600 to 999 is passed on as the instance gave it. RFC 9110 (15) has clients treat it as a 5xx, which passing it on leaves to them.

--- a/internal/proof/malformed/malformed.go
+++ b/internal/proof/malformed/malformed.go
@@ -34,3 +34,26 @@
 	{"a line without a colon", "X-Odd\r\n"},
 	{"a control byte in a value", "X-Odd: \x01\r\n"},
 }
+
+// StatusLines are first lines that no HTTP/1 response may have, without their line ends.
+var StatusLines = []Part{
+	{"HTTP/0.9", "HTTP/0.9 200 OK"},
+	{"HTTP/2.0", "HTTP/2.0 200 OK"},
+	{"a version without a minor number", "HTTP/1 200 OK"},
+	{"a version of another protocol", "ICY/1.1 200 OK"},
+	{"a version in lower case", "http/1.1 200 OK"},
+	{"a blank before the version", " HTTP/1.1 200 OK"},
+	{"an empty line before it", "\r\nHTTP/1.1 200 OK"},
+	{"NUL in the reason phrase", "HTTP/1.1 200 O\x00K"},
+	{"a control byte in the reason phrase", "HTTP/1.1 200 O\x01K"},
+	{"DEL in the reason phrase", "HTTP/1.1 200 O\x7fK"},
+	{"CR in the reason phrase", "HTTP/1.1 200 O\rK"},
+	{"status 000", "HTTP/1.1 000 OK"},
+	{"status 099", "HTTP/1.1 099 OK"},
+	{"a status of two digits", "HTTP/1.1 20 OK"},
+	{"a status of four digits", "HTTP/1.1 2000 OK"},
+	{"a signed status", "HTTP/1.1 +20 OK"},
+	{"a status that is no number", "HTTP/1.1 2x0 OK"},
+	{"no status", "HTTP/1.1"},
+	{"a blank in place of a status", "HTTP/1.1 "},
+}
--- a/internal/wire/instance/malformed_test.go
+++ b/internal/wire/instance/malformed_test.go
@@ -41,6 +41,14 @@
 			})
 		}
 	}
+	for _, line := range malformed.StatusLines {
+		Convey("A response is lost with "+line.Name, t, func() {
+			for _, rest := range []string{"Content-Length: 4\r\n\r\nbody", "\r\nbody"} {
+				_, err := answerWith(t, line.Text+"\r\n"+own+rest)
+				So(errors.Is(err, ErrLost), ShouldBeTrue)
+			}
+		})
+	}
 	Convey("A head that is larger than a reader's buffer is read whole", t, func() {
 		const line = "X-Line: a value that takes some bytes\r\n"
 		long := strings.Repeat(line, 5*headBuffer/len(line))
--- a/internal/wire/instance/monitor_test.go
+++ b/internal/wire/instance/monitor_test.go
@@ -182,16 +182,20 @@
 
 // TestMalformedHealthResponses guards against a response to a health check that is taken for a good one although its head is malformed.
 func TestMalformedHealthResponses(t *testing.T) {
-	for _, field := range malformed.Fields {
-		Convey("A health check isn't answered by a head with "+field.Name, t, func() {
-			instance := startInstance(t, func(_ int64, c net.Conn, r *bufio.Reader) {
-				_, _ = http.ReadRequest(r)
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nCold: 1\r\n"+field.Text+"Content-Length: 0\r\n\r\n")
-				_, _ = r.ReadByte()
-			})
-			_, events := runMonitor(t, instance.address)
-			So((<-events).name, ShouldEqual, "checking")
-			So(<-events, ShouldResemble, monitorEvent{name: "disconnected", reachable: true})
+	check := func(head string) {
+		instance := startInstance(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+			_, _ = r.ReadByte()
 		})
+		_, events := runMonitor(t, instance.address)
+		So((<-events).name, ShouldEqual, "checking")
+		So(<-events, ShouldResemble, monitorEvent{name: "disconnected", reachable: true})
+	}
+	for _, field := range malformed.Fields {
+		Convey("A health check isn't answered by a head with "+field.Name, t, func() { check("HTTP/1.1 200 OK\r\nCold: 1\r\n" + field.Text) })
+	}
+	for _, line := range malformed.StatusLines {
+		Convey("A health check isn't answered by a head with "+line.Name, t, func() { check(line.Text + "\r\nCold: 1\r\n") })
 	}
 }
--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -52,6 +52,12 @@
 			So(err, ShouldNotBeNil)
 		})
 	}
+	for _, line := range malformed.StatusLines {
+		Convey("A list is not taken over with "+line.Name, t, func() {
+			_, err := New(startService(t, line.Text+"\r\n"+HeaderVersion+": 7\r\n"+end), netip.Addr{}).Watch(t.Context(), lists.KindPlans, 1, 0)
+			So(err, ShouldNotBeNil)
+		})
+	}
 }
 
 // TestMalformedTrailers guards against a list that is taken over although its response ends with fields that the protocol doesn't allow.
--- a/internal/wire/responsehead/scanner.go
+++ b/internal/wire/responsehead/scanner.go
@@ -1,6 +1,7 @@
 package responsehead
 
 import (
+	"bytes"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -12,13 +13,14 @@
 // Scanner checks the head of one response. Its bytes may come in any parts. The zero value is ready for use.
 //
 // It checks the names of fields, which must be tokens: for net/http a blank may be part of a name, so that it doesn't know a field such as the length of the
-// body as such. A line that continues the one before it is malformed too, as is an HTTP/1.0 response with a transfer encoding. What else net/http rejects
-// is left to it.
+// body as such. A line that continues the one before it is malformed too, as are a status line of another version than HTTP/1, one with control bytes in it,
+// and an HTTP/1.0 response with a transfer encoding. What else net/http rejects is left to it.
 type Scanner struct {
 	at position
 	// status is the status, or what has been scanned of it.
 	status int
-	// minorVersion is the last byte of the version.
+	// version is how many bytes of the version have been scanned, and minorVersion the last one.
+	version      int
 	minorVersion byte
 	// matching is how many bytes of the current field's name are those of transferEncoding, or noMatch.
 	matching int
@@ -30,6 +32,9 @@
 
 const noMatch = -1
 
+// majorVersion begins the version of every response.
+const majorVersion = "HTTP/1."
+
 // position is where in a head the next byte stands.
 type position uint8
 
@@ -41,7 +46,7 @@
 	atLineStart
 	inName
 	inValue
-	// inLineEnd is between CR and LF of a line, and inHeadEnd between those of the empty line.
+	// inLineEnd is between CR and LF of the status line, and inHeadEnd between those of the empty line.
 	inLineEnd
 	inHeadEnd
 	atEnd
@@ -50,6 +55,10 @@
 // Scan checks the next bytes up to the end of the head. It returns how many belong to the head, and whether that has ended; the error is ErrMalformed.
 func (s *Scanner) Scan(p []byte) (n int, ended bool, err error) {
 	for n < len(p) && s.at != atEnd {
+		if s.at == inValue {
+			n += s.skipValue(p[n:])
+			continue
+		}
 		next, err := s.next(p[n])
 		if err != nil {
 			return n, false, err
@@ -60,6 +69,16 @@
 	return n, s.at == atEnd, nil
 }
 
+// skipValue returns how many bytes belong to the value of a field and its line end. net/http checks the bytes.
+func (s *Scanner) skipValue(p []byte) int {
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p)
+	}
+	s.at = atLineStart
+	return end + 1
+}
+
 // IsInterim reports whether the head, which has ended, is followed by that of another response to the same request.
 func (s *Scanner) IsInterim() bool {
 	return s.status >= http.StatusContinue && s.status < http.StatusOK && s.status != http.StatusSwitchingProtocols
@@ -68,10 +87,12 @@
 // next returns the position after the byte.
 func (s *Scanner) next(b byte) (position, error) {
 	switch s.at {
-	case inVersion, beforeStatus, inStatus:
-		return s.afterStatusLine(b), nil
-	case inReason, inValue:
-		return afterText(s.at, b), nil
+	case inVersion:
+		return s.afterVersion(b)
+	case beforeStatus, inStatus:
+		return s.afterStatus(b)
+	case inReason:
+		return afterReason(b)
 	case atLineStart:
 		s.matching = 0
 		return s.afterLineStart(b)
@@ -84,38 +105,56 @@
 	}
 }
 
-// afterStatusLine returns the position after a byte of the status line before the reason phrase. Blanks before the status are skipped, as net/http does.
-func (s *Scanner) afterStatusLine(b byte) position {
+func (s *Scanner) afterVersion(b byte) (position, error) {
+	at := s.version
+	s.version++
 	switch {
-	case b == '\r' || b == '\n':
-		return afterText(inReason, b)
-	case s.at == inVersion && b != ' ':
+	case at < len(majorVersion) && b == majorVersion[at]:
+		return inVersion, nil
+	case at == len(majorVersion) && isDigit(b):
 		s.minorVersion = b
-		return inVersion
-	case s.at != inStatus && b == ' ':
-		return beforeStatus
-	case '0' <= b && b <= '9' && s.status <= maxStatus:
-		s.status = 10*s.status + int(b-'0')
-		return inStatus
+		return inVersion, nil
+	case at > len(majorVersion) && b == ' ':
+		return beforeStatus, nil
 	default:
-		return inReason
+		return 0, errors.Wrapf(ErrMalformed, "byte %q in the version", b)
 	}
 }
 
-// maxStatus is the greatest status; more digits make a status that net/http rejects.
-const maxStatus = 999
+// afterStatus returns the position after a byte of the status or of the blanks before it, which net/http skips.
+func (s *Scanner) afterStatus(b byte) (position, error) {
+	switch {
+	case s.at == beforeStatus && b == ' ':
+		return beforeStatus, nil
+	case isDigit(b) && s.status <= maxStatus:
+		s.status = 10*s.status + int(b-'0')
+		return inStatus, nil
+	default:
+		return afterReason(b)
+	}
+}
 
-func afterText(at position, b byte) position {
-	switch b {
-	case '\r':
-		return inLineEnd
-	case '\n':
-		return atLineStart
+func afterReason(b byte) (position, error) {
+	switch {
+	case b == '\r':
+		return inLineEnd, nil
+	case b == '\n':
+		return atLineStart, nil
+	case b == '\t' || b >= ' ' && b != del:
+		return inReason, nil
 	default:
-		return at
+		return 0, errors.Wrapf(ErrMalformed, "byte %q in the status line", b)
 	}
 }
 
+// del is the control byte beyond the printable ones.
+const del = 0x7f
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// maxStatus is the greatest status; more digits make a status that net/http rejects.
+const maxStatus = 999
+
 func (s *Scanner) afterLineStart(b byte) (position, error) {
 	switch {
 	case b == '\r':
--- a/internal/wire/responsehead/scanner_test.go
+++ b/internal/wire/responsehead/scanner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -45,6 +46,39 @@
 	}
 }
 
+// TestMalformedStatusLines guards against bytes that are taken for a response although they don't begin as one: what follows would be taken for the body.
+func TestMalformedStatusLines(t *testing.T) {
+	for _, c := range []struct {
+		line      string
+		malformed bool
+	}{
+		{"HTTP/1.1 200 OK", false},
+		{"HTTP/1.0 200", false},
+		{"HTTP/1.9  200 \tO\xc3\xb6K ", false},
+		{"HTTP/0.9 200 OK", true},
+		{"HTTP/2.0 200 OK", true},
+		{"HTTP/1.10 200 OK", true},
+		{"HTTP/1. 200 OK", true},
+		{"http/1.1 200 OK", true},
+		{" HTTP/1.1 200 OK", true},
+		{"HTTP/1.1", true},
+		{"HTTP/1.1\t200 OK", true},
+		{"HTTP/1.1 2\x0000 OK", true},
+		{"HTTP/1.1 200 O\x00K", true},
+		{"HTTP/1.1 200 O\x1fK", true},
+		{"HTTP/1.1 200 O\x7fK", true},
+		{"HTTP/1.1 200 O\rK", true},
+	} {
+		Convey(fmt.Sprintf("Is %q malformed: %v", c.line, c.malformed), t, func() {
+			for _, size := range partSizes {
+				_, ended, _, err := scan(c.line+"\r\nX-First: 1\r\n\r\n", size)
+				So(errors.Is(err, ErrMalformed), ShouldEqual, c.malformed)
+				So(ended, ShouldNotEqual, c.malformed)
+			}
+		})
+	}
+}
+
 // TestTransferEncodingOfHTTP10 guards against a body that is passed on with the sizes of its chunks: HTTP/1.0 knows no transfer encoding.
 func TestTransferEncodingOfHTTP10(t *testing.T) {
 	for _, c := range []struct {
@@ -109,6 +143,9 @@
 	f.Add("HTTP/1.1 200 OK\r\nA: 1\r\n\r\nrest")
 	f.Add("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
 	f.Add("HTTP/1.0 200\nContent-Length: 1\n\nx")
+	for _, line := range malformed.StatusLines {
+		f.Add(line.Text + "\r\nA: 1\r\n\r\n")
+	}
 	for _, field := range malformed.Fields {
 		f.Add("HTTP/1.1 200 OK\r\nA: 1\r\n" + field.Text + "\r\n")
 	}
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -174,6 +174,19 @@
 	}
 }
 
+// TestMalformedStatusLines guards against a response that is passed on although it doesn't begin as one.
+func TestMalformedStatusLines(t *testing.T) {
+	for _, line := range malformed.StatusLines {
+		Convey("A response is lost with "+line.Name, t, func() {
+			address, counts := startRaw(t, line.Text+"\r\nContent-Length: 2\r\n\r\nok", okResponse)
+			client := New(address)
+			So(client.Do(t.Context(), request(http.MethodGet), "t").Reason, ShouldEqual, call.AnswerLost)
+			So(counts.requests.Load(), ShouldEqual, 1)
+			So(client.Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Whole)
+		})
+	}
+}
+
 // TestChunksInHTTP10 guards against a part of a body in chunks that is passed on with their sizes.
 func TestChunksInHTTP10(t *testing.T) {
 	Convey("A response is lost with a transfer encoding and a length in HTTP/1.0", t, func() {
