The heads of responses are counted as memory

Reported: a faulty instance sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all, ran out of memory and ended, with the requests of other clients.

Cause: a head had 256 KiB at most, but net/http parses each line as it comes, and a field takes some 200 bytes beside its own, so that short lines took some seventeen times their bytes. The account of the process's memory had none of it, so that nothing bounded all heads together.

Change: a head isn't parsed before it is whole (it is scanned in the reader's buffer since the checks of names), a response has 1,000 fields at most with its interim responses, and what its heads take beyond 32 KiB is held in the account, purpose responseHead: a sixteenth of the memory for all, and nothing of the room of small messages. A response without room for its head is lost; usual heads aren't counted, so that they are read beside those of an instance in trouble. The memory is held until the response is used up. The upstream client's connections hold it until their next request.

A lower bound of bytes alone was weighed: an instance with a few large fields would lose its responses, and all heads together would still have no bound.

--- a/internal/wire/bounded/account.go
+++ b/internal/wire/bounded/account.go
@@ -83,7 +83,7 @@
 
 // CanHold reports whether a message of the size ever fits.
 func (a *Account) CanHold(p Purpose, bytes int64) bool {
-	return p == FleetMessage || bytes <= SmallBytes || bytes <= a.limitOf(p)
+	return p == FleetMessage || p.isSmall(bytes) || bytes <= a.limitOf(p)
 }
 
 // limitOf returns the limit on the large messages of a purpose.
@@ -93,12 +93,15 @@
 		return a.limits.Total
 	case Growing:
 		return max(a.limits.Each/growingDivisor, growingBytes)
+	case ResponseHead:
+		return a.limits.Each / headDivisor
 	default:
 		return a.limits.Each
 	}
 }
 
-func isSmall(bytes int64) bool { return bytes <= SmallBytes }
+// isSmall reports whether a message of the size counts as small. Heads never do: those of an instance in trouble must not take the room of small messages.
+func (p Purpose) isSmall(bytes int64) bool { return bytes <= SmallBytes && p != ResponseHead }
 
 // resize changes how much is held without a look at the limits.
 func (a *Account) resize(h *Hold, bytes int64) {
@@ -109,7 +112,7 @@
 
 func (a *Account) count(h *Hold, change int64) {
 	a.usage[h.purpose].Bytes += change
-	small := isSmall(max(change, -change))
+	small := h.purpose.isSmall(max(change, -change))
 	if small {
 		a.small += change
 	} else {
@@ -164,11 +167,11 @@
 	switch {
 	case p == FleetMessage:
 		return none
-	case isSmall(bytes) && held.small > 0 && held.small+bytes > a.limits.Small/smallHolderDivisor:
+	case p.isSmall(bytes) && held.small > 0 && held.small+bytes > a.limits.Small/smallHolderDivisor:
 		return ofHolder
-	case isSmall(bytes) && a.small+bytes > a.limits.Small:
+	case p.isSmall(bytes) && a.small+bytes > a.limits.Small:
 		return ofTotal
-	case isSmall(bytes):
+	case p.isSmall(bytes):
 		return none
 	case a.usage[p].large+bytes > a.limitOf(p), a.exceedsRequests(p, bytes):
 		return ofPurpose
--- a/internal/wire/bounded/account_test.go
+++ b/internal/wire/bounded/account_test.go
@@ -73,6 +73,44 @@
 	})
 }
 
+// TestLargeHeads guards against the heads of an instance in trouble that take the room of small messages, or that are never given back.
+func TestLargeHeads(t *testing.T) {
+	Convey("Heads have a part of one purpose's memory, and nothing of that of small messages", t, func() {
+		a := NewAccount(testLimits)
+		taken := 0
+		for {
+			if _, ok := a.TryTake(ResponseHead, SmallBytes); !ok {
+				break
+			}
+			taken += SmallBytes
+		}
+		So(taken, ShouldEqual, testLimits.Each/headDivisor)
+		_, ok := a.TryTake(ResponseHead, 1)
+		So(ok, ShouldBeFalse)
+		for range testLimits.Small / SmallBytes {
+			_, ok := a.TryTake(PeerRequest, SmallBytes)
+			So(ok, ShouldBeTrue)
+		}
+	})
+	Convey("Holds that are joined are released together, once", t, func() {
+		a := NewAccount(testLimits)
+		head, _ := a.TryTake(ResponseHead, 100<<10)
+		body, _ := a.TryTake(InstanceResponse, 1<<20)
+		So(body.Join(head), ShouldEqual, body)
+		So(a.Held(), ShouldEqual, 1<<20+100<<10)
+		body.Release()
+		body.Release()
+		head.Release()
+		So(a.Held(), ShouldEqual, 0)
+		alone, _ := a.TryTake(ResponseHead, 100<<10)
+		var noBody *Hold
+		So(noBody.Join(alone), ShouldEqual, alone)
+		So(alone.Join(nil), ShouldEqual, alone)
+		alone.Release()
+		So(a.Held(), ShouldEqual, 0)
+	})
+}
+
 // TestAccountOrder guards against a large message that waits forever since smaller ones take each room that becomes free, and against one receiver that
 // doesn't read and takes the room of all others.
 func TestAccountOrder(t *testing.T) {
--- a/internal/wire/bounded/purpose.go
+++ b/internal/wire/bounded/purpose.go
@@ -19,6 +19,8 @@
 	Growing // growing
 	// Joining is for the copy that puts a body of unknown length into one piece.
 	Joining // joining
+	// ResponseHead is for the heads of an instance's responses that are larger than usual, until the kernel has the responses.
+	ResponseHead // responseHead
 	// FleetMessage is for what daemons tell each other beside requests. It is counted and never refused.
 	FleetMessage // fleetMessage
 )
@@ -53,6 +55,8 @@
 	smallHolderDivisor = 4
 	// growingDivisor divides the limit of one purpose for the beginnings of bodies of unknown length.
 	growingDivisor = 8
+	// headDivisor divides the limit of one purpose for heads.
+	headDivisor = 4
 )
 
 // LimitsOf returns the limits of a process that may use so many bytes of memory.
--- a/internal/wire/bounded/purpose_string.go
+++ b/internal/wire/bounded/purpose_string.go
@@ -14,12 +14,13 @@
 	_ = x[CallerResponse-3]
 	_ = x[Growing-4]
 	_ = x[Joining-5]
-	_ = x[FleetMessage-6]
+	_ = x[ResponseHead-6]
+	_ = x[FleetMessage-7]
 }
 
-const _Purpose_name = "callerRequestpeerRequestinstanceResponsecallerResponsegrowingjoiningfleetMessage"
+const _Purpose_name = "callerRequestpeerRequestinstanceResponsecallerResponsegrowingjoiningresponseHeadfleetMessage"
 
-var _Purpose_index = [...]uint8{0, 13, 24, 40, 54, 61, 68, 80}
+var _Purpose_index = [...]uint8{0, 13, 24, 40, 54, 61, 68, 80, 92}
 
 func (i Purpose) String() string {
 	idx := int(i) - 0
--- a/internal/wire/bounded/waiter.go
+++ b/internal/wire/bounded/waiter.go
@@ -97,7 +97,7 @@
 	switch {
 	case w.hold.purpose == FleetMessage:
 		return false
-	case isSmall(w.bytes):
+	case w.hold.purpose.isSmall(w.bytes):
 		return b.small
 	}
 	return b.all || b.purposes[w.hold.purpose]
@@ -107,8 +107,8 @@
 func (a *Account) take(w *Waiter, blocked *blocks) bool {
 	switch a.shortage(w.hold.purpose, w.hold.to, w.bytes) {
 	case ofTotal:
-		blocked.small = blocked.small || isSmall(w.bytes)
-		blocked.all = blocked.all || !isSmall(w.bytes)
+		blocked.small = blocked.small || w.hold.purpose.isSmall(w.bytes)
+		blocked.all = blocked.all || !w.hold.purpose.isSmall(w.bytes)
 		return false
 	case ofPurpose:
 		blocked.purposes[w.hold.purpose] = true
@@ -117,7 +117,7 @@
 		return false
 	case none:
 	}
-	if !isSmall(w.bytes) && w.hold.purpose != FleetMessage && a.garbage > 0 && a.large+a.garbage+w.bytes > a.limits.Total {
+	if !w.hold.purpose.isSmall(w.bytes) && w.hold.purpose != FleetMessage && a.garbage > 0 && a.large+a.garbage+w.bytes > a.limits.Total {
 		blocked.all = true
 		a.collect()
 		return false
--- a/internal/wire/instance/client.go
+++ b/internal/wire/instance/client.go
@@ -53,7 +53,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Hold is the memory that is held for the body, to be released when the body isn't used any more.
+	// Hold is the memory that is held for the body and for a large head, to be released when they aren't used any more.
 	Hold *bounded.Hold
 }
 
@@ -158,7 +158,9 @@
 	if conn, ok := tcpConn.(*net.TCPConn); ok {
 		_ = conn.SetReadBuffer(receiveBuffer)
 	}
-	return newConn(tcpConn), nil
+	cn := newConn(tcpConn)
+	cn.reader.account = c.account
+	return cn, nil
 }
 
 // keepAlive detects dead idle connections: the next request on one would wait for a response until its deadline.
@@ -209,24 +211,9 @@
 // readResponse reads the response that belongs to the request, skipping responses to other requests.
 func (c *Client) readResponse(ctx context.Context, cn *conn, r *Request, req *http.Request) (Response, error) {
 	for range maxStrayResponses + 1 {
-		header, err := cn.reader.readHeader(req)
-		if err != nil {
-			return Response{}, err
-		}
-		id := r.IDOf(header.Header)
-		matches := id == "" || id == r.ID
-		if matches && cn.used.mayInclude(id) {
-			return Response{}, errors.New("the response may belong to an earlier request")
-		}
-		if matches && r.Observe != nil {
-			r.Observe(header.StatusCode, header.Header)
-		}
-		res, err := c.readBody(ctx, cn, r, header)
-		if err != nil {
-			return Response{}, err
-		}
-		if matches {
-			return res, nil
+		res, matches, err := c.readNext(ctx, cn, r, req)
+		if err != nil || matches {
+			return res, err
 		}
 		res.Hold.Release()
 		if !cn.reusable {
@@ -236,6 +223,30 @@
 	return Response{}, errors.New("received only responses to other requests")
 }
 
+// readNext reads the next response, and reports whether it belongs to the request.
+func (c *Client) readNext(ctx context.Context, cn *conn, r *Request, req *http.Request) (res Response, matches bool, err error) {
+	header, headHold, err := cn.reader.readHeader(req)
+	if err != nil {
+		return Response{}, false, err
+	}
+	id := r.IDOf(header.Header)
+	matches = id == "" || id == r.ID
+	if matches && cn.used.mayInclude(id) {
+		headHold.Release()
+		return Response{}, false, errors.New("the response may belong to an earlier request")
+	}
+	if matches && r.Observe != nil {
+		r.Observe(header.StatusCode, header.Header)
+	}
+	res, err = c.readBody(ctx, cn, r, header)
+	if err != nil {
+		headHold.Release()
+		return Response{}, false, err
+	}
+	res.Hold = res.Hold.Join(headHold)
+	return res, matches, nil
+}
+
 // readAll reads the body as there is memory for it, until the request's deadline.
 func (c *Client) readAll(ctx context.Context, r *Request, res *http.Response) ([]byte, *bounded.Hold, error) {
 	if res.Request != nil && res.Request.Method == http.MethodHead {
--- a/internal/wire/instance/head.go
+++ b/internal/wire/instance/head.go
@@ -16,6 +16,8 @@
 type headReader struct {
 	*bufio.Reader
 	source *bounded.Reader
+	// account counts the memory of heads, unless it is nil.
+	account *bounded.Account
 }
 
 // headBuffer is the size in bytes of the buffer for a response's head; it grows for a larger one.
@@ -23,15 +25,27 @@
 
 func newHeadReader(from io.Reader) headReader {
 	source := bounded.NewReader(from)
-	return headReader{bufio.NewReaderSize(source, headBuffer), source}
+	return headReader{Reader: bufio.NewReaderSize(source, headBuffer), source: source}
 }
 
-// readHeader reads a response's header, skipping interim (1xx) responses; all of them together have maxHead bytes at most.
-func (r *headReader) readHeader(req *http.Request) (*http.Response, error) {
+// readHeader reads a response's header, skipping interim (1xx) responses; all of them together have maxHead bytes at most. The memory that is held for a
+// large head is to be released when the header isn't used any more.
+func (r *headReader) readHeader(req *http.Request) (*http.Response, *bounded.Hold, error) {
 	r.source.Bound(maxHead)
 	defer r.source.Unbound()
+	memory := responsehead.NewMemory(r.account)
+	res, err := r.readFinal(req, &memory)
+	if err != nil {
+		memory.Hold().Release()
+		return nil, nil, err
+	}
+	return res, memory.Hold(), nil
+}
+
+// readFinal reads the header of the first response that isn't an interim one.
+func (r *headReader) readFinal(req *http.Request, memory *responsehead.Memory) (*http.Response, error) {
 	for {
-		if err := r.awaitHead(); err != nil {
+		if err := r.awaitHead(memory); err != nil {
 			return nil, err
 		}
 		res, err := http.ReadResponse(r.Reader, req)
@@ -47,31 +61,41 @@
 	}
 }
 
-// awaitHead reads until a whole head is in the buffer, and checks it.
-func (r *headReader) awaitHead() error {
+// awaitHead reads until a whole head is in the buffer, and checks it and what it takes.
+func (r *headReader) awaitHead(memory *responsehead.Memory) error {
 	var scanner responsehead.Scanner
 	for scanned := 0; ; {
+		fields := scanner.Fields()
 		buffered, err := r.Peek(r.Buffered())
 		if err != nil {
 			return err
 		}
 		n, ended, err := scanner.Scan(buffered[scanned:])
+		if err == nil {
+			err = memory.Add(n, scanner.Fields()-fields)
+		}
 		if err != nil || ended {
 			return err
 		}
 		scanned += n
-		if scanned == r.Size() {
-			r.grow()
-		}
-		switch _, err := r.Peek(scanned + 1); {
-		case err == io.EOF:
-			return io.ErrUnexpectedEOF
-		case err != nil:
+		if err := r.awaitMore(scanned); err != nil {
 			return err
 		}
 	}
 }
 
+// awaitMore reads on behind what the buffer has.
+func (r *headReader) awaitMore(buffered int) error {
+	if buffered == r.Size() {
+		r.grow()
+	}
+	_, err := r.Peek(buffered + 1)
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // grow makes the buffer, which is full, twice as large.
 func (r *headReader) grow() {
 	full, _ := r.Peek(r.Buffered())
--- a/internal/wire/instance/monitor.go
+++ b/internal/wire/instance/monitor.go
@@ -176,7 +176,7 @@
 			return
 		}
 		begun := time.Now()
-		res, err := reader.readHeader(nil)
+		res, _, err := reader.readHeader(nil)
 		if err != nil {
 			return
 		}
--- a/internal/wire/responsehead/conn.go
+++ b/internal/wire/responsehead/conn.go
@@ -5,19 +5,28 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // Conn is a connection to a server, with a check of the heads of its responses: a read that meets one that is malformed fails.
 type Conn struct {
 	net.Conn
 
+	// account counts the memory of heads, unless it is nil.
+	account *bounded.Account
+
 	mu        sync.Mutex
 	scanner   Scanner
+	memory    Memory
 	expecting bool
 }
 
-// NewConn returns the connection with the check.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+// NewConn returns the connection with the check. The memory of a large head is held in the account, unless that is nil, until the next response or the
+// end of the connection.
+func NewConn(c net.Conn, account *bounded.Account) *Conn {
+	return &Conn{Conn: c, account: account, memory: NewMemory(account)}
+}
 
 // Dial returns the dial function with the check of what its connections receive. It needs the context that WithTrace returns.
 func Dial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
@@ -26,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		return NewConn(c, nil), nil
 	}
 }
 
@@ -43,15 +52,27 @@
 func (c *Conn) Expect() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner, c.expecting = Scanner{}, true
+	c.memory.Hold().Release()
+	c.scanner, c.memory, c.expecting = Scanner{}, NewMemory(c.account), true
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.Hold().Release()
+	c.expecting = false
+	return err
 }
 
-// Read reads from the connection. The error is ErrMalformed if the bytes aren't the head of a response where one is expected.
+// Read reads from the connection. The error is ErrMalformed if the bytes aren't the head of a response where one is expected, or ErrTooManyFields or
+// ErrNoRoom.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if malformed := c.check(p[:n]); malformed != nil {
+	if fault := c.check(p[:n]); fault != nil {
 		_ = c.Close()
-		return 0, malformed
+		return 0, fault
 	}
 	return n, err
 }
@@ -61,7 +82,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.expecting && len(p) > 0 {
+		fields := c.scanner.Fields()
 		n, ended, err := c.scanner.Scan(p)
+		if err == nil {
+			err = c.memory.Add(n, c.scanner.Fields()-fields)
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/wire/responsehead/scanner.go
+++ b/internal/wire/responsehead/scanner.go
@@ -17,6 +17,8 @@
 // and an HTTP/1.0 response with a transfer encoding. What else net/http rejects is left to it.
 type Scanner struct {
 	at position
+	// fields is the number of fields that have begun.
+	fields int
 	// status is the status, or what has been scanned of it.
 	status int
 	// version is how many bytes of the version have been scanned, and minorVersion the last one.
@@ -69,6 +71,9 @@
 	return n, s.at == atEnd, nil
 }
 
+// Fields returns the number of fields that have begun.
+func (s *Scanner) Fields() int { return s.fields }
+
 // skipValue returns how many bytes belong to the value of a field and its line end. net/http checks the bytes.
 func (s *Scanner) skipValue(p []byte) int {
 	end := bytes.IndexByte(p, '\n')
@@ -162,6 +167,7 @@
 	case b == '\n':
 		return atEnd, nil
 	case isTokenByte(b):
+		s.fields++
 		s.match(b)
 		return inName, nil
 	default:
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -79,14 +79,14 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.nonIdempotent = newTransport(c.nonIdempotentMaxIdle)
-	c.idempotent = newTransport(idempotentMaxIdle)
+	c.nonIdempotent = c.newTransport(c.nonIdempotentMaxIdle)
+	c.idempotent = c.newTransport(idempotentMaxIdle)
 	return c
 }
 
-func newTransport(maxIdle time.Duration) *http.Transport {
+func (c *Client) newTransport(maxIdle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         countingDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		DialContext:         countingDial(c.account, (&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     maxIdle,
 		DisableCompression:  true,
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/foxtailhook/foxtailhook/internal/domain/call"
 	"github.com/foxtailhook/foxtailhook/internal/proof/loopback"
 	"github.com/foxtailhook/foxtailhook/internal/proof/malformed"
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 )
 
 // serverCounts counts the requests and connections that a test server has received.
@@ -195,6 +197,19 @@
 	})
 }
 
+// TestMoreFieldsThanMayBe guards against a head of many short lines, which takes far more memory than its bytes.
+func TestMoreFieldsThanMayBe(t *testing.T) {
+	Convey("A response with too many fields is lost, and takes no memory any more", t, func() {
+		const head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		address, _ := startRaw(t, head+strings.Repeat("X-Line: x\r\n", 20_000)+"\r\nok", head+strings.Repeat("X-Line: x\r\n", 900)+"\r\nok")
+		account := bounded.NewAccount(defaultLimits)
+		client := New(address, WithAccount(account))
+		So(client.Do(t.Context(), request(http.MethodGet), "t").Reason, ShouldEqual, call.AnswerLost)
+		So(account.Usage(bounded.ResponseHead).Bytes, ShouldEqual, 0)
+		So(client.Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Whole)
+	})
+}
+
 // TestMalformedTrailers guards against a response that is passed on although it ends with fields that the protocol doesn't allow.
 func TestMalformedTrailers(t *testing.T) {
 	const begin, end = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "\r\n"
--- a/internal/wire/upstream/proof.go
+++ b/internal/wire/upstream/proof.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
 	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
@@ -67,14 +68,14 @@
 	}
 }
 
-// countingDial wraps a dial function so that its connections count writes and check the heads of responses.
-func countingDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+// countingDial wraps a dial function so that its connections count writes, and check the heads of responses and count their memory.
+func countingDial(account *bounded.Account, dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: responsehead.NewConn(c)}, nil
+		return &countingConn{Conn: responsehead.NewConn(c, account)}, nil
 	}
 }
 
