Test: bodies that aren't whole, and resets during uploads at the embedded interface

Handled already, on too: 17 kinds of bodies that are shorter than they say or aren't framed as the protocol says are lost at the instance's client and at the upstream client (TestMalformedBodies), and a response without a length never counts at the upstream client, so that one that is reset during an upload is lost (TestResetDuringUpload, 20 uploads of 8 MiB). Nothing else changes for them.

Taken as before, since the body is the server's own: blanks and extensions behind a chunk's size, a length beside a transfer encoding, the same length twice, bytes behind a 204 or 304, which belong to no request.

--- a/internal/proof/malformed/malformed.go
+++ b/internal/proof/malformed/malformed.go
@@ -57,3 +57,24 @@
 	{"no status", "HTTP/1.1"},
 	{"a blank in place of a status", "HTTP/1.1 "},
 }
+
+// Bodies are the fields that frame a body, with the empty line and the bytes behind it, where the body isn't whole or its frame isn't one.
+var Bodies = []Part{
+	{"a body shorter than its length", "Content-Length: 5\r\n\r\nbody"},
+	{"two lengths", "Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody"},
+	{"a list of lengths", "Content-Length: 4, 4\r\n\r\nbody"},
+	{"a signed length", "Content-Length: +4\r\n\r\nbody"},
+	{"a length below 0", "Content-Length: -1\r\n\r\nbody"},
+	{"an empty length", "Content-Length:\r\n\r\nbody"},
+	{"a length beyond 64 bits", "Content-Length: 99999999999999999999\r\n\r\nbody"},
+	{"another encoding", "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+	{"an encoding twice", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+	{"an empty encoding", "Transfer-Encoding:\r\nContent-Length: 4\r\n\r\nbody"},
+	{"a chunk shorter than its size", "Transfer-Encoding: chunked\r\n\r\n5\r\nbody\r\n0\r\n\r\n"},
+	{"a chunk longer than its size", "Transfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n"},
+	{"a signed size of a chunk", "Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n"},
+	{"an empty size of a chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n\r\n0\r\n\r\n"},
+	{"chunks whose lines end with LF", "Transfer-Encoding: chunked\r\n\r\n4\nbody\n0\n\n"},
+	{"no last chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"},
+	{"no end after the last chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"},
+}
--- a/internal/wire/instance/malformed_test.go
+++ b/internal/wire/instance/malformed_test.go
@@ -59,6 +59,16 @@
 	})
 }
 
+// TestMalformedBodies guards against a body that is passed on although it isn't whole, or isn't framed as the protocol says.
+func TestMalformedBodies(t *testing.T) {
+	for _, body := range malformed.Bodies {
+		Convey("A response is lost with "+body.Name, t, func() {
+			_, err := answerWith(t, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\n"+body.Text)
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+		})
+	}
+}
+
 // TestChunksInHTTP10 guards against a body that is passed on with the sizes of its chunks, or a part of it.
 func TestChunksInHTTP10(t *testing.T) {
 	const begin, chunks = "HTTP/1.0 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n", "\r\n4\r\nbody\r\n0\r\n\r\n"
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -189,6 +189,50 @@
 	}
 }
 
+// TestMalformedBodies guards against a body that is passed on although it isn't whole, or isn't framed as the protocol says.
+func TestMalformedBodies(t *testing.T) {
+	for _, body := range malformed.Bodies {
+		Convey("A response is lost with "+body.Name, t, func() {
+			address, _ := startRaw(t, "HTTP/1.1 200 OK\r\n"+body.Text)
+			So(New(address).Do(t.Context(), request(http.MethodPost), "t").Reason, ShouldEqual, call.AnswerLost)
+		})
+	}
+}
+
+// TestResetDuringUpload guards against the first part of a body that is passed on as the whole, since the connection was reset while the upload was being
+// written.
+func TestResetDuringUpload(t *testing.T) {
+	const uploads = 20
+	l, err := net.Listen("tcp", loopback.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart of the body")
+				}
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	Convey("A response without a length that is reset during an upload is lost", t, func() {
+		client := New(netip.MustParseAddrPort(l.Addr().String()))
+		for range uploads {
+			r := request(http.MethodPost)
+			r.Body = make([]byte, 8<<20)
+			So(client.Do(t.Context(), r, "t").Reason, ShouldEqual, call.AnswerLost)
+		}
+	})
+}
+
 // TestChunksInHTTP10 guards against a part of a body in chunks that is passed on with their sizes.
 func TestChunksInHTTP10(t *testing.T) {
 	Convey("A response is lost with a transfer encoding and a length in HTTP/1.0", t, func() {
