--- a/internal/wire/instance/monitor.go
+++ b/internal/wire/instance/monitor.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/responsehead"
 )
 
 // Monitor checks the instance's health over a connection of its own, which also shows a restart at once: a restart breaks all connections.
@@ -183,6 +185,9 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxHealthBody)); err != nil || n == maxHealthBody {
 			return
 		}
+		if err := responsehead.CheckTrailer(res); err != nil {
+			return
+		}
 		select {
 		case responses <- healthResponse{res, begun}:
 		case <-done:
--- a/internal/wire/instance/monitor_test.go
+++ b/internal/wire/instance/monitor_test.go
@@ -180,12 +180,14 @@
 	})
 }
 
-// TestMalformedHealthResponses guards against a response to a health check that is taken for a good one although its head is malformed.
+// TestMalformedHealthResponses guards against a response to a health check that is taken for a good one although its head or its trailer is
+// malformed.
 func TestMalformedHealthResponses(t *testing.T) {
-	check := func(head string) {
+	const end, inChunks = "Content-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nCold: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	check := func(text string) {
 		instance := startInstance(t, func(_ int64, c net.Conn, r *bufio.Reader) {
 			_, _ = http.ReadRequest(r)
-			_, _ = io.WriteString(c, head+"Content-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, text)
 			_, _ = r.ReadByte()
 		})
 		_, events := runMonitor(t, instance.address)
@@ -193,9 +195,12 @@
 		So(<-events, ShouldResemble, monitorEvent{name: "disconnected", reachable: true})
 	}
 	for _, field := range malformed.Fields {
-		Convey("A health check isn't answered by a head with "+field.Name, t, func() { check("HTTP/1.1 200 OK\r\nCold: 1\r\n" + field.Text) })
+		Convey("A health check isn't answered by a head with "+field.Name, t, func() { check("HTTP/1.1 200 OK\r\nCold: 1\r\n" + field.Text + end) })
 	}
 	for _, line := range malformed.StatusLines {
-		Convey("A health check isn't answered by a head with "+line.Name, t, func() { check(line.Text + "\r\nCold: 1\r\n") })
+		Convey("A health check isn't answered by a head with "+line.Name, t, func() { check(line.Text + "\r\nCold: 1\r\n" + end) })
+	}
+	for _, trailer := range malformed.Trailers {
+		Convey("A health check isn't answered by a trailer with "+trailer.Name, t, func() { check(inChunks + trailer.Text + "\r\n") })
 	}
 }
