Idle connections to the upstream don't hold the memory of large heads

Many idle connections could take all the room of heads, so that responses with heads of more than 32 KiB would have been lost.

Change: the response takes the hold over from its connection, with that of its body, as at the instance's client. TestMoreFieldsThanMayBe has a response whose memory is given back while its connection is idle, which failed before.

--- a/internal/domain/call/answer.go
+++ b/internal/domain/call/answer.go
@@ -11,7 +11,7 @@
 	Status  int
 	Header  Header
 	Body    []byte
-	// Held is the memory that is held for the body, nil if none is.
+	// Held is the memory that is held for the body and for a large head, nil if none is.
 	Held       Memory
 	RetryAfter time.Duration
 	BudgetLeft int
--- a/internal/wire/responsehead/conn.go
+++ b/internal/wire/responsehead/conn.go
@@ -22,8 +22,8 @@
 	expecting bool
 }
 
-// NewConn returns the connection with the check. The memory of a large head is held in the account, unless that is nil, until the next response or the
-// end of the connection.
+// NewConn returns the connection with the check. The memory of a large head is held in the account, unless that is nil, until it is taken over, the next
+// response is expected or the connection ends.
 func NewConn(c net.Conn, account *bounded.Account) *Conn {
 	return &Conn{Conn: c, account: account, memory: NewMemory(account)}
 }
@@ -56,6 +56,13 @@
 	c.scanner, c.memory, c.expecting = Scanner{}, NewMemory(c.account), true
 }
 
+// TakeHold takes over the memory that is held for the head of the last response, nil if none is.
+func (c *Conn) TakeHold() *bounded.Hold {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.memory.take()
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/wire/responsehead/memory.go
+++ b/internal/wire/responsehead/memory.go
@@ -66,5 +66,12 @@
 	return nil
 }
 
+// take returns the memory that is held, and holds none any more.
+func (m *Memory) take() *bounded.Hold {
+	hold := m.hold
+	m.hold, m.held = nil, 0
+	return hold
+}
+
 // Hold returns the memory that is held, nil if none is. It is to be released when the heads aren't used any more.
 func (m *Memory) Hold() *bounded.Hold { return m.hold }
--- a/internal/wire/responsehead/memory_test.go
+++ b/internal/wire/responsehead/memory_test.go
@@ -75,6 +75,16 @@
 		read(account).Expect()
 		So(account.Held(), ShouldEqual, 0)
 	})
+	Convey("The memory is given back by who has taken it over", t, func() {
+		account := bounded.NewAccount(headLimits)
+		c := read(account)
+		hold := c.TakeHold()
+		So(c.TakeHold(), ShouldBeNil)
+		c.Expect()
+		So(account.Held(), ShouldBeGreaterThan, 100<<10)
+		hold.Release()
+		So(account.Held(), ShouldEqual, 0)
+	})
 	Convey("The memory is given back with the connection", t, func() {
 		account := bounded.NewAccount(headLimits)
 		c := read(account)
--- a/internal/wire/upstream/client.go
+++ b/internal/wire/upstream/client.go
@@ -126,11 +126,13 @@
 		return answerOfError(ctx, tracker, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	head := tracker.takeHeadHold()
 	if !isFinalResponse(res, r.ID) {
+		head.Release()
 		tracker.closeConn()
 		return call.UnknownOutcome(call.AnswerLost)
 	}
-	return c.readResponse(ctx, r, res)
+	return c.readResponse(ctx, r, res, head)
 }
 
 // isFinalResponse reports whether the response is final and doesn't bear the id of another request.
@@ -182,7 +184,8 @@
 // unreachableRetryAfter is the retry delay that a caller is given when the upstream could not be reached.
 const unreachableRetryAfter = time.Second
 
-func (c *Client) readResponse(ctx context.Context, r *call.Request, res *http.Response) call.Answer {
+// readResponse reads the response, for whose head the memory is held.
+func (c *Client) readResponse(ctx context.Context, r *call.Request, res *http.Response, head *bounded.Hold) call.Answer {
 	length := res.ContentLength
 	if res.Request.Method == http.MethodHead {
 		length = 0
@@ -190,6 +193,7 @@
 	body, hold, err := c.account.ReadBody(ctx, res.Body, bounded.Source{
 		Purpose: bounded.InstanceResponse, To: r.Receiver, Length: length, MaxLength: c.maxResponse,
 	})
+	hold = hold.Join(head)
 	if err == nil {
 		err = responsehead.CheckTrailer(res)
 	}
--- a/internal/wire/upstream/client_test.go
+++ b/internal/wire/upstream/client_test.go
@@ -241,7 +241,8 @@
 	})
 }
 
-// TestMoreFieldsThanMayBe guards against a head of many short lines, which takes far more memory than its bytes.
+// TestMoreFieldsThanMayBe guards against a head of many short lines, which takes far more memory than its bytes, and against idle connections that hold the
+// memory of large heads.
 func TestMoreFieldsThanMayBe(t *testing.T) {
 	Convey("A response with too many fields is lost, and takes no memory any more", t, func() {
 		const head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
@@ -250,7 +251,11 @@
 		client := New(address, WithAccount(account))
 		So(client.Do(t.Context(), request(http.MethodGet), "t").Reason, ShouldEqual, call.AnswerLost)
 		So(account.Usage(bounded.ResponseHead).Bytes, ShouldEqual, 0)
-		So(client.Do(t.Context(), request(http.MethodGet), "t").Outcome, ShouldEqual, call.Whole)
+		answer := client.Do(t.Context(), request(http.MethodGet), "t")
+		So(answer.Outcome, ShouldEqual, call.Whole)
+		So(account.Usage(bounded.ResponseHead).Bytes, ShouldBeGreaterThan, 100<<10)
+		answer.Held.Release()
+		So(account.Held(), ShouldEqual, 0)
 	})
 }
 
--- a/internal/wire/upstream/proof.go
+++ b/internal/wire/upstream/proof.go
@@ -68,6 +68,14 @@
 	}
 }
 
+func (c *countingConn) takeHeadHold() *bounded.Hold {
+	checked, ok := c.Conn.(*responsehead.Conn)
+	if !ok {
+		return nil
+	}
+	return checked.TakeHold()
+}
+
 // countingDial wraps a dial function so that its connections count writes, and check the heads of responses and count their memory.
 func countingDial(account *bounded.Account, dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -115,6 +123,16 @@
 	return t.conn == nil || t.conn.seal(t.countBefore)
 }
 
+// takeHeadHold takes over the memory that is held for the head of the request's response, nil if none is.
+func (t *sendTracker) takeHeadHold() *bounded.Hold {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	return t.conn.takeHeadHold()
+}
+
 // hasConn reports whether the request was assigned a connection.
 func (t *sendTracker) hasConn() bool {
 	t.mu.Lock()
