Test: large heads without copies of them in the test's own instance

The test measures the heap of its process, in which its instance, too, copied the head twice for each of the 400 connections: once joined to the status line, once for the write. On a busy processor many of those writes wait at once, and their copies are 80 MB and more that the client never had.

The instance's connections now share the bytes.

--- a/internal/wire/instance/large_heads_test.go
+++ b/internal/wire/instance/large_heads_test.go
@@ -41,6 +41,8 @@
 		{"one line", "X-Line: " + strings.Repeat("x", 200<<10)},
 	} {
 		Convey("Heads of "+c.name+" stay within their room, and others are read beside them", t, func() {
+			// The connections of the instance share the bytes: copies of them would be a part of the measured heap.
+			begin := []byte("HTTP/1.1 200 OK\r\n" + c.begin)
 			var begun atomic.Int64
 			instance := startInstance(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
 				id, _, ok := readRequest(r)
@@ -49,7 +51,7 @@
 					return
 				}
 				if ok {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+c.begin)
+					_, _ = conn.Write(begin)
 					begun.Add(1)
 					_, _ = r.ReadByte()
 				}
