A connection that the server closes ends for its client at once

A request on another connection of the same loop ended it.

The connection is closed by a timer or a handler while its loop goes back into epoll_wait, which looks at each connection that was ready once more. The kernel holds the connection for that long, and so drops it only when the loop's system call returns, with its next event.

loops.Close ends both directions with shutdown before it closes the descriptor. That works on the connection itself, whoever holds it. nbio's lock keeps the descriptor from being closed and used again meanwhile.

--- a/internal/wire/httpd/guard.go
+++ b/internal/wire/httpd/guard.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/foxtailhook/foxtailhook/internal/wire/bounded"
+	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
 // guard enforces the bounds between a connection and its parser. nbhttp delivers
@@ -126,7 +127,7 @@
 // new connection, which can be after the first bytes were handled.
 func (g *guard) closeAfter(d time.Duration) {
 	if g.timer == nil {
-		g.timer = time.AfterFunc(d, func() { _ = g.conn.Close() })
+		g.timer = time.AfterFunc(d, func() { _ = loops.Close(g.conn) })
 		return
 	}
 	g.timer.Reset(d)
@@ -323,7 +324,7 @@
 			g.linger(since)
 			return
 		}
-		_ = g.conn.Close()
+		_ = loops.Close(g.conn)
 	})
 }
 
--- a/internal/wire/httpd/writer.go
+++ b/internal/wire/httpd/writer.go
@@ -9,6 +9,8 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/foxtailhook/foxtailhook/internal/wire/loops"
 )
 
 // wrap returns a handler that writes its response in the order of the requests, with a context that is cancelled when the caller disconnects.
@@ -232,7 +234,7 @@
 		part := p[:min(maxWrite, len(p))]
 		p = p[len(part):]
 		if err := w.sendPart(part); err != nil {
-			_ = w.guard.conn.Close()
+			_ = loops.Close(w.guard.conn)
 			return errors.Wrap(err, "http: write response")
 		}
 	}
@@ -260,7 +262,7 @@
 	}
 	w.ended = true
 	if w.isShort() {
-		_ = w.guard.conn.Close()
+		_ = loops.Close(w.guard.conn)
 		return
 	}
 	if err := w.writeRest(); err != nil {
@@ -268,7 +270,7 @@
 	}
 	_ = w.guard.counted.SetReadDeadline(time.Now().Add(keepAliveTime))
 	if w.closesConn {
-		time.AfterFunc(lingerTime+time.Duration(w.sent/minBodyRate)*time.Second, func() { _ = w.guard.conn.Close() })
+		time.AfterFunc(lingerTime+time.Duration(w.sent/minBodyRate)*time.Second, func() { _ = loops.Close(w.guard.conn) })
 	}
 }
 
--- a/internal/wire/loops/doc.go
+++ b/internal/wire/loops/doc.go
@@ -1,2 +1,2 @@
-// Package loops starts nbio engines so that they can be stopped at any time, and runs handlers on reused goroutines.
+// Package loops starts nbio engines so that they can be stopped at any time, closes their connections, and runs handlers on reused goroutines.
 package loops
